--- /dev/null
+++ b/libraries/callers/operator_endpoint.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "callers/http_listener.h"
+#include "callers/json_rpc.h"
+#include "entry_vm/entry_vm.h"
+
+namespace greengagehitch {
+
+/// Operators' side of the daemon: JSON-RPC 2.0 over HTTP, for the command-line client.
+class operator_endpoint {
+public:
+    /// `drain` starts the shutdown of the daemon.
+    operator_endpoint(reactor& reactor, http_listener_options options, std::string token, entry_vm& vm,
+                      std::function<void()> drain);
+
+    http_listener& listener() { return m_listener; }
+
+private:
+    using reply = std::function<void(std::variant<Json::Value, rpc_error>)>;
+    using method = std::function<void(Json::Value const& parameters, reply)>;
+
+    void handle(http_request const& request);
+    void add_methods();
+    void show_configuration(Json::Value const& parameters, reply const& done);
+    void apply_configuration(Json::Value const& parameters, reply const& done);
+    void show_history(Json::Value const& parameters, reply const& done);
+    void give_key(Json::Value const& parameters, reply const& done);
+    void withdraw_key(Json::Value const& parameters, reply const& done);
+    void list_keys(reply const& done);
+    Json::Value status();
+
+    std::string m_token;
+    entry_vm& m_vm;
+    std::function<void()> m_drain;
+    std::map<std::string, method> m_methods;
+    http_listener m_listener;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/database/group_contract.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "base/enum_names.h"
+#include "database/statement.h"
+
+namespace greengagehitch {
+
+/// Place in a database group's log. Places are ordered by term, then by position.
+struct log_position {
+    std::uint64_t term = 0;
+    std::uint64_t position = 0;
+
+    auto operator<=>(log_position const&) const = default;
+};
+
+enum class member_role { replica, primary };
+
+inline constexpr std::array member_role_names{
+    enum_name<member_role>{member_role::replica, "replica"},
+    enum_name<member_role>{member_role::primary, "primary"},
+};
+
+/// One member's answer to database_group.status().
+struct member_status {
+    std::uint64_t term = 0; ///< Highest term that the member has accepted a fence of.
+    member_role role = member_role::replica;
+    log_position received; ///< Last log entry that the member holds durably.
+    log_position applied;  ///< Last log entry that reads at this member see.
+    std::string marker;    ///< Echo of the marker in the question.
+};
+
+/// Statements of the contract in docs/DATABASE-CONTRACT.md and readers of their answers.
+namespace group_contract {
+
+/// Asks for the status. The member echoes `marker`, so that an answer cannot pass for another question's.
+statement status(std::string marker);
+std::optional<member_status> parse_status(result_set const& result);
+
+/// Claims `term` for `claimant`. The member then accepts nothing of an older term.
+statement fence(std::uint64_t term, std::string const& claimant);
+/// Makes the member primary of `term`, which `claimant` must have claimed at this member.
+statement promote(std::uint64_t term, std::string const& claimant);
+/// Makes the member a replica of `primary`, the name of another member, at `term`.
+statement follow(std::uint64_t term, std::string const& primary);
+/// Reads the answer to fence, promote and follow: whether the member agreed.
+bool is_granted(result_set const& result);
+
+statement begin_read();
+statement begin_write();
+statement commit();
+statement rollback();
+statement reset();
+
+/// Names the client account of the running transaction, for row-level security.
+statement set_client_account(std::string const& client_account);
+
+enum class outcome_state { pending, done, not_run };
+
+inline constexpr std::array outcome_state_names{
+    enum_name<outcome_state>{outcome_state::pending, "pending"},
+    enum_name<outcome_state>{outcome_state::done, "done"},
+    enum_name<outcome_state>{outcome_state::not_run, "not_run"},
+};
+
+/// Record of a request that carried a request id.
+struct outcome_record {
+    outcome_state state = outcome_state::pending;
+    std::string fingerprint; ///< Hexadecimal digest of the request's class and statements.
+    std::string answer;      ///< JSON of the results, for a repeated request.
+};
+
+/// Adds a record; fails with duplicate_outcome when there is one under this account and id.
+statement insert_outcome(std::string const& client_account, std::string const& request_id,
+                         outcome_state state, std::string const& fingerprint);
+/// Completes the record that the running transaction added.
+statement complete_outcome(std::string const& client_account, std::string const& request_id,
+                           std::string const& answer);
+statement find_outcome(std::string const& client_account, std::string const& request_id);
+std::optional<outcome_record> parse_outcome(result_set const& result);
+
+inline constexpr std::string_view outcome_table = "database_group.outcomes";
+
+} // namespace group_contract
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/kernel/kernel.cpp
@@ -0,0 +1,75 @@
+#include "kernel/kernel.h"
+
+#include <utility>
+
+namespace greengagehitch {
+
+kernel::kernel(kernel_hooks hooks) : m_hooks(std::move(hooks)) {}
+
+kernel::~kernel()
+{
+    m_alive.reset();
+    // Later services may refer to earlier ones, so the last one goes first.
+    while (!m_services.empty()) {
+        m_services.pop_back();
+    }
+}
+
+timer_id kernel::start_timer(duration delay, std::function<void()> callback)
+{
+    return m_hooks.start_timer(delay, guard(std::move(callback)));
+}
+
+void kernel::start_periodic(duration period, std::function<void()> callback)
+{
+    auto const repeat = std::make_shared<std::function<void()>>();
+    *repeat = [this, period, callback = std::move(callback), weak = std::weak_ptr(repeat)] {
+        callback();
+        if (auto const next = weak.lock()) {
+            start_timer(period, [next] { (*next)(); });
+        }
+    };
+    auto const first =
+        duration(static_cast<duration::rep>(random_below(static_cast<std::uint64_t>(period.count()))));
+    start_timer(first, [repeat] { (*repeat)(); });
+}
+
+void kernel::log(log_level level, std::string_view service, std::string_view message,
+                 Json::Value fields) const
+{
+    m_hooks.log(log_record{level, std::string(service), std::string(message), std::move(fields)});
+}
+
+void kernel::add(std::unique_ptr<service> added)
+{
+    VERIFY(find_service(added->name()) == nullptr);
+    m_services.push_back(std::move(added));
+}
+
+void kernel::start()
+{
+    for (auto const& each : m_services) {
+        each->start();
+    }
+}
+
+Json::Value kernel::dump() const
+{
+    Json::Value state(Json::objectValue);
+    for (auto const& each : m_services) {
+        state[std::string(each->name())] = each->dump();
+    }
+    return state;
+}
+
+service* kernel::find_service(std::string_view name) const
+{
+    for (auto const& each : m_services) {
+        if (each->name() == name) {
+            return each.get();
+        }
+    }
+    return nullptr;
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/kernel/kernel.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/log_record.h"
+#include "base/time.h"
+#include "base/verify.h"
+#include "kernel/event_loop.h"
+#include "kernel/service.h"
+
+namespace greengagehitch {
+
+/// What a kernel needs from its owner. Everything that varies between a daemon and a test comes in here.
+struct kernel_hooks {
+    std::function<monotonic_time()> now;
+    std::function<std::uint64_t()> random;
+    std::function<timer_id(duration, std::function<void()>)> start_timer;
+    std::function<void(timer_id)> cancel_timer;
+    log_sink log;
+};
+
+/// Registry of the services of one entry VM, with the clock, timers, random source and log that they share.
+class kernel {
+public:
+    explicit kernel(kernel_hooks hooks);
+    ~kernel();
+    kernel(kernel const&) = delete;
+    kernel& operator=(kernel const&) = delete;
+    kernel(kernel&&) = delete;
+    kernel& operator=(kernel&&) = delete;
+
+    monotonic_time now() const { return m_hooks.now(); }
+    std::uint64_t random() const { return m_hooks.random(); }
+
+    /// Random number in [0, bound).
+    std::uint64_t random_below(std::uint64_t bound) const
+    {
+        return bound == 0 ? 0 : m_hooks.random() % bound;
+    }
+
+    /// Starts a timer whose callback is dropped once the kernel is gone.
+    timer_id start_timer(duration delay, std::function<void()> callback);
+    void cancel_timer(timer_id timer) { m_hooks.cancel_timer(timer); }
+
+    /// Runs `callback` every `period` until the kernel is gone. The first run comes after a random part of
+    /// the period, so that the VMs of a fleet spread out.
+    void start_periodic(duration period, std::function<void()> callback);
+
+    void log(log_level level, std::string_view service, std::string_view message,
+             Json::Value fields = {}) const;
+
+    /// Adds a service. Its name must be new.
+    void add(std::unique_ptr<service> added);
+
+    /// Starts all services in the order of their registration.
+    void start();
+
+    /// Finds a service by name and type. A missing one is a programming error.
+    template <typename Service>
+    Service& find(std::string_view name) const
+    {
+        auto* const found = dynamic_cast<Service*>(find_service(name));
+        VERIFY(found != nullptr);
+        return *found;
+    }
+
+    /// Wraps a callback so that it does nothing once the kernel is gone.
+    template <typename... Arguments, typename Callback>
+    std::function<void(Arguments...)> guard(Callback callback) const
+    {
+        return
+            [alive = std::weak_ptr<bool>(m_alive), callback = std::move(callback)](Arguments... arguments) {
+                if (!alive.expired()) {
+                    callback(std::forward<Arguments>(arguments)...);
+                }
+            };
+    }
+
+    /// Expires when the kernel goes. Objects that live in callbacks of the hooks check it before they call
+    /// out.
+    std::weak_ptr<bool> lifetime() const { return m_alive; }
+
+    /// State of all services, by name.
+    Json::Value dump() const;
+
+private:
+    service* find_service(std::string_view name) const;
+
+    kernel_hooks m_hooks;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::vector<std::unique_ptr<service>> m_services;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/keys/key_service.cpp
@@ -0,0 +1,84 @@
+#include "keys/key_service.h"
+
+#include "base/digest.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::string_view key_prefix = "ggh_";
+constexpr std::size_t longest_key = 256;
+/// A withdrawn key stops within 3 s of its acceptance; this leaves a second for the spread of the news.
+constexpr duration confirmation_limit = std::chrono::milliseconds(2'000);
+
+} // namespace
+
+std::string caller_key::to_string() const
+{
+    return std::string(key_prefix) + id + "_" + secret;
+}
+
+std::optional<caller_key> parse_caller_key(std::string_view text)
+{
+    if (text.size() > longest_key || !text.starts_with(key_prefix)) {
+        return std::nullopt;
+    }
+    text.remove_prefix(key_prefix.size());
+    auto const separator = text.find('_');
+    if (separator == std::string_view::npos || separator == 0 || separator + 1 == text.size()) {
+        return std::nullopt;
+    }
+    return caller_key{std::string(text.substr(0, separator)), std::string(text.substr(separator + 1))};
+}
+
+std::string digest_of_key(std::string const& salt_hex, std::string const& secret)
+{
+    return to_hex(sha256(salt_hex + ":" + secret));
+}
+
+void key_service::start()
+{
+    m_configuration = &m_kernel.find<configuration_service>(configuration_service::service_name);
+    m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
+}
+
+Json::Value key_service::dump() const
+{
+    Json::Value state(Json::objectValue);
+    auto const& current = m_configuration->current();
+    state["keys"] = Json::UInt64(current ? current->keys.size() : 0);
+    state["is_current"] = is_current();
+    return state;
+}
+
+authentication key_service::authenticate(std::string_view key) const
+{
+    if (key.empty()) {
+        return {"", "", key_error::missing};
+    }
+    auto const parsed = parse_caller_key(key);
+    if (!parsed) {
+        return {"", "", key_error::malformed};
+    }
+    auto const& snapshot = *m_configuration->current();
+    auto const found = snapshot.keys.find(parsed->id);
+    if (found == snapshot.keys.end() ||
+        !is_equal_in_constant_time(digest_of_key(found->second.salt, parsed->secret), found->second.digest)) {
+        return {parsed->id, "", key_error::unknown};
+    }
+    if (!snapshot.document.client_accounts.contains(found->second.client_account)) {
+        return {parsed->id, "", key_error::account_removed};
+    }
+    return {parsed->id, found->second.client_account, std::nullopt};
+}
+
+bool key_service::is_current() const
+{
+    auto const confirmed = m_configuration->confirmed_since();
+    if (confirmed && m_kernel.now() - *confirmed <= confirmation_limit) {
+        return true;
+    }
+    return m_membership->has_majority();
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/keys/key_service.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/enum_names.h"
+#include "configuration/configuration_service.h"
+#include "kernel/kernel.h"
+#include "membership/membership_service.h"
+
+namespace greengagehitch {
+
+enum class key_error { missing, malformed, unknown, account_removed };
+
+inline constexpr std::array key_error_names{
+    enum_name<key_error>{key_error::missing, "no key came with the request"},
+    enum_name<key_error>{key_error::malformed, "key is malformed"},
+    enum_name<key_error>{key_error::unknown, "key is unknown or was withdrawn"},
+    enum_name<key_error>{key_error::account_removed, "client account of the key does not exist"},
+};
+
+/// A caller's key: an identifier that may be shown, and a secret that leaves the process only as a salted
+/// digest.
+struct caller_key {
+    std::string id;
+    std::string secret;
+
+    /// Form in which callers send it.
+    std::string to_string() const;
+};
+
+std::optional<caller_key> parse_caller_key(std::string_view text);
+
+/// Digest that the fleet keeps of a key.
+std::string digest_of_key(std::string const& salt_hex, std::string const& secret);
+
+/// Result of checking a key.
+struct authentication {
+    std::string key_id;
+    std::string client_account;
+    std::optional<key_error> error;
+};
+
+/// Checks callers' keys against the configuration in force, on every request.
+class key_service : public service {
+public:
+    static constexpr std::string_view service_name = "keys";
+
+    explicit key_service(kernel& kernel) : m_kernel(kernel) {}
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+    authentication authenticate(std::string_view key) const;
+
+    /// True while this VM would hear of a withdrawal within `confirmation_limit`: it has confirmed its
+    /// configuration lately, or it hears a majority of the fleet, without which no change is accepted.
+    bool is_current() const;
+
+private:
+    kernel& m_kernel;
+    configuration_service* m_configuration = nullptr;
+    membership_service* m_membership = nullptr;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/membership/membership_service.cpp
@@ -0,0 +1,323 @@
+#include "membership/membership_service.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr duration gossip_period = std::chrono::milliseconds(500);
+constexpr duration suspicion_time = std::chrono::milliseconds(1'600);
+constexpr duration forget_time = std::chrono::minutes(5);
+constexpr duration shortest_list_period = std::chrono::seconds(2);
+constexpr duration heartbeat_memory = std::chrono::seconds(10);
+constexpr double list_reads_per_second = 10;
+/// Up to this many peers hear each heartbeat; larger fleets gossip to as many random ones.
+constexpr std::size_t gossip_fanout = 7;
+/// In larger fleets the fan-out of one period; news need about log(fleet) periods.
+constexpr std::size_t large_fleet_fanout = 2;
+constexpr std::size_t max_rumors = 4;
+
+} // namespace
+
+membership_service::membership_service(kernel& kernel, platform_hooks const& platform, vm_identity identity,
+                                       peer_codec codec,
+                                       std::function<void(endpoint const&, std::string)> send_datagram)
+    : m_kernel(kernel), m_platform(platform), m_identity(std::move(identity)), m_codec(std::move(codec)),
+      m_send_datagram(std::move(send_datagram))
+{
+}
+
+void membership_service::start()
+{
+    on_message<heartbeat>([](peer_state const&, heartbeat const&) {
+        // read_heartbeat() has taken it in, since it alone may change the peer's state.
+    });
+    poll_list();
+    m_kernel.start_periodic(gossip_period, [this] {
+        forget_silent_peers();
+        gossip();
+    });
+}
+
+Json::Value membership_service::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["vm"] = m_identity.name;
+    state["availability_zone"] = m_identity.availability_zone;
+    state["incarnation"] = std::to_string(m_identity.incarnation);
+    state["is_leaving"] = m_is_leaving;
+    state["has_majority"] = has_majority();
+    state["rejected_datagrams"] = Json::UInt64(m_rejected_datagrams);
+    state["peers"] = Json::Value(Json::arrayValue);
+    for (auto const& [name, peer] : m_peers) {
+        Json::Value entry(Json::objectValue);
+        entry["vm"] = name;
+        entry["availability_zone"] = peer.availability_zone;
+        entry["address"] = peer.address.to_string();
+        entry["is_listed"] = peer.is_listed;
+        entry["is_leaving"] = peer.is_leaving;
+        entry["is_reachable"] = is_reachable(peer);
+        if (peer.last_heard) {
+            entry["last_heard_ms"] = to_milliseconds(m_kernel.now() - *peer.last_heard);
+        }
+        state["peers"].append(std::move(entry));
+    }
+    return state;
+}
+
+void membership_service::send(std::string const& peer, peer_message message)
+{
+    auto const found = m_peers.find(peer);
+    if (found == m_peers.end() || found->second.address.port == 0) {
+        return;
+    }
+    m_send_datagram(found->second.address,
+                    m_codec.encode({m_identity.name, m_identity.incarnation, std::move(message)}));
+}
+
+void membership_service::handle_datagram(std::string const& datagram)
+{
+    auto const envelope = m_codec.try_decode(datagram);
+    if (!envelope.ok() || envelope->sender == m_identity.name) {
+        ++m_rejected_datagrams;
+        return;
+    }
+    auto& peer = m_peers[envelope->sender];
+    peer.name = envelope->sender;
+    peer.last_heard = m_kernel.now();
+    if (peer.incarnation != envelope->sender_incarnation) {
+        peer.incarnation = envelope->sender_incarnation;
+        peer.last_sequence = 0;
+        peer.is_leaving = false;
+    }
+    if (auto const* const message = std::get_if<heartbeat>(&envelope->message)) {
+        read_heartbeat(peer, *message);
+    }
+    auto const handler = m_handlers.find(envelope->message.index());
+    if (handler != m_handlers.end()) {
+        handler->second(peer, envelope->message);
+    }
+}
+
+void membership_service::set_heartbeat_hooks(std::function<void(heartbeat&)> fill,
+                                             std::function<void(peer_state const&, heartbeat const&)> read)
+{
+    m_fill_heartbeat = std::move(fill);
+    m_read_heartbeat = std::move(read);
+}
+
+void membership_service::spread_news()
+{
+    gossip();
+}
+
+bool membership_service::is_reachable(peer_state const& peer) const
+{
+    return peer.last_heard && m_kernel.now() - *peer.last_heard <= suspicion_time;
+}
+
+bool membership_service::has_majority() const
+{
+    std::size_t known = 1;
+    std::size_t heard = 1;
+    for (auto const& [name, peer] : m_peers) {
+        if (!peer.is_listed && !is_reachable(peer)) {
+            continue;
+        }
+        ++known;
+        heard += is_reachable(peer) ? 1 : 0;
+    }
+    return 2 * heard > known;
+}
+
+std::vector<std::string> membership_service::live_vms() const
+{
+    std::vector<std::string> names;
+    if (!m_is_leaving) {
+        names.push_back(m_identity.name);
+    }
+    for (auto const& [name, peer] : m_peers) {
+        if (!peer.is_leaving && (peer.is_listed || is_reachable(peer))) {
+            names.push_back(name);
+        }
+    }
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::string membership_service::availability_zone_of(std::string const& vm) const
+{
+    if (vm == m_identity.name) {
+        return m_identity.availability_zone;
+    }
+    auto const found = m_peers.find(vm);
+    return found == m_peers.end() ? std::string() : found->second.availability_zone;
+}
+
+void membership_service::set_leaving()
+{
+    m_is_leaving = true;
+    gossip();
+}
+
+duration membership_service::store_period(duration shortest, double reads_per_second) const
+{
+    auto const fleet_period =
+        std::chrono::duration<double>(static_cast<double>(fleet_size()) / reads_per_second);
+    return std::max(shortest, std::chrono::duration_cast<duration>(fleet_period));
+}
+
+void membership_service::poll_list()
+{
+    m_platform.list_vms(m_kernel.guard<absl::StatusOr<std::vector<vm_record>>>([this](auto const& records) {
+        if (records.ok()) {
+            take_list(*records);
+        }
+    }));
+    m_kernel.start_timer(store_period(shortest_list_period, list_reads_per_second), [this] { poll_list(); });
+}
+
+void membership_service::take_list(std::vector<vm_record> const& records)
+{
+    for (auto& [name, peer] : m_peers) {
+        peer.is_listed = false;
+    }
+    for (auto const& record : records) {
+        if (record.name == m_identity.name) {
+            continue;
+        }
+        auto& peer = m_peers[record.name];
+        peer.name = record.name;
+        peer.is_listed = true;
+        peer.is_leaving = peer.is_leaving || record.state == vm_state::leaving;
+        // The list lags, so what the peer says of itself goes first.
+        if (!peer.last_heard) {
+            peer.availability_zone = record.availability_zone;
+            peer.address = {record.peer_host, record.peer_port};
+        }
+    }
+}
+
+void membership_service::gossip()
+{
+    for (auto const& name : choose_gossip_targets()) {
+        send_heartbeat(m_peers.at(name), false);
+    }
+}
+
+std::vector<std::string> membership_service::choose_gossip_targets()
+{
+    std::vector<std::string> names;
+    for (auto const& [name, peer] : m_peers) {
+        if (peer.address.port != 0) {
+            names.push_back(name);
+        }
+    }
+    if (names.size() <= gossip_fanout) {
+        return names;
+    }
+    for (std::size_t i = 0; i < large_fleet_fanout; ++i) {
+        std::swap(names[i], names[i + m_kernel.random_below(names.size() - i)]);
+    }
+    names.resize(large_fleet_fanout);
+    return names;
+}
+
+void membership_service::send_heartbeat(peer_state& peer, bool is_reply)
+{
+    heartbeat message;
+    message.sender = own_rumor();
+    message.sequence = m_next_sequence++;
+    message.echoed_sequence = peer.last_sequence;
+    message.is_reply = is_reply;
+    message.rumors = choose_rumors();
+    message.interests.assign(m_interests.begin(), m_interests.end());
+    if (m_fill_heartbeat) {
+        m_fill_heartbeat(message);
+    }
+    auto const now = m_kernel.now();
+    m_sent_heartbeats.emplace(message.sequence, now);
+    while (now - m_sent_heartbeats.begin()->second > heartbeat_memory) {
+        m_sent_heartbeats.erase(m_sent_heartbeats.begin());
+    }
+    send(peer.name, std::move(message));
+}
+
+void membership_service::read_heartbeat(peer_state& peer, heartbeat const& message)
+{
+    peer.last_sequence = std::max(peer.last_sequence, message.sequence);
+    peer.availability_zone = message.sender.availability_zone;
+    peer.address = {message.sender.host, message.sender.port};
+    peer.is_leaving = peer.is_leaving || message.sender.is_leaving;
+    peer.interests = {message.interests.begin(), message.interests.end()};
+    auto const echoed = m_sent_heartbeats.find(message.echoed_sequence);
+    if (echoed != m_sent_heartbeats.end()) {
+        peer.answered_since = std::max(peer.answered_since.value_or(echoed->second), echoed->second);
+    }
+    for (auto const& rumor : message.rumors) {
+        take_rumor(rumor);
+    }
+    if (m_read_heartbeat) {
+        m_read_heartbeat(peer, message);
+    }
+    if (!message.is_reply) {
+        send_heartbeat(peer, true);
+    }
+}
+
+void membership_service::take_rumor(member_rumor const& rumor)
+{
+    if (rumor.vm == m_identity.name) {
+        return;
+    }
+    auto& peer = m_peers[rumor.vm];
+    if (peer.last_heard) {
+        return;
+    }
+    peer.name = rumor.vm;
+    peer.availability_zone = rumor.availability_zone;
+    peer.address = {rumor.host, rumor.port};
+}
+
+std::vector<member_rumor> membership_service::choose_rumors()
+{
+    std::vector<peer_state const*> reachable;
+    for (auto const& [name, peer] : m_peers) {
+        if (is_reachable(peer)) {
+            reachable.push_back(&peer);
+        }
+    }
+    std::vector<member_rumor> rumors;
+    auto const count = std::min(max_rumors, reachable.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        std::swap(reachable[i], reachable[i + m_kernel.random_below(reachable.size() - i)]);
+        auto const& peer = *reachable[i];
+        rumors.push_back({peer.name, peer.availability_zone, peer.incarnation, peer.address.host,
+                          peer.address.port, peer.is_leaving});
+    }
+    return rumors;
+}
+
+member_rumor membership_service::own_rumor() const
+{
+    return {m_identity.name,
+            m_identity.availability_zone,
+            m_identity.incarnation,
+            m_identity.peer_endpoint.host,
+            m_identity.peer_endpoint.port,
+            m_is_leaving};
+}
+
+void membership_service::forget_silent_peers()
+{
+    auto const now = m_kernel.now();
+    std::erase_if(m_peers, [now](auto const& entry) {
+        auto const& peer = entry.second;
+        return !peer.is_listed && peer.last_heard && now - *peer.last_heard > forget_time;
+    });
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/platform/platform_hooks.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "base/enum_names.h"
+
+namespace greengagehitch {
+
+/// Row of the platform's table service. Versions grow by one with each change; 0 stands for an absent row.
+struct table_row {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+enum class vm_state { live, leaving };
+
+inline constexpr std::array vm_state_names{
+    enum_name<vm_state>{vm_state::live, "live"},
+    enum_name<vm_state>{vm_state::leaving, "leaving"},
+};
+
+/// Entry VM in the platform's list, which lags behind.
+struct vm_record {
+    std::string name;
+    std::string availability_zone;
+    std::string peer_host; ///< IP number.
+    std::uint16_t peer_port = 0;
+    vm_state state = vm_state::live;
+};
+
+/// Calls to the platform. A callback comes at most once. absl::StatusCode::kUnavailable and kDeadlineExceeded
+/// leave open whether a change took effect; kAborted says that the row's version differed.
+struct platform_hooks {
+    std::function<void(std::string key, std::function<void(absl::StatusOr<std::optional<table_row>>)>)>
+        read_row;
+    std::function<void(std::string key, std::uint64_t expected_version, std::string value,
+                       std::function<void(absl::StatusOr<std::uint64_t>)>)>
+        put_row;
+    std::function<void(std::string prefix, std::function<void(absl::StatusOr<std::vector<table_row>>)>)>
+        scan_rows;
+    std::function<void(std::string name, std::string body, std::function<void(absl::Status)>)> put_object;
+    std::function<void(std::string name, std::function<void(absl::StatusOr<std::string>)>)> get_object;
+    std::function<void(std::function<void(absl::StatusOr<std::vector<vm_record>>)>)> list_vms;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/pool/control_channel.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+
+#include "pool/member_connection.h"
+
+namespace greengagehitch {
+
+/// One connection to a member for questions of the system itself: status, fences and promotions. It is apart
+/// from the pool, so that a crowd of requests cannot delay them.
+class control_channel : public std::enable_shared_from_this<control_channel> {
+public:
+    control_channel(kernel& kernel, database_hooks const& hooks, member_address address);
+
+    /// Sends a batch, over a new connection if there is none. `answered` comes once.
+    void ask(batch question, duration timeout, batch_callback answered);
+
+private:
+    struct waiting_question {
+        batch question;
+        monotonic_time deadline;
+        batch_callback answered;
+    };
+
+    void open();
+    void send_waiting();
+    void fail_waiting(database_failure const& failure);
+
+    kernel& m_kernel;
+    database_hooks const& m_hooks;
+    member_address m_address;
+    std::unique_ptr<member_connection> m_connection;
+    bool m_is_opening = false;
+    std::deque<waiting_question> m_waiting;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/pool/fair_queue.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace greengagehitch {
+
+/// Queue served by deficit round robin over client accounts: each account gets its turn, however many entries
+/// another one has. Entries of one account leave in the order in which they came.
+template <typename Entry>
+class fair_queue {
+public:
+    void push(std::string const& client_account, double cost, Entry entry)
+    {
+        auto& account = m_accounts[client_account];
+        if (account.entries.empty()) {
+            m_turns.push_back(client_account);
+            account.deficit = 0;
+        }
+        account.entries.push_back({cost, std::move(entry)});
+        ++m_size;
+    }
+
+    /// Takes the entry whose turn it is.
+    std::optional<Entry> pop()
+    {
+        while (!m_turns.empty()) {
+            auto const name = m_turns.front();
+            auto& account = m_accounts.at(name);
+            if (account.deficit < account.entries.front().cost) {
+                account.deficit += quantum;
+                m_turns.pop_front();
+                m_turns.push_back(name);
+                continue;
+            }
+            auto entry = std::move(account.entries.front());
+            account.entries.pop_front();
+            account.deficit -= entry.cost;
+            --m_size;
+            if (account.entries.empty()) {
+                m_turns.pop_front();
+                m_accounts.erase(name);
+            }
+            return std::move(entry.entry);
+        }
+        return std::nullopt;
+    }
+
+    /// Removes the entries for which `predicate` holds and returns them.
+    template <typename Predicate>
+    std::vector<Entry> remove_if(Predicate predicate)
+    {
+        std::vector<Entry> removed;
+        for (auto account = m_accounts.begin(); account != m_accounts.end();) {
+            auto& entries = account->second.entries;
+            for (auto each = entries.begin(); each != entries.end();) {
+                if (!predicate(each->entry)) {
+                    ++each;
+                    continue;
+                }
+                removed.push_back(std::move(each->entry));
+                each = entries.erase(each);
+                --m_size;
+            }
+            if (entries.empty()) {
+                std::erase(m_turns, account->first);
+                account = m_accounts.erase(account);
+            }
+            else {
+                ++account;
+            }
+        }
+        return removed;
+    }
+
+    std::size_t size() const { return m_size; }
+    bool is_empty() const { return m_size == 0; }
+
+private:
+    static constexpr double quantum = 1;
+
+    struct costed_entry {
+        double cost = 1;
+        Entry entry;
+    };
+
+    struct account_queue {
+        double deficit = 0;
+        std::deque<costed_entry> entries;
+    };
+
+    std::map<std::string, account_queue> m_accounts;
+    std::deque<std::string> m_turns;
+    std::size_t m_size = 0;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/pool/member_pool.cpp
@@ -0,0 +1,265 @@
+#include "pool/member_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "database/group_contract.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr duration reset_timeout = std::chrono::seconds(1);
+constexpr duration reopen_delay = std::chrono::milliseconds(50);
+constexpr duration expiry_period = std::chrono::milliseconds(5);
+
+batch single(statement question)
+{
+    batch result;
+    result.statements.push_back(std::move(question));
+    return result;
+}
+
+} // namespace
+
+connection_lease::connection_lease(std::weak_ptr<member_pool> pool,
+                                   std::unique_ptr<member_connection> connection)
+    : m_pool(std::move(pool)), m_connection(std::move(connection))
+{
+}
+
+connection_lease::~connection_lease()
+{
+    auto const pool = m_pool.lock();
+    if (m_connection && pool) {
+        // The fate of its transaction is open, so no other request may get this connection.
+        m_connection.reset();
+        pool->forget_lease();
+        pool->open_if_needed();
+    }
+}
+
+void connection_lease::execute(batch question, duration timeout, batch_callback answered)
+{
+    VERIFY(m_connection);
+    m_connection->execute(std::move(question), timeout, std::move(answered));
+}
+
+void connection_lease::execute_last(batch question, duration timeout, batch_callback answered)
+{
+    VERIFY(m_connection);
+    auto const owner = m_pool.lock();
+    VERIFY(owner);
+    auto const succeeded = std::make_shared<bool>(false);
+    auto* const connection = m_connection.get();
+    // The closures own the connection from here on, until its reset is done.
+    auto const owned = std::make_shared<std::unique_ptr<member_connection>>(std::move(m_connection));
+    owner->forget_lease();
+    ++owner->m_resetting;
+    connection->execute(
+        std::move(question), timeout,
+        [owned, weak = m_pool, succeeded, answered = std::move(answered)](batch_answer answer) {
+            *succeeded = answer.is_ok();
+            auto const pool = weak.lock();
+            if (pool && *owned && (*owned)->is_broken()) {
+                auto const broken = std::move(*owned);
+                pool->finish_reset(nullptr, false);
+            }
+            answered(std::move(answer));
+        });
+    connection->execute(single(group_contract::reset()), timeout + reset_timeout,
+                        [owned, weak = m_pool, succeeded](batch_answer const& answer) {
+                            auto const pool = weak.lock();
+                            if (!pool || !*owned) {
+                                return;
+                            }
+                            if (*succeeded || (*owned)->is_broken()) {
+                                pool->finish_reset(std::move(*owned), answer.is_ok());
+                                return;
+                            }
+                            --pool->m_resetting;
+                            pool->reset(std::move(*owned), true);
+                        });
+}
+
+void connection_lease::roll_back_and_give_back()
+{
+    auto const pool = m_pool.lock();
+    if (!m_connection || !pool) {
+        return;
+    }
+    pool->forget_lease();
+    if (m_connection->is_broken()) {
+        m_connection.reset();
+        pool->open_if_needed();
+        return;
+    }
+    pool->reset(std::move(m_connection), true);
+}
+
+member_pool::member_pool(kernel& kernel, database_hooks const& hooks, member_address address, options options)
+    : m_kernel(kernel), m_hooks(hooks), m_address(std::move(address)), m_options(std::move(options))
+{
+}
+
+void member_pool::acquire(std::string const& client_account, monotonic_time deadline, lease_callback callback)
+{
+    if (m_no_opening_before && m_kernel.now() < *m_no_opening_before && connections() == 0) {
+        callback(database_failure{database_error::refused, "", "member refused the last connection"});
+        return;
+    }
+    constexpr double cost = 1;
+    m_waiters.push(client_account, cost, {deadline, std::move(callback)});
+    serve_waiters();
+}
+
+void member_pool::warm_up()
+{
+    if (connections() == 0) {
+        open_one();
+    }
+}
+
+Json::Value member_pool::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["idle"] = Json::UInt64(m_idle.size());
+    state["leased"] = Json::UInt64(m_leased);
+    state["opening"] = Json::UInt64(m_opening);
+    state["resetting"] = Json::UInt64(m_resetting);
+    state["waiting"] = Json::UInt64(m_waiters.size());
+    state["max_connections"] = Json::UInt64(m_options.max_connections());
+    return state;
+}
+
+void member_pool::serve_waiters()
+{
+    while (!m_idle.empty() && !m_waiters.is_empty()) {
+        auto next = m_waiters.pop();
+        if (next->deadline <= m_kernel.now()) {
+            next->callback(
+                database_failure{database_error::timed_out, "", "no connection became free in time"});
+            continue;
+        }
+        auto connection = std::move(m_idle.front());
+        m_idle.pop_front();
+        hand_out(std::move(connection), next->callback);
+    }
+    open_if_needed();
+    schedule_expiry();
+}
+
+void member_pool::open_if_needed()
+{
+    while (m_opening < m_waiters.size() && connections() < m_options.max_connections()) {
+        if (m_no_opening_before && m_kernel.now() < *m_no_opening_before) {
+            return;
+        }
+        open_one();
+    }
+}
+
+void member_pool::open_one()
+{
+    ++m_opening;
+    auto const holder = std::make_shared<std::unique_ptr<member_connection>>(
+        std::make_unique<member_connection>(m_kernel, m_hooks));
+    auto* const connection = holder->get();
+    connection->open(m_address, m_options.open_timeout,
+                     [weak = weak_from_this(), holder](std::optional<database_failure> const& failure) {
+                         auto const self = weak.lock();
+                         auto opened = std::move(*holder);
+                         if (!self) {
+                             return;
+                         }
+                         --self->m_opening;
+                         if (failure) {
+                             self->m_no_opening_before = self->m_kernel.now() + reopen_delay;
+                             opened.reset();
+                             self->m_options.on_failure(*failure);
+                             self->fail_waiters(*failure);
+                             return;
+                         }
+                         self->m_no_opening_before.reset();
+                         self->m_idle.push_back(std::move(opened));
+                         self->serve_waiters();
+                     });
+}
+
+void member_pool::hand_out(std::unique_ptr<member_connection> connection, lease_callback const& callback)
+{
+    VERIFY(connection->batches_in_flight() == 0);
+    ++m_leased;
+    callback(std::make_shared<connection_lease>(weak_from_this(), std::move(connection)));
+}
+
+void member_pool::fail_waiters(database_failure const& failure)
+{
+    if (failure.error == database_error::too_many_connections && connections() > 0) {
+        // The connections that are open go on serving; waiting requests keep their place.
+        return;
+    }
+    for (auto& each : m_waiters.remove_if([](auto const&) { return true; })) {
+        each.callback(failure);
+    }
+}
+
+void member_pool::drop_expired_waiters()
+{
+    auto const now = m_kernel.now();
+    for (auto& each : m_waiters.remove_if([now](auto const& waiting) { return waiting.deadline <= now; })) {
+        each.callback(database_failure{database_error::timed_out, "", "no connection became free in time"});
+    }
+}
+
+void member_pool::schedule_expiry()
+{
+    if (m_has_expiry_timer || m_waiters.is_empty()) {
+        return;
+    }
+    m_has_expiry_timer = true;
+    m_kernel.start_timer(expiry_period, [weak = weak_from_this()] {
+        if (auto const self = weak.lock()) {
+            self->m_has_expiry_timer = false;
+            self->drop_expired_waiters();
+            self->serve_waiters();
+        }
+    });
+}
+
+void member_pool::reset(std::unique_ptr<member_connection> connection, bool needs_rollback)
+{
+    ++m_resetting;
+    auto const owned = std::make_shared<std::unique_ptr<member_connection>>(std::move(connection));
+    auto* const raw = owned->get();
+    if (needs_rollback) {
+        raw->execute(single(group_contract::rollback()), reset_timeout, [](batch_answer const& /*answer*/) {
+            // A failure shows in the reset that follows.
+        });
+    }
+    if (raw->is_broken()) {
+        finish_reset(nullptr, false);
+        return;
+    }
+    raw->execute(single(group_contract::reset()), reset_timeout,
+                 [weak = weak_from_this(), owned](batch_answer const& answer) {
+                     if (auto const self = weak.lock()) {
+                         self->finish_reset(std::move(*owned), answer.is_ok());
+                     }
+                 });
+}
+
+void member_pool::finish_reset(std::unique_ptr<member_connection> connection, bool is_clean)
+{
+    --m_resetting;
+    auto const fits = connections() < m_options.max_connections();
+    if (connection && is_clean && !connection->is_broken() && fits) {
+        m_idle.push_back(std::move(connection));
+    }
+    else {
+        connection.reset();
+    }
+    serve_waiters();
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/pool/member_pool.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "pool/fair_queue.h"
+#include "pool/member_connection.h"
+
+namespace greengagehitch {
+
+class member_pool;
+
+/// Connection that belongs to one request. It goes back to the pool only when give_back() was called on a
+/// connection without an open transaction; otherwise it is closed.
+class connection_lease {
+public:
+    connection_lease(std::weak_ptr<member_pool> pool, std::unique_ptr<member_connection> connection);
+    ~connection_lease();
+    connection_lease(connection_lease const&) = delete;
+    connection_lease& operator=(connection_lease const&) = delete;
+    connection_lease(connection_lease&&) = delete;
+    connection_lease& operator=(connection_lease&&) = delete;
+
+    void execute(batch question, duration timeout, batch_callback answered);
+
+    /// Sends the last batch of a request, followed by a reset. When the batch succeeds, the connection goes
+    /// back to the pool by itself once the reset has, without delaying the answer.
+    void execute_last(batch question, duration timeout, batch_callback answered);
+
+    /// Rolls back what is open, resets the connection and returns it to the pool.
+    void roll_back_and_give_back();
+
+    bool is_broken() const { return !m_connection || m_connection->is_broken(); }
+
+private:
+    std::weak_ptr<member_pool> m_pool;
+    std::unique_ptr<member_connection> m_connection;
+};
+
+using lease_pointer = std::shared_ptr<connection_lease>;
+using lease_callback = std::function<void(std::variant<lease_pointer, database_failure>)>;
+
+/// Bounded set of connections to one member. Waiting requests are served by deficit round robin over client
+/// accounts and dropped at their deadline.
+class member_pool : public std::enable_shared_from_this<member_pool> {
+public:
+    struct options {
+        duration open_timeout{};
+        std::function<std::size_t()> max_connections; ///< Share of this VM now.
+        std::function<void(database_failure const&)> on_failure;
+    };
+
+    member_pool(kernel& kernel, database_hooks const& hooks, member_address address, options options);
+
+    /// Asks for a connection until `deadline`. The callback may come at once.
+    void acquire(std::string const& client_account, monotonic_time deadline, lease_callback callback);
+
+    /// Opens a connection ahead of need.
+    void warm_up();
+
+    std::size_t connections() const { return m_idle.size() + m_leased + m_opening + m_resetting; }
+    std::size_t leased() const { return m_leased; }
+    std::size_t waiting() const { return m_waiters.size(); }
+
+    Json::Value dump() const;
+
+private:
+    friend class connection_lease;
+
+    struct waiter {
+        monotonic_time deadline;
+        lease_callback callback;
+    };
+
+    void serve_waiters();
+    void open_if_needed();
+    void open_one();
+    void hand_out(std::unique_ptr<member_connection> connection, lease_callback const& callback);
+    void fail_waiters(database_failure const& failure);
+    void drop_expired_waiters();
+    void schedule_expiry();
+    void reset(std::unique_ptr<member_connection> connection, bool needs_rollback);
+    void finish_reset(std::unique_ptr<member_connection> connection, bool is_clean);
+    void forget_lease() { --m_leased; }
+
+    kernel& m_kernel;
+    database_hooks const& m_hooks;
+    member_address m_address;
+    options m_options;
+    std::list<std::unique_ptr<member_connection>> m_idle;
+    fair_queue<waiter> m_waiters;
+    std::size_t m_leased = 0;
+    std::size_t m_opening = 0;
+    std::size_t m_resetting = 0;
+    std::optional<monotonic_time> m_no_opening_before;
+    bool m_has_expiry_timer = false;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/request/caller_request.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "database/statement.h"
+#include "request/refusal.h"
+
+namespace greengagehitch {
+
+/// What a caller asks for.
+enum class request_kind {
+    execute, ///< One statement or a whole transaction in one call.
+    begin,   ///< Starts an interactive transaction.
+    continue_transaction,
+    commit,
+    rollback,
+    resolve, ///< Asks what became of a request id.
+};
+
+inline constexpr std::array request_kind_names{
+    enum_name<request_kind>{request_kind::execute, "execute"},
+    enum_name<request_kind>{request_kind::begin, "begin"},
+    enum_name<request_kind>{request_kind::continue_transaction, "continue"},
+    enum_name<request_kind>{request_kind::commit, "commit"},
+    enum_name<request_kind>{request_kind::rollback, "rollback"},
+    enum_name<request_kind>{request_kind::resolve, "resolve"},
+};
+
+/// One call of a caller, with its syntax checked and nothing else.
+struct caller_request {
+    request_kind kind = request_kind::execute;
+    std::string key; ///< From the Authorization header; empty for none.
+    std::string class_name;
+    std::string database;    ///< Empty: the first one of the class.
+    std::string session;     ///< Session token; empty starts a session.
+    std::string request_id;  ///< Empty for none.
+    std::string transaction; ///< Id of an interactive transaction.
+    std::vector<statement> statements;
+};
+
+/// Where a request was served.
+enum class served_by { none, replica, primary };
+
+inline constexpr std::array served_by_names{
+    enum_name<served_by>{served_by::none, "none"},
+    enum_name<served_by>{served_by::replica, "replica"},
+    enum_name<served_by>{served_by::primary, "primary"},
+};
+
+/// Answer to a request that was served.
+struct caller_answer {
+    std::vector<result_set> results;
+    std::string session;      ///< Token for the caller's next request.
+    std::string transaction;  ///< Id of the interactive transaction that was begun.
+    bool is_repeated = false; ///< True when an earlier call with this request id had done the work.
+    served_by source = served_by::none;
+};
+
+using caller_response = std::variant<caller_answer, refusal>;
+using caller_reply = std::function<void(caller_response)>;
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/request/statement_guard.cpp
@@ -0,0 +1,82 @@
+#include "request/statement_guard.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <fmt/format.h>
+
+#include "base/digest.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> allowed_first_words{"select", "insert", "update",
+                                                              "delete", "with",   "values"};
+
+/// Names that would reach past the request's own transaction and client account. They are searched in the
+/// whole text, string literals included: a false alarm costs a caller a bound parameter, a miss would cost
+/// isolation.
+constexpr std::array<std::string_view, 5> forbidden_words{"set_config", "database_group", "greengagehitch",
+                                                          "u&\"", "pg_terminate_backend"};
+
+std::string_view skip_space_and_comments(std::string_view sql)
+{
+    while (true) {
+        sql.remove_prefix(std::min(sql.find_first_not_of(" \t\r\n\f\v"), sql.size()));
+        if (sql.starts_with("--")) {
+            auto const end = sql.find('\n');
+            sql = end == std::string_view::npos ? std::string_view() : sql.substr(end + 1);
+        }
+        else if (sql.starts_with("/*")) {
+            auto const end = sql.find("*/", 2);
+            sql = end == std::string_view::npos ? std::string_view() : sql.substr(end + 2);
+        }
+        else {
+            return sql;
+        }
+    }
+}
+
+} // namespace
+
+std::optional<std::string> find_forbidden(statement const& question)
+{
+    if (question.sql.find('\0') != std::string::npos) {
+        return "statement holds a zero byte";
+    }
+    auto const lower = absl::AsciiStrToLower(question.sql);
+    auto const text = skip_space_and_comments(lower);
+    auto const end = std::find_if(text.begin(), text.end(), [](char each) {
+        return !absl::ascii_isalpha(static_cast<unsigned char>(each));
+    });
+    std::string_view const first_word(text.data(), static_cast<std::size_t>(end - text.begin()));
+    if (std::find(allowed_first_words.begin(), allowed_first_words.end(), first_word) ==
+        allowed_first_words.end()) {
+        return "statement must start with select, insert, update, delete, with or values";
+    }
+    for (auto const word : forbidden_words) {
+        if (absl::StrContains(lower, absl::string_view(word.data(), word.size()))) {
+            return fmt::format("statement must not contain '{}'; pass texts as parameters", word);
+        }
+    }
+    return std::nullopt;
+}
+
+std::string fingerprint_of(std::string const& class_name, std::vector<statement> const& statements)
+{
+    // Lengths stand before the parts, so that no two different requests give the same text.
+    auto text = fmt::format("{}:{}", class_name.size(), class_name);
+    for (auto const& each : statements) {
+        text += fmt::format("s{}:{}", each.sql.size(), each.sql);
+        for (auto const& value : each.parameters) {
+            text += value ? fmt::format("p{}:{}", value->size(), *value) : "n";
+        }
+    }
+    return to_hex(sha256(text));
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/routing/group_directory.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "configuration/configuration_service.h"
+#include "kernel/kernel.h"
+#include "membership/membership_service.h"
+#include "platform/platform_hooks.h"
+#include "pool/control_channel.h"
+#include "pool/member_pool.h"
+#include "routing/group_view.h"
+
+namespace greengagehitch {
+
+/// Database group in use: what is known of it, and the connections to its members.
+struct active_group {
+    explicit active_group(group_description description) : view(std::move(description)) {}
+
+    std::string name;
+    std::string description_text; ///< Row of the platform's table.
+    group_view view;
+    std::vector<std::shared_ptr<member_pool>> pools;
+    std::vector<std::shared_ptr<control_channel>> channels;
+    std::vector<bool> is_probe_running;
+    std::optional<monotonic_time> refreshed_at;
+};
+
+/// Knows the database groups that the configuration names: reads their descriptions from the platform or from
+/// peers, keeps the views up to date, and tells waiting services of changes.
+class group_directory : public service {
+public:
+    static constexpr std::string_view service_name = "groups";
+
+    group_directory(kernel& kernel, platform_hooks const& platform, database_hooks const& database);
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+    /// Group by name; null when its description has not arrived yet.
+    active_group* find(std::string const& database);
+
+    /// All groups in use, by name.
+    std::map<std::string, std::unique_ptr<active_group>> const& groups() const { return m_groups; }
+
+    /// Takes in a status that came with an answer.
+    void observe(active_group& group, std::size_t member, member_status const& status,
+                 monotonic_time asked_at);
+
+    /// Takes in a failure of traffic or of a probe.
+    void observe_failure(active_group& group, std::size_t member, database_failure const& failure);
+
+    /// Takes in a watcher's word.
+    void learn(group_state const& state, monotonic_time heard_at);
+
+    /// Asks one member for its status, unless a question is on its way.
+    void probe(active_group& group, std::size_t member, duration timeout);
+
+    /// Asks all members and a peer, at most every few milliseconds. Called when a request finds no primary.
+    void refresh(active_group& group);
+
+    /// Runs `callback` once, after the next change of the group's term or primary.
+    void on_next_primary(std::string const& database, std::function<void()> callback);
+
+    /// Runs `hook` after each status that was taken in.
+    void add_observation_hook(std::function<void(active_group&)> hook)
+    {
+        m_on_observation.push_back(std::move(hook));
+    }
+
+    /// Hook of the failover service.
+    void set_failure_hook(std::function<void(active_group&, std::size_t)> hook)
+    {
+        m_on_failure = std::move(hook);
+    }
+    void set_connection_limit(std::function<std::size_t(active_group const&)> limit)
+    {
+        m_connection_limit = std::move(limit);
+    }
+
+    /// Marker for a status question; unique in this VM.
+    std::string next_marker() { return std::to_string(m_next_marker++); }
+
+    /// State of a group as a message to other VMs.
+    group_state describe(active_group const& group) const;
+
+private:
+    void follow_configuration();
+    void read_description(std::string const& database);
+    void take_description(std::string const& database, std::string const& text);
+    void build_connections(active_group& group);
+    std::size_t connection_limit(active_group const& group) const;
+    void announce_if_changed(active_group& group, std::uint64_t old_term,
+                             std::optional<std::size_t> old_primary);
+    void ask_peer_for_state(std::string const& database);
+
+    kernel& m_kernel;
+    platform_hooks const& m_platform;
+    database_hooks const& m_database;
+    configuration_service* m_configuration = nullptr;
+    membership_service* m_membership = nullptr;
+    std::map<std::string, std::unique_ptr<active_group>> m_groups;
+    std::set<std::string> m_wanted;
+    std::map<std::string, std::vector<std::function<void()>>> m_primary_waiters;
+    std::vector<std::function<void(active_group&)>> m_on_observation;
+    std::function<void(active_group&, std::size_t)> m_on_failure;
+    std::function<std::size_t(active_group const&)> m_connection_limit;
+    std::uint64_t m_next_marker = 1;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/routing/read_service.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "kernel/kernel.h"
+#include "outcome/retry_budget.h"
+#include "request/request_context.h"
+#include "routing/group_directory.h"
+
+namespace greengagehitch {
+
+/// Where a read goes and from when on.
+struct read_target {
+    std::size_t member = 0;
+    bool is_primary = false;
+    monotonic_time not_before;
+};
+
+/// Serves reads from replicas that are known or expected to be at the session's position and within the
+/// class's freshness, and from the primary otherwise. What the member says of its own position decides in the
+/// end.
+class read_service : public service {
+public:
+    static constexpr std::string_view service_name = "reads";
+
+    explicit read_service(kernel& kernel) : m_kernel(kernel) {}
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+    void read(request_pointer const& request);
+
+private:
+    struct attempt;
+    using attempt_pointer = std::shared_ptr<attempt>;
+
+    void keep_known(active_group& group, work_class const& work);
+    void try_next(attempt_pointer const& attempt);
+    void send(attempt_pointer const& attempt, active_group& group, std::size_t member);
+    void take_answer(attempt_pointer const& attempt, std::size_t member, batch_answer answer,
+                     monotonic_time asked_at, std::string const& marker);
+    void take_failure(attempt_pointer const& attempt, std::size_t member, database_failure const& failure,
+                      std::size_t failed_statement);
+    bool is_good_enough(attempt const& attempt, active_group const& group, member_status const& status) const;
+    void finish(attempt_pointer const& attempt, active_group& group, std::size_t member, batch_answer answer,
+                member_status const& status);
+    void retry(attempt_pointer const& attempt);
+    void give_up(attempt_pointer const& attempt);
+
+    std::optional<read_target> choose(attempt const& attempt, active_group const& group);
+    std::optional<log_position> required_position(attempt const& attempt, active_group const& group) const;
+    double load_of(active_group const& group, std::size_t member) const;
+
+    kernel& m_kernel;
+    group_directory* m_directory = nullptr;
+    membership_service* m_membership = nullptr;
+    retry_budget m_budget;
+    std::uint64_t m_replica_reads = 0;
+    std::uint64_t m_primary_reads = 0;
+    std::uint64_t m_answers_below = 0;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/routing/transaction_service.cpp
@@ -0,0 +1,286 @@
+#include "routing/transaction_service.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "request/statement_guard.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::size_t max_statements = 10'000;
+constexpr duration retry_after = std::chrono::milliseconds(200);
+/// Beginning of the transaction, client account and status.
+constexpr std::size_t status_index = 2;
+constexpr std::size_t outcome_index = 3;
+
+} // namespace
+
+/// Interactive transaction with its connection.
+struct transaction_service::transaction {
+    std::string id;
+    std::string client_account;
+    std::string key_id;
+    work_class work;
+    std::string database;
+    std::string request_id;
+    std::vector<statement> statements; ///< For the fingerprint.
+    lease_pointer lease;
+    bool is_busy = false;
+    timer_id idle_timer = timer_id::none;
+};
+
+void transaction_service::start()
+{
+    m_configuration = &m_kernel.find<configuration_service>(configuration_service::service_name);
+    m_directory = &m_kernel.find<group_directory>(group_directory::service_name);
+    m_writes = &m_kernel.find<write_service>(write_service::service_name);
+    m_configuration->on_change([this] { end_those_without_key(); });
+}
+
+Json::Value transaction_service::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["running"] = Json::UInt64(m_transactions.size());
+    state["expired"] = Json::UInt64(m_expired);
+    return state;
+}
+
+void transaction_service::begin(request_pointer const& request)
+{
+    auto* const group = m_directory->find(request->database());
+    if (group == nullptr || !group->view.primary()) {
+        if (group != nullptr) {
+            m_directory->refresh(*group);
+        }
+        request->refuse(outcome::not_run, refusal_reason::no_primary, "no primary is known", retry_after);
+        return;
+    }
+    auto const member = *group->view.primary();
+    request->ledger().enter(request_stage::connection_wait, m_kernel.now());
+    group->pools[member]->acquire(
+        request->client_account(), request->deadline(),
+        [this, request, member,
+         alive = m_kernel.lifetime()](std::variant<lease_pointer, database_failure> result) {
+            if (alive.expired()) {
+                return;
+            }
+            if (auto const* const failure = std::get_if<database_failure>(&result)) {
+                auto const reason = failure->error == database_error::timed_out
+                                        ? refusal_reason::overloaded
+                                        : refusal_reason::database_unavailable;
+                request->refuse(outcome::not_run, reason, failure->message, retry_after);
+                return;
+            }
+            send_begin(request, member, std::get<lease_pointer>(result));
+        });
+}
+
+void transaction_service::send_begin(request_pointer const& request, std::size_t member,
+                                     lease_pointer const& lease)
+{
+    auto const now = m_kernel.now();
+    request->ledger().enter(request_stage::database, now);
+    auto const marker = m_directory->next_marker();
+    auto const is_write = request->work().access == class_access::write;
+    auto const& request_id = request->request().request_id;
+    batch question;
+    question.statements.push_back(is_write ? group_contract::begin_write() : group_contract::begin_read());
+    question.statements.push_back(group_contract::set_client_account(request->client_account()));
+    question.statements.push_back(group_contract::status(marker));
+    if (!request_id.empty()) {
+        // The statements are not known yet, so the id alone identifies the transaction.
+        question.statements.push_back(group_contract::insert_outcome(
+            request->client_account(), request_id, group_contract::outcome_state::pending,
+            fingerprint_of(request->work().name, {})));
+    }
+    lease->execute(
+        std::move(question), std::max(request->deadline() - now, duration(1)),
+        [this, request, member, lease, marker, now, alive = m_kernel.lifetime()](batch_answer const& answer) {
+            if (alive.expired()) {
+                return;
+            }
+            auto* const group = m_directory->find(request->database());
+            auto const status = answer.results.size() > status_index
+                                    ? group_contract::parse_status(answer.results[status_index])
+                                    : std::nullopt;
+            auto const is_own = status && status->marker == marker && group != nullptr;
+            if (is_own) {
+                m_directory->observe(*group, member, *status, now);
+            }
+            if (answer.failure) {
+                lease->roll_back_and_give_back();
+                auto const is_reused = answer.results.size() == outcome_index;
+                request->refuse(outcome::not_run,
+                                is_reused ? refusal_reason::request_id_reused
+                                          : refusal_reason::database_unavailable,
+                                answer.failure->message, retry_after);
+                return;
+            }
+            if (!is_own || status->applied < request->session().position(request->database())) {
+                lease->roll_back_and_give_back();
+                request->refuse(outcome::not_run, refusal_reason::data_too_old,
+                                "the member that was taken for the primary lacks what this session has seen",
+                                retry_after);
+                return;
+            }
+            auto const running = std::make_shared<transaction>();
+            running->id = fmt::format("{:016x}{:016x}", m_kernel.random(), m_kernel.random());
+            running->client_account = request->client_account();
+            running->key_id = request->key_id();
+            running->work = request->work();
+            running->database = request->database();
+            running->request_id = request->request().request_id;
+            running->lease = lease;
+            m_transactions.emplace(running->id, running);
+            restart_idle_timer(running);
+            caller_answer result;
+            result.transaction = running->id;
+            result.source = served_by::primary;
+            request->answer(std::move(result));
+        });
+}
+
+void transaction_service::continue_with(request_pointer const& request)
+{
+    auto const running = find_for(*request);
+    if (!running) {
+        return;
+    }
+    auto const& statements = request->request().statements;
+    if (running->statements.size() + statements.size() > max_statements) {
+        request->refuse(outcome::not_run, refusal_reason::invalid_request,
+                        "transaction has too many statements");
+        return;
+    }
+    running->statements.insert(running->statements.end(), statements.begin(), statements.end());
+    running->is_busy = true;
+    m_kernel.cancel_timer(running->idle_timer);
+    auto const now = m_kernel.now();
+    request->ledger().enter(request_stage::database, now);
+    running->lease->execute(
+        batch{statements}, std::max(request->deadline() - now, duration(1)),
+        [this, request, running, alive = m_kernel.lifetime()](batch_answer answer) {
+            if (alive.expired()) {
+                return;
+            }
+            running->is_busy = false;
+            if (answer.failure) {
+                // The database has ended the transaction, or its fate no longer matters.
+                end(running);
+                auto const is_rejected = answer.failure->error == database_error::statement_failed;
+                request->refuse(outcome::not_run,
+                                is_rejected ? refusal_reason::statement_rejected
+                                            : refusal_reason::database_unavailable,
+                                fmt::format("{} ({}); the transaction was rolled back",
+                                            answer.failure->message, answer.failure->sqlstate));
+                return;
+            }
+            restart_idle_timer(running);
+            caller_answer result;
+            result.results = std::move(answer.results);
+            result.transaction = running->id;
+            result.source = served_by::primary;
+            request->answer(std::move(result));
+        });
+}
+
+void transaction_service::commit(request_pointer const& request)
+{
+    auto const running = find_for(*request);
+    if (!running) {
+        return;
+    }
+    m_transactions.erase(running->id);
+    m_kernel.cancel_timer(running->idle_timer);
+    if (running->work.access == class_access::read) {
+        running->lease->roll_back_and_give_back();
+        request->answer({});
+        return;
+    }
+    request->ledger().enter(request_stage::database, m_kernel.now());
+    m_writes->commit(request, std::exchange(running->lease, nullptr), running->request_id,
+                     fingerprint_of(running->work.name, {}));
+}
+
+void transaction_service::roll_back(request_pointer const& request)
+{
+    auto const running = find_for(*request);
+    if (!running) {
+        return;
+    }
+    end(running);
+    request->answer({});
+}
+
+std::string transaction_service::class_of(std::string const& transaction) const
+{
+    auto const found = m_transactions.find(transaction);
+    return found == m_transactions.end() ? std::string() : found->second->work.name;
+}
+
+std::string transaction_service::database_of(std::string const& transaction) const
+{
+    auto const found = m_transactions.find(transaction);
+    return found == m_transactions.end() ? std::string() : found->second->database;
+}
+
+transaction_service::transaction_pointer transaction_service::find_for(request_context& request)
+{
+    auto const found = m_transactions.find(request.request().transaction);
+    // Another account's transaction is reported like one that does not exist.
+    if (found == m_transactions.end() || found->second->client_account != request.client_account()) {
+        // A commit may have been answered before and its answer lost on the way to the caller.
+        auto const is_commit = request.request().kind == request_kind::commit;
+        request.refuse(is_commit ? outcome::unknown : outcome::not_run, refusal_reason::unknown_transaction,
+                       "transaction is unknown at this VM or has ended; without a commit it was rolled back");
+        return nullptr;
+    }
+    if (found->second->is_busy) {
+        request.refuse(outcome::not_run, refusal_reason::conflict, "transaction still runs the call before",
+                       retry_after);
+        return nullptr;
+    }
+    return found->second;
+}
+
+void transaction_service::restart_idle_timer(transaction_pointer const& running)
+{
+    m_kernel.cancel_timer(running->idle_timer);
+    running->idle_timer = m_kernel.start_timer(running->work.transaction_idle_limit, [this, running] {
+        if (!running->is_busy && m_transactions.contains(running->id)) {
+            ++m_expired;
+            end(running);
+        }
+    });
+}
+
+void transaction_service::end(transaction_pointer const& running)
+{
+    m_kernel.cancel_timer(running->idle_timer);
+    m_transactions.erase(running->id);
+    if (running->lease) {
+        running->lease->roll_back_and_give_back();
+        running->lease.reset();
+    }
+}
+
+void transaction_service::end_those_without_key()
+{
+    auto const& keys = m_configuration->current()->keys;
+    std::vector<transaction_pointer> ended;
+    for (auto const& [id, running] : m_transactions) {
+        if (!running->key_id.empty() && !keys.contains(running->key_id)) {
+            ended.push_back(running);
+        }
+    }
+    for (auto const& running : ended) {
+        end(running);
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/routing/transaction_service.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "configuration/configuration_service.h"
+#include "kernel/kernel.h"
+#include "request/request_context.h"
+#include "routing/group_directory.h"
+#include "routing/write_service.h"
+
+namespace greengagehitch {
+
+/// Interactive transactions: each is pinned to one connection of this VM and ends by commit, rollback, its
+/// idle limit or the withdrawal of its key.
+class transaction_service : public service {
+public:
+    static constexpr std::string_view service_name = "transactions";
+
+    explicit transaction_service(kernel& kernel) : m_kernel(kernel) {}
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+    void begin(request_pointer const& request);
+    void continue_with(request_pointer const& request);
+    void commit(request_pointer const& request);
+    void roll_back(request_pointer const& request);
+
+    /// Class of a running transaction; empty when there is none with this id.
+    std::string class_of(std::string const& transaction) const;
+    std::string database_of(std::string const& transaction) const;
+
+    std::size_t size() const { return m_transactions.size(); }
+
+private:
+    struct transaction;
+    using transaction_pointer = std::shared_ptr<transaction>;
+
+    transaction_pointer find_for(request_context& request);
+    void restart_idle_timer(transaction_pointer const& running);
+    void end(transaction_pointer const& running);
+    void end_those_without_key();
+    void send_begin(request_pointer const& request, std::size_t member, lease_pointer const& lease);
+
+    kernel& m_kernel;
+    configuration_service* m_configuration = nullptr;
+    group_directory* m_directory = nullptr;
+    write_service* m_writes = nullptr;
+    std::map<std::string, transaction_pointer> m_transactions;
+    std::uint64_t m_expired = 0;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/session/session_token.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/enum_names.h"
+#include "database/group_contract.h"
+
+namespace greengagehitch {
+
+enum class session_token_error { too_long, malformed, forged, wrong_client_account };
+
+inline constexpr std::array session_token_error_names{
+    enum_name<session_token_error>{session_token_error::too_long, "session token is too long"},
+    enum_name<session_token_error>{session_token_error::malformed, "session token is malformed"},
+    enum_name<session_token_error>{session_token_error::forged, "session token was not issued by this fleet"},
+    enum_name<session_token_error>{session_token_error::wrong_client_account,
+                                   "session token belongs to another client account"},
+};
+
+/// What a session has seen: for each database the log position that its next read must not be below. The
+/// caller carries it, so that any entry VM can go on with the session.
+class session_token {
+public:
+    session_token() = default;
+
+    /// Position for `database`; the zero position when the session has not touched it.
+    log_position position(std::string const& database) const;
+
+    /// Raises the position for `database`. A lower one is ignored. When the token is full, the database that
+    /// was touched least recently is not dropped: the lowest bound would then be lost, so raise() returns
+    /// false.
+    bool raise(std::string const& database, log_position position);
+
+    std::map<std::string, log_position> const& positions() const { return m_positions; }
+
+    static constexpr std::size_t max_databases = 32;
+    static constexpr std::size_t max_encoded_size = 4096;
+
+private:
+    std::map<std::string, log_position> m_positions;
+};
+
+/// Writes and checks session tokens with the secret of the fleet.
+class session_codec {
+public:
+    explicit session_codec(std::string secret) : m_secret(std::move(secret)) {}
+
+    std::string encode(session_token const& token, std::string_view client_account) const;
+
+    /// Result of decode(): the token, or the error when there is one.
+    struct decoded {
+        session_token token;
+        std::optional<session_token_error> error;
+    };
+
+    decoded decode(std::string_view text, std::string_view client_account) const;
+
+private:
+    std::string sign(std::string_view payload) const;
+
+    std::string m_secret;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/wire/peer_messages.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "settings/daemon_settings.h"
+
+namespace greengagehitch {
+
+/// What one VM knows of another and passes on.
+struct member_rumor {
+    std::string vm;
+    std::string availability_zone;
+    std::uint64_t incarnation = 0;
+    std::string host;
+    std::uint16_t port = 0;
+    bool is_leaving = false;
+    MSGPACK_DEFINE(vm, availability_zone, incarnation, host, port, is_leaving)
+};
+
+/// Sign of life. Peers answer each other's heartbeats by echoing the sequence number, so that a receiver
+/// knows a bound on the age of what the message says without a shared clock.
+struct heartbeat {
+    member_rumor sender;
+    std::uint64_t sequence = 0;
+    std::uint64_t echoed_sequence = 0; ///< Last sequence number heard from the receiver; 0 for none.
+    std::uint64_t configuration_version = 0;
+    std::string configuration_digest;
+    std::uint64_t configuration_age_us = 0; ///< Since the sender knew that this version is the newest.
+    bool is_reply = false;
+    std::vector<member_rumor> rumors;
+    std::vector<std::string> interests; ///< Databases that the sender uses.
+    MSGPACK_DEFINE(sender, sequence, echoed_sequence, configuration_version, configuration_digest,
+                   configuration_age_us, is_reply, rumors, interests)
+};
+
+/// Asks for a part of a configuration snapshot's encoded form.
+struct configuration_request {
+    std::string digest;
+    std::uint64_t offset = 0;
+    MSGPACK_DEFINE(digest, offset)
+};
+
+struct configuration_chunk {
+    std::string digest;
+    std::uint64_t total_size = 0;
+    std::uint64_t offset = 0;
+    std::string bytes;
+    MSGPACK_DEFINE(digest, total_size, offset, bytes)
+};
+
+/// One member's position as a watcher knows it.
+struct member_sample {
+    std::uint64_t term = 0;
+    bool is_primary = false;
+    std::uint64_t received_term = 0;
+    std::uint64_t received_position = 0;
+    std::uint64_t applied_term = 0;
+    std::uint64_t applied_position = 0;
+    std::uint64_t age_us = 0; ///< Since the watcher asked; 0 with term 0 when it never got an answer.
+    MSGPACK_DEFINE(term, is_primary, received_term, received_position, applied_term, applied_position, age_us)
+};
+
+/// A watcher's view of a database group, for the VMs that use the database.
+struct group_state {
+    std::string database;
+    std::uint64_t term = 0;
+    std::string primary;                ///< Name of the primary of that term; empty when none is known.
+    std::string description;            ///< JSON of the group's row in the platform's table.
+    std::vector<member_sample> samples; ///< In the order of the description.
+    MSGPACK_DEFINE(database, term, primary, description, samples)
+};
+
+struct group_state_request {
+    std::string database;
+    MSGPACK_DEFINE(database)
+};
+
+/// Says whether the sender finds the primary of a term unreachable.
+struct primary_suspicion {
+    std::string database;
+    std::uint64_t term = 0;
+    bool is_suspected = false;
+    bool wants_opinion = false; ///< True when the receiver should answer with its own view.
+    MSGPACK_DEFINE(database, term, is_suspected, wants_opinion)
+};
+
+/// Moves a part of an allotment from the sender to the receiver. The sender has subtracted it before; a lost
+/// transfer loses the amount until the whole is granted anew.
+struct share_transfer {
+    std::string allotment;
+    std::uint64_t transfer_id = 0; ///< Unique for the sender's incarnation.
+    std::uint64_t receiver_incarnation = 0;
+    std::uint64_t grant_epoch = 0;
+    std::int64_t amount = 0; ///< Micro-units.
+    MSGPACK_DEFINE(allotment, transfer_id, receiver_incarnation, grant_epoch, amount)
+};
+
+/// Asks for a part of an allotment and says how much the sender holds and needs.
+struct share_request {
+    std::string allotment;
+    std::int64_t wanted = 0; ///< Micro-units.
+    std::int64_t held = 0;
+    std::int64_t demand = 0;
+    MSGPACK_DEFINE(allotment, wanted, held, demand)
+};
+
+/// Receiver's word that a transfer was counted; lets the sender forget it.
+struct share_receipt {
+    std::string allotment;
+    std::uint64_t transfer_id = 0;
+    MSGPACK_DEFINE(allotment, transfer_id)
+};
+
+using peer_message =
+    std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
+                 primary_suspicion, share_transfer, share_request, share_receipt>;
+
+/// Message with the identity of its sender.
+struct peer_envelope {
+    std::string sender;
+    std::uint64_t sender_incarnation = 0;
+    peer_message message;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/meta/demo.py
@@ -0,0 +1,89 @@
+"""Takes a booking through one daemon, reads it back through the other, and shows a wrong key's answer."""
+
+import json
+import sys
+
+from local_fleet import Fleet
+
+SCHEMA = "create table bookings (id integer primary key, pond text not null, flags integer not null) strict"
+CONFIGURATION = """\
+databases:
+  ledger-1: {}
+classes:
+  bookings: {access: write, databases: [ledger-1], repeatable: false, delay: 2s, acceptable_refusals: 0.1%}
+  stock: {access: read, databases: [ledger-1], freshness: read_your_writes, delay: 500ms}
+client_accounts:
+  nyamirambo-rink: {rate: 200, burst: 400}
+"""
+failures = []
+
+
+def expect(is_right, what):
+    print("  %s %s" % ("ok  " if is_right else "FAIL", what))
+    if not is_right:
+        failures.append(what)
+
+
+def show(title, answer):
+    print("%s\n  %s" % (title, json.dumps(answer)))
+
+
+def book(fleet, daemon, key, number):
+    return fleet.call(daemon, "execute", {
+        "class": "bookings", "request_id": "booking-%d" % number,
+        "statement": {"sql": "insert into bookings (id, pond, flags) values ($1, $2, $3) returning id",
+                      "parameters": [number, "north pond", 4]}}, key)
+
+
+def read(fleet, daemon, key, number, session):
+    return fleet.call(daemon, "execute", {
+        "class": "stock", "session": session,
+        "statement": {"sql": "select id, pond, flags from bookings where id = $1", "parameters": [number]}}, key)
+
+
+def rows_of(answer):
+    return answer.get("result", {}).get("results", [{}])[0].get("rows")
+
+
+def show_path(fleet, key):
+    booked = book(fleet, 0, key, 1)
+    show("Booking through vm-1:", booked)
+    expect(rows_of(booked) == [[1]], "the booking was written")
+    session = booked.get("result", {}).get("session", "")
+    found = read(fleet, 1, key, 1, session)
+    show("Read back through vm-2 with the session token:", found)
+    expect(rows_of(found) == [[1, "north pond", 4]], "the session reads its own write through the other daemon")
+    repeated = book(fleet, 1, key, 1)
+    show("The same booking again, under the same request id, through vm-2:", repeated)
+    expect(repeated.get("result", {}).get("repeated") is True, "a repeated request id runs nothing twice")
+    refused = read(fleet, 0, "ggh_wrong_key", 1, "")
+    show("A wrong key:", refused)
+    expect(refused.get("error", {}).get("data", {}).get("outcome") == "not_run", "a wrong key runs nothing")
+    return session
+
+
+def withdraw_key(fleet, key_id, key):
+    fleet.operator("key", "withdraw", key_id)
+    fleet.wait_until(lambda: "error" in read(fleet, 1, key, 1, ""), what="the withdrawal")
+    show("After the key was withdrawn:", read(fleet, 1, key, 1, ""))
+    expect("error" in read(fleet, 0, key, 1, ""), "a withdrawn key stops at both daemons")
+
+
+def main():
+    fleet = Fleet(sys.argv[1], daemons=2, schema=SCHEMA)
+    try:
+        fleet.apply_configuration(CONFIGURATION)
+        given = fleet.operator("key", "give", "nyamirambo-rink")
+        fleet.wait_until(lambda: fleet.operator("status", daemon=1)["configuration_version"] == given["version"],
+                         what="the configuration at vm-2")
+        fleet.wait_until(lambda: rows_of(read(fleet, 1, given["key"], 0, "")) == [], what="the first read")
+        show_path(fleet, given["key"])
+        withdraw_key(fleet, given["id"], given["key"])
+    finally:
+        fleet.stop()
+    print("%d of the demo's claims failed" % len(failures) if failures else "all of it held")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/services/greengagehitchd/daemon.cpp
@@ -0,0 +1,207 @@
+#include "daemon.h"
+
+#include <csignal>
+#include <utility>
+
+#include <Poco/Net/SocketAddress.h>
+#include <absl/strings/strip.h>
+#include <fmt/format.h>
+#include <sys/signalfd.h>
+
+#include "base/json.h"
+#include "base/try.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::size_t operator_connections = 64;
+constexpr duration caller_idle_timeout = std::chrono::minutes(10);
+constexpr duration operator_idle_timeout = std::chrono::minutes(1);
+constexpr duration last_answer_poll = std::chrono::milliseconds(5);
+/// Time that callers with open connections get to read their last answers.
+constexpr duration last_answer_time = std::chrono::milliseconds(200);
+constexpr std::size_t operator_body_size = 16UL * 1024 * 1024;
+constexpr std::size_t largest_datagram = 65'536;
+
+} // namespace
+
+daemon::daemon(daemon_settings settings, json_line_log log)
+    : m_settings(std::move(settings)), m_log(std::move(log)), m_random(std::random_device{}())
+{
+}
+
+daemon::~daemon()
+{
+    // The VM goes before the adapters that its hooks refer to.
+    m_operators.reset();
+    m_callers.reset();
+    m_vm.reset();
+}
+
+absl::Status daemon::try_start()
+{
+    std::string password;
+    if (!m_settings.database_password_file.empty()) {
+        password =
+            std::string(absl::StripAsciiWhitespace(TRY(try_read_file(m_settings.database_password_file))));
+    }
+    TRY(try_open_peer_socket());
+    m_vm = std::make_unique<entry_vm>(entry_vm_settings{m_settings.vm_name, m_settings.availability_zone,
+                                                        m_settings.peers, m_settings.fleet_secret},
+                                      make_hooks(password));
+    TRY(try_start_listeners());
+    watch_signals();
+    m_vm->start();
+    Json::Value fields(Json::objectValue);
+    fields["callers"] = endpoint{m_settings.callers.listen.host, m_callers->listener().port()}.to_string();
+    fields["operators"] =
+        endpoint{m_settings.operators.listen.host, m_operators->listener().port()}.to_string();
+    fields["peers"] = m_settings.peers.to_string();
+    m_log.write({log_level::info, "daemon", "serving", std::move(fields)});
+    return absl::OkStatus();
+}
+
+void daemon::run()
+{
+    m_reactor.run();
+    m_log.write({log_level::info, "daemon", "stopped", {}});
+}
+
+entry_vm_hooks daemon::make_hooks(std::string const& database_password)
+{
+    m_platform.emplace(m_reactor, m_settings.platform_url, m_settings.platform_timeout);
+    m_databases.emplace(m_reactor, libpq_options{m_settings.database_user, database_password,
+                                                 m_settings.database_tls_mode, "greengagehitch"});
+    entry_vm_hooks hooks;
+    hooks.kernel.now = [this] { return m_reactor.now(); };
+    hooks.kernel.random = [this] { return m_random(); };
+    hooks.kernel.start_timer = [this](duration delay, std::function<void()> callback) {
+        return m_reactor.start_timer(delay, std::move(callback));
+    };
+    hooks.kernel.cancel_timer = [this](timer_id timer) { m_reactor.cancel_timer(timer); };
+    hooks.kernel.log = [this](log_record const& record) { m_log.write(record); };
+    hooks.send_datagram = [this](endpoint const& target, std::string const& datagram) {
+        send_datagram(target, datagram);
+    };
+    hooks.database = m_databases->hooks();
+    hooks.platform = m_platform->hooks();
+    return hooks;
+}
+
+absl::Status daemon::try_open_peer_socket()
+{
+    try {
+        m_peer_socket.emplace(Poco::Net::SocketAddress(m_settings.peers.host, m_settings.peers.port));
+        m_peer_socket->setBlocking(false);
+        m_settings.peers.port = m_peer_socket->address().port();
+    }
+    catch (Poco::Exception const& exception) {
+        return absl::UnavailableError(fmt::format("cannot listen for peers on {}: {}",
+                                                  m_settings.peers.to_string(), exception.displayText()));
+    }
+    m_reactor.watch(m_peer_socket->impl()->sockfd(), EPOLLIN,
+                    [this](std::uint32_t /*events*/) { receive_datagrams(); });
+    return absl::OkStatus();
+}
+
+absl::Status daemon::try_start_listeners()
+{
+    m_callers = std::make_unique<caller_endpoint>(
+        m_reactor,
+        http_listener_options{m_settings.callers, m_settings.max_callers, m_settings.max_request_bytes,
+                              caller_idle_timeout},
+        [this](caller_request request, caller_reply reply) {
+            m_vm->handle_request(std::move(request), std::move(reply));
+        });
+    TRY(m_callers->listener().try_start());
+    m_operators =
+        std::make_unique<operator_endpoint>(m_reactor,
+                                            http_listener_options{m_settings.operators, operator_connections,
+                                                                  operator_body_size, operator_idle_timeout},
+                                            m_settings.operator_token, *m_vm, [this] { start_drain(); });
+    return m_operators->listener().try_start();
+}
+
+void daemon::watch_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    m_signals = file_descriptor(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+    m_reactor.watch(m_signals.get(), EPOLLIN, [this](std::uint32_t /*events*/) { handle_signal(); });
+}
+
+void daemon::handle_signal()
+{
+    signalfd_siginfo received{};
+    while (::read(m_signals.get(), &received, sizeof(received)) == sizeof(received)) {
+        if (received.ssi_signo != SIGHUP) {
+            start_drain();
+            continue;
+        }
+        Json::Value fields(Json::objectValue);
+        fields["state"] = m_vm->dump();
+        m_log.write({log_level::info, "daemon", "state dump", std::move(fields)});
+    }
+}
+
+void daemon::receive_datagrams()
+{
+    std::string buffer(largest_datagram, '\0');
+    while (true) {
+        auto const size = ::recv(m_peer_socket->impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (size < 0) {
+            return;
+        }
+        m_vm->handle_datagram(buffer.substr(0, static_cast<std::size_t>(size)));
+    }
+}
+
+void daemon::send_datagram(endpoint const& target, std::string const& datagram)
+{
+    try {
+        m_peer_socket->sendTo(datagram.data(), static_cast<int>(datagram.size()),
+                              Poco::Net::SocketAddress(target.host, target.port));
+    }
+    catch (Poco::Exception const& exception) {
+        // Datagrams may be lost anyway; the protocols between daemons repeat what matters.
+        Json::Value fields(Json::objectValue);
+        fields["target"] = target.to_string();
+        fields["error"] = exception.displayText();
+        m_log.write({log_level::debug, "daemon", "datagram was not sent", std::move(fields)});
+    }
+}
+
+void daemon::start_drain()
+{
+    if (std::exchange(m_is_draining, true)) {
+        return;
+    }
+    m_log.write({log_level::info, "daemon", "draining", {}});
+    m_callers->listener().stop_accepting();
+    m_vm->drain([this] { stop_when_answers_are_sent(); });
+    m_reactor.start_timer(m_settings.drain_timeout, [this] {
+        m_log.write({log_level::warning, "daemon", "drain took too long; requests under way are cut", {}});
+        m_reactor.stop();
+    });
+}
+
+void daemon::stop_when_answers_are_sent()
+{
+    if (m_callers->listener().open_calls() != 0) {
+        m_reactor.start_timer(last_answer_poll, [this] { stop_when_answers_are_sent(); });
+        return;
+    }
+    m_reactor.start_timer(last_answer_time, [this] {
+        if (m_callers->listener().open_calls() != 0) {
+            stop_when_answers_are_sent();
+            return;
+        }
+        m_reactor.stop();
+    });
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/services/greengagehitchd/daemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <random>
+
+#include <Poco/Net/DatagramSocket.h>
+#include <absl/status/status.h>
+
+#include "adapters/libpq_connector.h"
+#include "adapters/platform_client.h"
+#include "callers/caller_endpoint.h"
+#include "callers/operator_endpoint.h"
+#include "entry_vm/entry_vm.h"
+#include "json_line_log.h"
+#include "reactor/reactor.h"
+#include "settings/daemon_settings.h"
+
+namespace greengagehitch {
+
+/// Wires sockets, libpq, HTTP and signals to the hooks of one entry VM. It decides nothing.
+class daemon {
+public:
+    daemon(daemon_settings settings, json_line_log log);
+    ~daemon();
+    daemon(daemon const&) = delete;
+    daemon& operator=(daemon const&) = delete;
+    daemon(daemon&&) = delete;
+    daemon& operator=(daemon&&) = delete;
+
+    /// Opens the listeners and starts the VM.
+    absl::Status try_start();
+
+    /// Serves until a drain that SIGTERM, SIGINT or an operator asked for is over.
+    void run();
+
+private:
+    entry_vm_hooks make_hooks(std::string const& database_password);
+    absl::Status try_open_peer_socket();
+    absl::Status try_start_listeners();
+    void watch_signals();
+    void handle_signal();
+    void receive_datagrams();
+    void send_datagram(endpoint const& target, std::string const& datagram);
+    void start_drain();
+    void stop_when_answers_are_sent();
+
+    daemon_settings m_settings;
+    json_line_log m_log;
+    reactor m_reactor;
+    std::mt19937_64 m_random;
+    file_descriptor m_signals;
+    std::optional<Poco::Net::DatagramSocket> m_peer_socket;
+    std::optional<platform_client> m_platform;
+    std::optional<libpq_connector> m_databases;
+    std::unique_ptr<entry_vm> m_vm;
+    std::unique_ptr<caller_endpoint> m_callers;
+    std::unique_ptr<operator_endpoint> m_operators;
+    bool m_is_draining = false;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/standins/database_group/group_member.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "database/batch.h"
+#include "database/group_contract.h"
+#include "kernel/event_loop.h"
+#include "sql_database.h"
+
+namespace greengagehitch::standin {
+
+class group_member;
+
+/// What the members of a group need from their surroundings.
+struct group_hooks {
+    std::function<monotonic_time()> now;
+    std::function<timer_id(duration, std::function<void()>)> start_timer;
+};
+
+/// Committed transaction in a group's log.
+struct log_entry {
+    std::uint64_t term = 0;
+    std::string client_account;
+    std::vector<statement> statements;
+};
+
+/// Connection to one member, with its transaction. A batch that comes while another runs waits for it.
+class member_session : public std::enable_shared_from_this<member_session> {
+public:
+    explicit member_session(group_member& member);
+    ~member_session();
+    member_session(member_session const&) = delete;
+    member_session& operator=(member_session const&) = delete;
+    member_session(member_session&&) = delete;
+    member_session& operator=(member_session&&) = delete;
+
+    /// Runs the batch; the callback is dropped when the session is closed or the member killed before.
+    void submit(batch question, batch_callback callback);
+
+    /// Rolls back and drops all that waits.
+    void close();
+
+    bool is_in_transaction() const { return m_in_transaction; }
+    bool has_failed_transaction() const { return m_has_failed; }
+
+private:
+    friend class group_member;
+
+    struct pending_batch {
+        batch question;
+        batch_callback callback;
+        batch_answer answer;
+        std::optional<monotonic_time> blocked_since;
+    };
+
+    void run_front();
+    void continue_front();
+    bool run_next_statement(pending_batch& running);
+    void finish_front();
+    sql_outcome execute(statement const& question);
+    std::optional<sql_outcome> execute_control(statement const& question);
+    std::optional<sql_outcome> execute_contract(statement const& question);
+    sql_outcome begin(bool is_read_only);
+    sql_outcome commit();
+    sql_outcome rollback();
+    sql_outcome execute_data(statement const& question);
+    void forget_transaction();
+
+    group_member* m_member;
+    std::shared_ptr<sql_database> m_database;
+    std::deque<pending_batch> m_pending;
+    bool m_is_running = false;
+    bool m_is_closed = false;
+    bool m_in_transaction = false;
+    bool m_has_failed = false;
+    bool m_is_read_only = false;
+    std::string m_client_account;
+    std::vector<statement> m_written;
+};
+
+/// Switches of one member that tests and operators of the stand-in set.
+struct member_switches {
+    duration lag{};          ///< From receiving a log entry to applying it.
+    duration service_time{}; ///< Time that a batch holds a slot.
+    std::size_t slots = 5;   ///< Batches that run at once.
+    std::size_t max_connections = 35;
+    bool is_paused = false;
+    bool is_killed = false;
+};
+
+/// One member of a database group: its log, its term and its SQL data.
+class group_member {
+public:
+    group_member(std::string name, std::string unique_prefix, group_hooks hooks,
+                 std::function<void(group_member&)> on_commit);
+    ~group_member();
+    group_member(group_member const&) = delete;
+    group_member& operator=(group_member const&) = delete;
+    group_member(group_member&&) = delete;
+    group_member& operator=(group_member&&) = delete;
+
+    std::string const& name() const { return m_name; }
+    member_switches& switches() { return m_switches; }
+
+    /// Opens a session; null when the member is killed or has no connection left.
+    std::shared_ptr<member_session> open_session();
+    std::size_t session_count() const { return m_sessions.size(); }
+
+    /// Ends all sessions. The log and the term last, as on disk.
+    void kill();
+    void restart() { m_switches.is_killed = false; }
+    void pause() { m_switches.is_paused = true; }
+    void resume();
+
+    member_status status(std::string marker) const;
+    bool fence(std::uint64_t term, std::string const& claimant);
+    bool promote(std::uint64_t term, std::string const& claimant);
+    bool follow(std::uint64_t term);
+
+    bool is_primary() const { return m_is_primary; }
+    std::uint64_t term() const { return m_term; }
+    std::vector<std::shared_ptr<log_entry const>> const& log() const { return m_log; }
+
+    /// Receives the suffix of a primary's log that starts after `prefix` entries.
+    void receive(std::uint64_t primary_term, std::size_t prefix,
+                 std::vector<std::shared_ptr<log_entry const>> const& suffix);
+
+    /// Runs statements on the data without a log entry, for schemas that all members start with.
+    void seed(std::vector<std::string> const& statements);
+
+    /// Told each session that the member ended by itself.
+    void set_on_session_ended(std::function<void(member_session&)> callback)
+    {
+        m_on_session_ended = std::move(callback);
+    }
+
+private:
+    friend class member_session;
+
+    bool try_take_slot();
+    void release_slot();
+    void append(log_entry entry);
+    void truncate(std::size_t size);
+    void rebuild();
+    void apply_until(std::size_t size);
+    void schedule_apply();
+    void apply_due();
+    void end_sessions();
+    void forget_session(member_session const& session);
+    std::shared_ptr<sql_database> open_database() const;
+
+    std::string m_name;
+    std::string m_unique_prefix;
+    group_hooks m_hooks;
+    std::function<void(group_member&)> m_on_commit;
+    std::function<void(member_session&)> m_on_session_ended;
+    member_switches m_switches;
+    std::uint64_t m_term = 1;
+    std::string m_claimant;
+    bool m_is_primary = false;
+    std::vector<std::shared_ptr<log_entry const>> m_log;
+    std::size_t m_applied = 0;
+    std::uint64_t m_generation = 0;
+    std::shared_ptr<sql_database> m_data;
+    std::vector<std::string> m_seed;
+    std::vector<std::shared_ptr<member_session>> m_sessions;
+    std::size_t m_busy_slots = 0;
+    std::deque<std::weak_ptr<member_session>> m_slot_waiters;
+    std::deque<std::pair<std::size_t, monotonic_time>> m_apply_times;
+    bool m_has_apply_timer = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace greengagehitch::standin
