benchmarks: Measure one daemon on loopback

Ruled out: processor time (25 % and 6 % of a core) and the pool (34 connections). Stacks showed both sides waiting in epoll; the stand-in's second answer on a connection, the one to the reset, waited for the acknowledgement of the first (Nagle's algorithm against delayed acknowledgements, 40 ms).

Change: the stand-in sets TCP_NODELAY on accepted connections, as PostgreSQL does.

--- /dev/null
+++ b/benchmarks/load_caller.cpp
@@ -0,0 +1,78 @@
+#include "load_caller.h"
+
+#include <array>
+#include <charconv>
+#include <stdexcept>
+
+#include <Poco/Net/SocketAddress.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::size_t read_size = 65'536;
+constexpr std::string_view end_of_header = "\r\n\r\n";
+constexpr std::string_view length_header = "Content-Length: ";
+
+} // namespace
+
+load_caller::load_caller(reactor& reactor, endpoint target, std::string key, answered_callback answered)
+    : m_reactor(reactor), m_key(std::move(key)), m_answered(std::move(answered)),
+      m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    Poco::Net::SocketAddress const address(target.host, target.port);
+    if (::connect(m_socket.get(), address.addr(), address.length()) != 0) {
+        throw std::runtime_error("cannot connect to " + target.to_string());
+    }
+    int const enabled = 1;
+    ::setsockopt(m_socket.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    m_reactor.watch(m_socket.get(), EPOLLIN, [this](std::uint32_t /*events*/) { receive(); });
+}
+
+load_caller::~load_caller()
+{
+    m_reactor.unwatch(m_socket.get());
+}
+
+void load_caller::send(std::string const& body)
+{
+    m_sent_at = m_reactor.now();
+    auto const request = fmt::format("POST / HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer {}\r\n"
+                                     "Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{}",
+                                     m_key, body.size(), body);
+    if (::send(m_socket.get(), request.data(), request.size(), MSG_NOSIGNAL) < 0) {
+        throw std::runtime_error("connection was lost");
+    }
+}
+
+void load_caller::receive()
+{
+    std::array<char, read_size> buffer{};
+    auto const size = ::recv(m_socket.get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size <= 0) {
+        m_reactor.unwatch(m_socket.get());
+        return;
+    }
+    m_input.append(buffer.data(), static_cast<std::size_t>(size));
+    auto const header_end = m_input.find(end_of_header);
+    auto const length_at = m_input.find(length_header);
+    if (header_end == std::string::npos || length_at == std::string::npos) {
+        return;
+    }
+    std::size_t length = 0;
+    auto const* const first = m_input.data() + length_at + length_header.size();
+    std::from_chars(first, m_input.data() + m_input.size(), length);
+    auto const body_at = header_end + end_of_header.size();
+    if (m_input.size() < body_at + length) {
+        return;
+    }
+    auto const body = m_input.substr(body_at, length);
+    m_input.clear();
+    m_answered(m_reactor.now() - m_sent_at, body);
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/benchmarks/load_caller.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "reactor/reactor.h"
+#include "settings/daemon_settings.h"
+
+namespace greengagehitch {
+
+/// Kept-alive HTTP connection that sends the same call again and again and measures each answer. It reads no
+/// more of HTTP than the length of the body.
+class load_caller {
+public:
+    using answered_callback = std::function<void(duration delay, std::string const& body)>;
+
+    load_caller(reactor& reactor, endpoint target, std::string key, answered_callback answered);
+    ~load_caller();
+    load_caller(load_caller const&) = delete;
+    load_caller& operator=(load_caller const&) = delete;
+    load_caller(load_caller&&) = delete;
+    load_caller& operator=(load_caller&&) = delete;
+
+    void send(std::string const& body);
+
+private:
+    void receive();
+
+    reactor& m_reactor;
+    std::string m_key;
+    answered_callback m_answered;
+    file_descriptor m_socket;
+    std::string m_input;
+    monotonic_time m_sent_at;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/benchmarks/measure_report.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+
+namespace greengagehitch {
+
+/// Figures of one measurement and the bars that they must clear.
+class measure_report {
+public:
+    explicit measure_report(std::string name) : m_name(std::move(name)) {}
+
+    void add_figure(std::string const& name, Json::Value value) { m_figures[name] = std::move(value); }
+
+    /// Bar that holds when `value` is at least or at most the target.
+    void add_minimum(std::string const& name, double target, double value);
+    void add_maximum(std::string const& name, double target, double value);
+    void add_exact(std::string const& name, double target, double value);
+
+    /// Prints the report as one JSON object on the last line. Returns the exit code.
+    int print() const;
+
+private:
+    void add_bar(std::string const& name, std::string const& relation, double target, double value,
+                 bool holds);
+
+    std::string m_name;
+    Json::Value m_figures{Json::objectValue};
+    Json::Value m_bars{Json::arrayValue};
+    bool m_holds = true;
+};
+
+/// Value at a share of the sorted samples; 0 without samples.
+double quantile(std::vector<double> samples, double share);
+
+} // namespace greengagehitch
--- a/meta/local_fleet.py
+++ b/meta/local_fleet.py
@@ -26,8 +26,9 @@
         self.tls = tls
         self.platform = self._start_standin("greengagehitch-standin-platform")
         self.platform_url = "http://127.0.0.1:%d" % self.platform["port"]
+        # One more connection than the platform describes, for measurements that go past the daemons.
         self.database = self._start_standin(
-            "greengagehitch-standin-database", "--slots", slots, "--connections", connections,
+            "greengagehitch-standin-database", "--slots", slots, "--connections", connections + 1,
             "--connection-delay-ms", connection_delay_ms, "--lag-ms", lag_ms, "--schema", schema)
         self.describe_group("ledger-1", zones, slots, connections)
         vms = []
--- a/standins/database_group/database_group.cpp
+++ b/standins/database_group/database_group.cpp
@@ -41,6 +41,22 @@
     }
 }
 
+void database_group::set_link_cut(std::size_t left, std::size_t right, bool is_cut)
+{
+    auto const link = std::minmax(left, right);
+    if (is_cut) {
+        m_cut_links.insert(link);
+    }
+    else {
+        m_cut_links.erase(link);
+    }
+}
+
+bool database_group::is_linked(std::size_t from, std::size_t to) const
+{
+    return !m_is_cut_off[from] && !m_is_cut_off[to] && !m_cut_links.contains(std::minmax(from, to));
+}
+
 void database_group::ship()
 {
     for (std::size_t from = 0; from < m_members.size(); ++from) {
--- a/standins/database_group/database_group.h
+++ b/standins/database_group/database_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,9 @@
 
     /// Cuts or mends the log shipping between one member and all others.
     void set_cut_off(std::size_t index, bool is_cut_off) { m_is_cut_off[index] = is_cut_off; }
+
+    /// Cuts or mends the log shipping between two members.
+    void set_link_cut(std::size_t left, std::size_t right, bool is_cut);
     void set_ship_delay(duration delay) { m_ship_delay = delay; }
 
     /// Ships what replicas lack. Called by a commit and by the owner's timer, so that cut-off members catch
@@ -34,15 +38,13 @@
 private:
     void ship_from(std::size_t from);
     void ship_between(std::size_t from, std::size_t to);
-    bool is_linked(std::size_t from, std::size_t to) const
-    {
-        return !m_is_cut_off[from] && !m_is_cut_off[to];
-    }
+    bool is_linked(std::size_t from, std::size_t to) const;
 
     group_hooks m_hooks;
     duration m_ship_delay{};
     std::vector<std::unique_ptr<group_member>> m_members;
     std::vector<bool> m_is_cut_off;
+    std::set<std::pair<std::size_t, std::size_t>> m_cut_links;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/standins/processes/database_main.cpp
+++ b/standins/processes/database_main.cpp
@@ -8,6 +8,8 @@
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 #include <json/value.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/signalfd.h>
 #include <tclap/CmdLine.h>
 
@@ -57,6 +59,9 @@
         if (!client.is_valid() || m_member.switches().is_killed) {
             return;
         }
+        // Without this the answer to a reset waits for the acknowledgement of the answer before it.
+        int const enabled = 1;
+        ::setsockopt(client.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
         auto const session =
             std::make_shared<postgres_session>(m_reactor, std::move(client), m_member, m_connection_delay,
                                                [this](postgres_session* ended) { m_sessions.erase(ended); });
