--- /dev/null
+++ b/tests/session/session_token_tests.cpp
@@ -0,0 +1,89 @@
+#include <criterion/criterion.h>
+
+#include "base/digest.h"
+#include "session/session_token.h"
+
+using greengagehitch::log_position;
+using greengagehitch::session_codec;
+using greengagehitch::session_token;
+using greengagehitch::session_token_error;
+
+namespace {
+
+session_token two_databases()
+{
+    session_token token;
+    token.raise("ledger-1", {2, 40});
+    token.raise("ledger-2", {3, 7});
+    return token;
+}
+
+} // namespace
+
+Test(session_token, encoded_token_comes_back_whole)
+{
+    session_codec const codec("secret");
+    auto const decoded = codec.decode(codec.encode(two_databases(), "rink"), "rink");
+    cr_assert(not(decoded.error.has_value()));
+    cr_assert(decoded.token.position("ledger-1") == (log_position{2, 40}));
+    cr_assert(decoded.token.position("ledger-2") == (log_position{3, 7}));
+}
+
+Test(session_token, positions_only_rise)
+{
+    auto token = two_databases();
+    token.raise("ledger-1", {2, 39});
+    token.raise("ledger-1", {1, 90});
+    cr_assert(token.position("ledger-1") == (log_position{2, 40}));
+    token.raise("ledger-1", {3, 1});
+    cr_assert(token.position("ledger-1") == (log_position{3, 1}));
+}
+
+Test(session_token, token_of_another_account_is_refused)
+{
+    session_codec const codec("secret");
+    auto const decoded = codec.decode(codec.encode(two_databases(), "rink"), "other");
+    cr_assert(decoded.error == session_token_error::wrong_client_account);
+}
+
+Test(session_token, every_changed_byte_is_noticed)
+{
+    session_codec const codec("secret");
+    auto const text = codec.encode(two_databases(), "rink");
+    std::string bytes;
+    cr_assert(greengagehitch::from_base64url(text, bytes));
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        auto changed = bytes;
+        changed[i] = static_cast<char>(changed[i] ^ 1);
+        cr_assert(codec.decode(greengagehitch::to_base64url(changed), "rink").error ==
+                  session_token_error::forged);
+    }
+}
+
+Test(session_token, token_of_another_fleet_is_refused)
+{
+    auto const text = session_codec("another").encode(two_databases(), "rink");
+    cr_assert(session_codec("secret").decode(text, "rink").error == session_token_error::forged);
+}
+
+Test(session_token, absurd_texts_get_a_clear_error)
+{
+    session_codec const codec("secret");
+    cr_assert(codec.decode("?!", "rink").error == session_token_error::malformed);
+    cr_assert(codec.decode("AA", "rink").error == session_token_error::malformed);
+    cr_assert(codec.decode(std::string(100'000, 'A'), "rink").error == session_token_error::too_long);
+}
+
+Test(session_token, largest_token_stays_within_its_bound)
+{
+    session_codec const codec("secret");
+    session_token token;
+    std::string const longest_name(64, 'n');
+    for (std::size_t i = 0; i < session_token::max_databases; ++i) {
+        cr_assert(token.raise(longest_name.substr(0, 60) + std::to_string(i), {UINT64_MAX, UINT64_MAX}));
+    }
+    cr_assert(not(token.raise("one-more", {1, 1})));
+    auto const text = codec.encode(token, "rink");
+    cr_assert(text.size() <= session_token::max_encoded_size);
+    cr_assert(not(codec.decode(text, "rink").error.has_value()));
+}
--- /dev/null
+++ b/tests/support/fleet_fixture.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "fleet_setup.h"
+#include "virtual_fleet.h"
+
+namespace greengagehitch::standin {
+
+/// Virtual fleet with a configuration in force, and calls that wait for their answers.
+class fleet_fixture {
+public:
+    explicit fleet_fixture(std::uint64_t seed = 1, deployment_shape const& shape = umuganda_shape(),
+                           double rate = 1e6)
+        : setup(make_setup(shape, 8, rate, rate)), fleet(shape, seed)
+    {
+        fleet.store_configuration(setup.document, setup.keys);
+        fleet.start_all();
+        fleet.clock().run_for(std::chrono::seconds(3));
+    }
+
+    std::string const& key(std::size_t account = 0) const
+    {
+        return setup.key_of_account.at(account_name(account));
+    }
+
+    caller_request request(std::string const& class_name, std::string const& sql,
+                           std::vector<parameter> parameters = {}) const
+    {
+        caller_request made;
+        made.class_name = class_name;
+        made.key = key();
+        made.statements.push_back({sql, std::move(parameters)});
+        return made;
+    }
+
+    caller_request write(std::string const& name, int value) const
+    {
+        return request("bookings", "insert into entries (name, value) values ($1, $2)",
+                       {name, std::to_string(value)});
+    }
+
+    caller_request deposit(std::string const& id, int value) const
+    {
+        auto made = write(id, value);
+        made.class_name = "deposits";
+        made.request_id = id;
+        return made;
+    }
+
+    caller_request read(std::string const& name, std::string const& session,
+                        std::string const& class_name = "own_reads") const
+    {
+        auto made = request(class_name, "select value from entries where name = $1", {name});
+        made.session = session;
+        return made;
+    }
+
+    /// Sends a call and runs the fleet until its answer; empty when none came within `limit`.
+    std::optional<caller_response> call(std::size_t vm, caller_request const& wanted,
+                                        duration limit = std::chrono::seconds(15))
+    {
+        std::optional<caller_response> answer;
+        fleet.call(vm, wanted, [&answer](caller_response const& response) { answer = response; });
+        auto const end = fleet.clock().now() + limit;
+        while (!answer && fleet.clock().now() < end) {
+            fleet.clock().run_for(std::chrono::milliseconds(1));
+        }
+        return answer;
+    }
+
+    caller_answer answer(std::size_t vm, caller_request const& wanted)
+    {
+        auto const response = call(vm, wanted);
+        return response && std::holds_alternative<caller_answer>(*response)
+                   ? std::get<caller_answer>(*response)
+                   : caller_answer();
+    }
+
+    refusal refused(std::size_t vm, caller_request const& wanted)
+    {
+        auto const response = call(vm, wanted);
+        return response && std::holds_alternative<refusal>(*response) ? std::get<refusal>(*response)
+                                                                      : refusal{};
+    }
+
+    /// Rows with this name in the log that the current primary holds.
+    std::size_t count_entries(std::string const& database, std::string const& name)
+    {
+        std::size_t count = 0;
+        auto& group = fleet.databases().group(database);
+        group_member* primary = nullptr;
+        for (std::size_t i = 0; i < group.size(); ++i) {
+            auto& member = group.member(i);
+            if (member.is_primary() && (primary == nullptr || member.term() > primary->term())) {
+                primary = &member;
+            }
+        }
+        for (auto const& entry : primary->log()) {
+            for (auto const& each : entry->statements) {
+                auto const is_insert = each.sql.starts_with("insert into entries");
+                count += is_insert && each.parameters.front() == name ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
+    fleet_setup setup;
+    virtual_fleet fleet;
+};
+
+} // namespace greengagehitch::standin
