failover: Replace a lost primary by claiming the group's next term

Cause: a lost primary stopped writes for good. Watchers, chosen by rendezvous hashing and spread over zones, now probe the members; one claims the next term at a majority once watchers of another zone agree and none that can be heard still reaches the primary.

Found on the way, by tests that failed first: a request could wait for ever when a reset's answer overtook the answer before it (the connection object went and its callback with it), and a second try that failed after a first one whose fate was open broke an invariant. Batches on one connection now fail together, and an answer out of turn breaks the connection.

--- /dev/null
+++ b/libraries/failover/failover_service.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kernel/kernel.h"
+#include "membership/membership_service.h"
+#include "platform/platform_hooks.h"
+#include "routing/group_directory.h"
+
+namespace greengagehitch {
+
+/// Watches database groups and replaces a primary that is lost. Each group has a few watchers; one of them
+/// claims the next term at a majority of the members once watchers in several availability zones find the
+/// primary lost. Safety rests on the terms of the group alone, never on suspicion.
+class failover_service : public service {
+public:
+    static constexpr std::string_view service_name = "failover";
+
+    failover_service(kernel& kernel, platform_hooks const& platform) : m_kernel(kernel), m_platform(platform)
+    {
+    }
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+private:
+    /// What another watcher said last.
+    struct opinion {
+        std::uint64_t term = 0;
+        bool is_suspected = false;
+        monotonic_time heard_at;
+    };
+
+    /// Claim of a term on its way.
+    struct claim {
+        std::uint64_t term = 0;
+        std::string claimant;
+        std::optional<std::size_t> excluded; ///< Member that is being replaced.
+        std::map<std::size_t, member_status> grants;
+        std::size_t answers = 0;
+        bool is_promoting = false;
+    };
+
+    /// State of watching one group.
+    struct watch {
+        std::vector<std::string> watchers;
+        monotonic_time watching_since;
+        std::map<std::string, opinion> opinions;
+        std::optional<monotonic_time> suspected_since;
+        std::optional<monotonic_time> without_primary_since;
+        std::optional<log_position> stalled_position;
+        monotonic_time stalled_since;
+        std::shared_ptr<claim> running;
+        monotonic_time no_claim_before;
+        std::optional<monotonic_time> told_at;
+    };
+
+    void tick();
+    void watch_group(active_group& group, watch& state, std::size_t rank);
+    std::vector<std::string> watchers_of(std::string const& database) const;
+    void probe_members(active_group& group);
+    bool is_primary_lost(active_group const& group, watch& state) const;
+    bool is_replication_stalled(active_group const& group, watch& state) const;
+    void consider_claim(active_group& group, watch& state, std::size_t rank);
+    bool has_agreement(watch const& state, std::uint64_t term) const;
+    void ask_opinions(active_group const& group, watch const& state);
+    void take_suspicion(peer_state const& peer, primary_suspicion const& message);
+    void report_failure(active_group& group, std::size_t member);
+
+    void start_claim(active_group& group, watch& state);
+    void take_grant(std::string const& database, std::shared_ptr<claim> const& running, std::size_t member,
+                    batch_answer const& answer, monotonic_time asked_at);
+    void promote_best(std::string const& database, std::shared_ptr<claim> const& running);
+    void take_promotion(std::string const& database, std::shared_ptr<claim> const& running,
+                        std::size_t member, batch_answer const& answer, monotonic_time asked_at);
+    void end_claim(std::string const& database, std::shared_ptr<claim> const& running);
+    void announce(active_group const& group);
+    void record(std::string const& database, std::uint64_t term, std::string const& primary);
+
+    kernel& m_kernel;
+    platform_hooks const& m_platform;
+    group_directory* m_directory = nullptr;
+    membership_service* m_membership = nullptr;
+    std::map<std::string, watch> m_watches;
+    std::map<std::string, monotonic_time> m_hinted_at;
+    std::uint64_t m_claims = 0;
+    std::uint64_t m_promotions = 0;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/watcher_choice.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace greengagehitch {
+
+/// VM that may watch a database group.
+struct watcher_candidate {
+    std::string vm;
+    std::string availability_zone;
+};
+
+/// Chooses the VMs that watch `database` by rendezvous hashing, one from each availability zone before a
+/// second one from any. All VMs with the same list choose the same watchers, and a change of the list moves
+/// few groups. The order is the rank in which watchers act.
+std::vector<std::string> choose_watchers(std::string const& database,
+                                         std::vector<watcher_candidate> candidates, std::size_t count);
+
+} // namespace greengagehitch
--- a/libraries/pool/member_connection.cpp
+++ b/libraries/pool/member_connection.cpp
@@ -11,7 +11,7 @@
 
 member_connection::~member_connection()
 {
-    m_state->is_alive = false;
+    *m_is_alive = false;
     set_broken();
 }
 
@@ -19,9 +19,9 @@
 {
     auto const settled = std::make_shared<bool>(false);
     auto const timer = std::make_shared<timer_id>(timer_id::none);
-    auto const settle = [this, state = m_state, settled, timer,
+    auto const settle = [this, is_alive = m_is_alive, settled, timer,
                          opened = std::move(opened)](std::optional<database_failure> failure) {
-        if (!state->is_alive || std::exchange(*settled, true)) {
+        if (!*is_alive || std::exchange(*settled, true)) {
             return;
         }
         m_kernel.cancel_timer(*timer);
@@ -39,25 +39,51 @@
 void member_connection::execute(batch question, duration timeout, batch_callback answered)
 {
     VERIFY(!m_is_broken);
-    auto const settled = std::make_shared<bool>(false);
-    auto const timer = std::make_shared<timer_id>(timer_id::none);
-    auto const settle = [this, state = m_state, settled, timer,
-                         answered = std::move(answered)](batch_answer answer) {
-        if (!state->is_alive || std::exchange(*settled, true)) {
-            return;
-        }
-        m_kernel.cancel_timer(*timer);
-        --m_in_flight;
-        if (answer.failure && !is_definite(answer.failure->error)) {
-            set_broken();
+    auto const pending = std::make_shared<pending_batch>();
+    pending->answered = std::move(answered);
+    m_pending.push_back(pending);
+    auto const take = [this, is_alive = m_is_alive, pending](batch_answer answer) {
+        if (*is_alive) {
+            take_answer(pending, std::move(answer));
         }
-        answered(std::move(answer));
     };
-    ++m_in_flight;
-    *timer = m_kernel.start_timer(timeout, [settle] {
-        settle({{}, database_failure{database_error::timed_out, "", "no answer in time"}});
+    pending->timer = m_kernel.start_timer(timeout, [take] {
+        take({{}, database_failure{database_error::timed_out, "", "no answer in time"}});
     });
-    m_hooks.execute(m_id, std::move(question), settle);
+    m_hooks.execute(m_id, std::move(question), take);
+}
+
+void member_connection::take_answer(std::shared_ptr<pending_batch> const& question, batch_answer answer)
+{
+    if (question->is_settled) {
+        return;
+    }
+    if (answer.failure && !is_definite(answer.failure->error)) {
+        fail_all(*answer.failure);
+        return;
+    }
+    if (m_pending.front() != question) {
+        fail_all({database_error::connection_lost, "", "answer came out of turn"});
+        return;
+    }
+    m_pending.pop_front();
+    question->is_settled = true;
+    m_kernel.cancel_timer(question->timer);
+    std::exchange(question->answered, nullptr)(std::move(answer));
+}
+
+void member_connection::fail_all(database_failure failure)
+{
+    set_broken();
+    auto const failed = std::exchange(m_pending, {});
+    for (auto const& each : failed) {
+        each->is_settled = true;
+        m_kernel.cancel_timer(each->timer);
+    }
+    for (auto const& each : failed) {
+        // An earlier callback may have given up this object; those that wait must hear all the same.
+        std::exchange(each->answered, nullptr)({{}, failure});
+    }
 }
 
 void member_connection::set_broken()
--- a/libraries/pool/member_connection.h
+++ b/libraries/pool/member_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -29,23 +30,30 @@
     void execute(batch question, duration timeout, batch_callback answered);
 
     bool is_broken() const { return m_is_broken; }
-    std::size_t batches_in_flight() const { return m_in_flight; }
+    std::size_t batches_in_flight() const { return m_pending.size(); }
 
     /// Marks the connection as unfit for another request.
     void set_broken();
 
 private:
-    struct shared_state {
-        bool is_alive = true;
+    struct pending_batch {
+        bool is_settled = false;
+        timer_id timer = timer_id::none;
+        batch_callback answered;
     };
 
+    /// Takes in the answer to a batch. An answer out of turn, or one that leaves the fate of the batch open,
+    /// breaks the connection, and all batches that wait on it fail.
+    void take_answer(std::shared_ptr<pending_batch> const& question, batch_answer answer);
+    void fail_all(database_failure failure);
+
     kernel& m_kernel;
     database_hooks const& m_hooks;
     std::weak_ptr<bool> m_kernel_lifetime;
-    std::shared_ptr<shared_state> m_state = std::make_shared<shared_state>();
+    std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
     connection_id m_id = connection_id::none;
     bool m_is_broken = false;
-    std::size_t m_in_flight = 0;
+    std::deque<std::shared_ptr<pending_batch>> m_pending;
 };
 
 } // namespace greengagehitch
--- a/libraries/routing/write_service.cpp
+++ b/libraries/routing/write_service.cpp
@@ -214,7 +214,6 @@
     auto const marker = m_directory->next_marker();
     question.statements.push_back(group_contract::status(marker));
     auto const asked_at = m_kernel.now();
-    attempt->must_close = true;
     auto const timeout = attempt->resolution_deadline() - asked_at;
     lease->execute_last(std::move(question), timeout,
                         [this, attempt, member, asked_at, marker, count = statements.size(),
@@ -225,7 +224,6 @@
                             auto const commit_index = preamble_size + count;
                             if (answer.failure && is_definite(answer.failure->error) &&
                                 answer.results.size() <= commit_index) {
-                                attempt->must_close = false;
                                 take_failure(attempt, member, *answer.failure, answer.results.size());
                                 return;
                             }
@@ -288,7 +286,6 @@
     auto const commit_index = question.statements.size() - 1;
     auto const marker = m_directory->next_marker();
     question.statements.push_back(group_contract::status(marker));
-    attempt->must_close = true;
     lease->execute_last(std::move(question), attempt->resolution_deadline() - asked_at,
                         [this, attempt, member, asked_at, marker, commit_index,
                          alive = m_kernel.lifetime()](batch_answer const& answer) {
@@ -297,7 +294,6 @@
                             }
                             if (answer.failure && is_definite(answer.failure->error) &&
                                 answer.results.size() <= commit_index) {
-                                attempt->must_close = false;
                                 take_failure(attempt, member, *answer.failure, answer.results.size());
                                 return;
                             }
@@ -339,7 +335,6 @@
                                  database_failure const& failure, std::size_t failed_statement)
 {
     auto& request = *attempt->request;
-    VERIFY(!attempt->must_close);
     attempt->last_problem = failure.message;
     auto const is_duplicate = attempt->has_id() && !attempt->is_interactive &&
                               failed_statement == outcome_index && failure.sqlstate == unique_violation;
@@ -347,6 +342,15 @@
         look_up(attempt);
         return;
     }
+    if (failure.error == database_error::statement_failed && attempt->must_close) {
+        // An earlier try may have committed, and this one may have failed on its very effect.
+        if (attempt->has_id()) {
+            place_tombstone(attempt);
+            return;
+        }
+        run_out_of_time(attempt);
+        return;
+    }
     if (failure.error == database_error::statement_failed) {
         request.refuse(outcome::not_run, refusal_reason::statement_rejected,
                        fmt::format("{} ({})", failure.message, failure.sqlstate));
@@ -363,6 +367,7 @@
 void write_service::handle_open_fate(attempt_pointer const& attempt)
 {
     ++m_open_fates;
+    attempt->must_close = true;
     auto& request = *attempt->request;
     auto const now = m_kernel.now();
     request.ledger().enter(request_stage::resolution, now);
@@ -394,6 +399,10 @@
     auto const now = m_kernel.now();
     auto const can_retry = !attempt->is_interactive && attempt->tries < max_tries && now < request.deadline();
     if (!can_retry || (attempt->tries > 1 && !m_budget.try_take())) {
+        if (attempt->must_close && attempt->has_id()) {
+            place_tombstone(attempt);
+            return;
+        }
         if (attempt->must_close) {
             run_out_of_time(attempt);
             return;
--- a/standins/virtual_fleet/virtual_databases.cpp
+++ b/standins/virtual_fleet/virtual_databases.cpp
@@ -208,8 +208,8 @@
         }
         auto const& switches = m_groups.at(on->group).model->member(on->member).switches();
         if (switches.is_killed) {
-            auto const delay = m_network.draw_latency(on->vm_zone, on->vm_zone);
-            m_clock.start_timer(delay, [on, answered] {
+            auto const reset_arrival = next_arrival(*on, on->last_answer);
+            m_clock.start_timer(reset_arrival - m_clock.now(), [on, answered] {
                 on->run([answered] {
                     answered({{}, database_failure{database_error::connection_lost, "", "reset"}});
                 });
--- a/tests/pool/member_pool_tests.cpp
+++ b/tests/pool/member_pool_tests.cpp
@@ -184,3 +184,19 @@
     cr_assert(error == database_error::refused);
     cr_assert(fixture.failures == 1);
 }
+
+Test(member_pool, crossed_answers_fail_every_batch_on_the_connection)
+{
+    pool_fixture fixture;
+    auto lease = fixture.first_lease();
+    std::vector<bool> is_ok;
+    lease->execute_last(one("insert into t values (1)"), 1s,
+                        [&is_ok](batch_answer const& answer) { is_ok.push_back(answer.is_ok()); });
+    // The answer to the reset overtakes the answer to the request.
+    fixture.database.answer(1, "");
+    cr_assert(is_ok == std::vector<bool>{false});
+    fixture.database.answer(0, "late");
+    cr_assert(is_ok.size() == 1);
+    cr_assert(fixture.database.closed.size() == 1);
+    cr_assert(fixture.pool->connections() == 0);
+}
