allotment: Split rates over the fleet by grants and loans

Cause: a rate was divided by the number of VMs that each one believed to be there. Two VMs with different lists could admit more than the rate together, and demand that hopped between VMs was refused below it.

Change: each VM owns a share by a grant in the platform's table, bound to its incarnation, and shares move between peers as loans with an end on both clocks; tokens travel only with the room that a loan gives them. A request that finds no token waits up to 60 ms for peers.

--- /dev/null
+++ b/libraries/allotment/allotment_service.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "allotment/shared_bucket.h"
+#include "kernel/kernel.h"
+#include "membership/membership_service.h"
+#include "platform/platform_hooks.h"
+
+namespace greengagehitch {
+
+/// Answer to a request for tokens: empty when they were given, otherwise the time after which to try again.
+using token_callback = std::function<void(std::optional<duration>)>;
+
+/// Splits amounts over the fleet: each VM owns a share by a grant in the platform's table, bound to its
+/// incarnation, and shares move directly between peers as loans, to where the demand is. The sum of all
+/// shares never exceeds the whole, whatever is lost, paused, doubled or cut off.
+class allotment_service : public service {
+public:
+    static constexpr std::string_view service_name = "allotments";
+
+    allotment_service(kernel& kernel, platform_hooks const& platform) : m_kernel(kernel), m_platform(platform)
+    {
+    }
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+    Json::Value dump() const override;
+
+    /// Makes an allotment known, or changes its rate and burst.
+    void configure(std::string const& allotment, double rate, double burst);
+
+    /// Forgets allotments that are not in `names`.
+    void keep_only(std::vector<std::string> const& names);
+
+    /// Takes one token. When there is none here, peers are asked, and `done` comes within the wait limit.
+    void take(std::string const& allotment, token_callback done);
+
+    /// Gives back all that this VM owns; called when it leaves.
+    void hand_back();
+
+private:
+    struct waiting_take {
+        monotonic_time since;
+        token_callback done;
+    };
+
+    /// What a peer said last about an allotment.
+    struct peer_hint {
+        double tokens = 0;
+        monotonic_time heard_at;
+    };
+
+    struct open_request {
+        std::string peer;
+        monotonic_time asked_at;
+    };
+
+    struct allotment {
+        explicit allotment(monotonic_time now) : bucket(now), created_at(now) {}
+
+        std::string name;
+        shared_bucket bucket;
+        monotonic_time created_at;
+        std::deque<waiting_take> waiting;
+        double demand = 0;          ///< Requests in a second, smoothed.
+        std::uint64_t arrivals = 0; ///< Since the last tick.
+        std::map<std::string, peer_hint> hints;
+        std::map<std::uint64_t, open_request> open_requests;
+        std::map<std::string, std::uint64_t>
+            last_request_of; ///< Highest request number of each peer's incarnation.
+        std::optional<monotonic_time> asked_at;
+        duration ask_pause{};
+        bool has_timer = false;
+        bool is_granting = false;
+        bool has_grant = false;
+        monotonic_time next_grant_try;
+    };
+
+    using holder_table = std::map<std::string, std::pair<std::uint64_t, share>>;
+
+    void tick();
+    void notice_pause();
+    void serve_waiting(allotment& entry);
+    void schedule_check(allotment& entry);
+    void ask_peers(allotment& entry, bool is_urgent);
+    std::vector<std::string> choose_lenders(allotment const& entry, std::size_t count);
+    void answer_request(peer_state const& peer, share_request const& request);
+    void take_transfer(peer_state const& peer, share_transfer const& transfer);
+    duration retry_after(allotment& entry);
+
+    void try_grant(allotment& entry);
+    void take_grant_row(std::string const& name, std::optional<table_row> const& row);
+    void put_grant(std::string const& name, std::uint64_t row_version, holder_table const& holders,
+                   share owned);
+    void put_hand_back(std::string const& name);
+    void watch_list();
+
+    kernel& m_kernel;
+    platform_hooks const& m_platform;
+    membership_service* m_membership = nullptr;
+    std::map<std::string, std::unique_ptr<allotment>> m_allotments;
+    std::map<std::string, monotonic_time> m_gone_since; ///< VMs that the platform no longer lists.
+    std::uint64_t m_next_number = 1;
+    monotonic_time m_started_at;
+    std::optional<monotonic_time> m_last_tick;
+    monotonic_time m_next_store_call;
+};
+
+} // namespace greengagehitch
--- a/libraries/limits/limit_service.cpp
+++ b/libraries/limits/limit_service.cpp
@@ -1,58 +1,39 @@
 #include "limits/limit_service.h"
 
-#include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace greengagehitch {
 
-void limit_service::start()
+namespace {
+
+std::string allotment_of(std::string const& client_account)
 {
-    m_configuration = &m_kernel.find<configuration_service>(configuration_service::service_name);
-    m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
-    m_configuration->on_change([this] { follow_configuration(); });
+    return "rates/" + client_account;
 }
 
-Json::Value limit_service::dump() const
+} // namespace
+
+void limit_service::start()
 {
-    Json::Value state(Json::objectValue);
-    for (auto const& [name, bucket] : m_buckets) {
-        state[name]["tokens"] = bucket.tokens();
-        state[name]["rate_share"] = bucket.rate();
-        state[name]["burst_share"] = bucket.burst();
-    }
-    return state;
+    m_configuration = &m_kernel.find<configuration_service>(configuration_service::service_name);
+    m_allotments = &m_kernel.find<allotment_service>(allotment_service::service_name);
+    m_configuration->on_change([this] { follow_configuration(); });
 }
 
-std::optional<duration> limit_service::admit(std::string const& client_account)
+void limit_service::admit(std::string const& client_account, token_callback done)
 {
-    auto const& accounts = m_configuration->current()->document.client_accounts;
-    auto const found = accounts.find(client_account);
-    if (found == accounts.end()) {
-        return std::nullopt;
-    }
-    auto const now = m_kernel.now();
-    auto const bucket = refresh_bucket(found->second, now);
-    return bucket->second.take(now);
+    m_allotments->take(allotment_of(client_account), std::move(done));
 }
 
 void limit_service::follow_configuration()
 {
-    // Buckets fill from now on, not from the first request on.
+    std::vector<std::string> names;
     for (auto const& [name, account] : m_configuration->current()->document.client_accounts) {
-        refresh_bucket(account, m_kernel.now());
-    }
-}
-
-std::map<std::string, token_bucket>::iterator limit_service::refresh_bucket(client_account const& account,
-                                                                            monotonic_time now)
-{
-    auto const vms = static_cast<double>(std::max<std::size_t>(1, m_membership->fleet_size()));
-    auto const rate = account.rate / vms;
-    auto const burst = std::max(1.0, account.burst / vms);
-    auto const bucket = m_buckets.try_emplace(account.name, rate, burst, now).first;
-    if (bucket->second.rate() != rate || bucket->second.burst() != burst) {
-        bucket->second.set_limits(rate, burst, now);
+        m_allotments->configure(allotment_of(name), account.rate, account.burst);
+        names.push_back(allotment_of(name));
     }
-    return bucket;
+    m_allotments->keep_only(names);
 }
 
 } // namespace greengagehitch
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -182,6 +182,7 @@
 
 void membership_service::take_list(std::vector<vm_record> const& records)
 {
+    m_has_list = true;
     for (auto& [name, peer] : m_peers) {
         peer.is_listed = false;
     }
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -87,6 +87,9 @@
     /// Number of VMs, this one included.
     std::size_t fleet_size() const { return live_vms().size(); }
 
+    /// True once the platform's list was read.
+    bool has_list() const { return m_has_list; }
+
     std::string availability_zone_of(std::string const& vm) const;
 
     /// Databases that this VM uses; peers then send it news of them.
@@ -130,6 +133,7 @@
     std::map<std::uint64_t, monotonic_time> m_sent_heartbeats;
     std::uint64_t m_next_sequence = 1;
     bool m_is_leaving = false;
+    bool m_has_list = false;
     std::uint64_t m_rejected_datagrams = 0;
 };
 
--- a/libraries/request/request_service.cpp
+++ b/libraries/request/request_service.cpp
@@ -74,10 +74,42 @@
         reply(*std::move(refused));
         return;
     }
+    admit_by_rate(std::move(request), std::move(admitted), std::move(reply));
+}
+
+void request_service::admit_by_rate(caller_request request, admission admitted, caller_reply reply)
+{
+    auto const started = m_kernel.now();
+    // Calls that end work are free: refusing them would hold connections longer.
+    auto const is_free = request.kind == request_kind::commit || request.kind == request_kind::rollback;
+    if (is_free) {
+        run(std::move(request), std::move(admitted), std::move(reply), started);
+        return;
+    }
+    ++m_waiting_for_rate;
+    auto const client_account = admitted.client_account;
+    m_limits->admit(client_account, [this, started, request = std::move(request),
+                                     admitted = std::move(admitted),
+                                     reply = std::move(reply)](std::optional<duration> wait) {
+        --m_waiting_for_rate;
+        if (!wait) {
+            run(request, admitted, reply, started);
+            return;
+        }
+        ++m_refused_at_once[refusal_reason::over_rate];
+        reply(not_run(refusal_reason::over_rate,
+                      fmt::format("client account '{}' is over its rate", admitted.client_account), *wait));
+        report_drained_if_idle();
+    });
+}
+
+void request_service::run(caller_request request, admission admitted, caller_reply reply,
+                          monotonic_time started)
+{
     ++m_in_flight;
     auto const context = std::make_shared<request_context>(
         std::move(request), std::move(admitted.work), std::move(admitted.client_account),
-        std::move(admitted.key_id), std::move(admitted.session), m_kernel.now(),
+        std::move(admitted.key_id), std::move(admitted.session), started,
         [this, reply = std::move(reply)](request_context& finished, caller_response response) {
             finish(finished, std::move(response), reply);
         });
@@ -114,10 +146,7 @@
     if (auto refused = check_database(request, admitted)) {
         return refused;
     }
-    if (auto refused = check_work(request, admitted)) {
-        return refused;
-    }
-    return check_rate(request, admitted);
+    return check_work(request, admitted);
 }
 
 std::optional<refusal> request_service::check_class(caller_request const& request, admission& admitted) const
@@ -235,20 +264,6 @@
     return std::nullopt;
 }
 
-std::optional<refusal> request_service::check_rate(caller_request const& request, admission const& admitted)
-{
-    // Calls that end work are free: refusing them would hold connections longer.
-    auto const is_free = request.kind == request_kind::commit || request.kind == request_kind::rollback;
-    if (is_free) {
-        return std::nullopt;
-    }
-    if (auto const wait = m_limits->admit(admitted.client_account)) {
-        return not_run(refusal_reason::over_rate,
-                       fmt::format("client account '{}' is over its rate", admitted.client_account), *wait);
-    }
-    return std::nullopt;
-}
-
 void request_service::dispatch(request_pointer const& request)
 {
     switch (request->request().kind) {
@@ -292,7 +307,8 @@
 
 void request_service::report_drained_if_idle()
 {
-    if (m_is_draining && m_in_flight == 0 && m_transactions->size() == 0 && m_drained) {
+    if (m_is_draining && m_in_flight == 0 && m_waiting_for_rate == 0 && m_transactions->size() == 0 &&
+        m_drained) {
         auto const drained = std::exchange(m_drained, nullptr);
         drained();
     }
--- a/libraries/request/request_service.h
+++ b/libraries/request/request_service.h
@@ -49,7 +49,8 @@
     std::optional<refusal> check_session(caller_request const& request, admission& admitted) const;
     std::optional<refusal> check_database(caller_request const& request, admission& admitted) const;
     std::optional<refusal> check_work(caller_request const& request, admission const& admitted) const;
-    std::optional<refusal> check_rate(caller_request const& request, admission const& admitted);
+    void admit_by_rate(caller_request request, admission admitted, caller_reply reply);
+    void run(caller_request request, admission admitted, caller_reply reply, monotonic_time started);
     void dispatch(request_pointer const& request);
     void finish(request_context& request, caller_response response, caller_reply const& reply);
     void report_drained_if_idle();
@@ -64,6 +65,7 @@
     transaction_service* m_transactions = nullptr;
     diagnosis_service* m_diagnosis = nullptr;
     std::size_t m_in_flight = 0;
+    std::size_t m_waiting_for_rate = 0;
     bool m_is_draining = false;
     std::function<void()> m_drained;
     std::map<refusal_reason, std::uint64_t> m_refused_at_once;
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -89,36 +89,34 @@
     MSGPACK_DEFINE(database, term, is_suspected, wants_opinion)
 };
 
-/// Moves a part of an allotment from the sender to the receiver. The sender has subtracted it before; a lost
-/// transfer loses the amount until the whole is granted anew.
+/// Lends a part of an allotment, or prolongs a loan, in answer to a request. The sender has subtracted it
+/// before; a lost transfer loses the amount until the loan has ended, and never makes any.
 struct share_transfer {
     std::string allotment;
-    std::uint64_t transfer_id = 0; ///< Unique for the sender's incarnation.
+    std::uint64_t request = 0; ///< Number of the request that this answers.
     std::uint64_t receiver_incarnation = 0;
-    std::uint64_t grant_epoch = 0;
-    std::int64_t amount = 0; ///< Micro-units.
-    MSGPACK_DEFINE(allotment, transfer_id, receiver_incarnation, grant_epoch, amount)
+    std::uint64_t loan = 0;         ///< Number of the loan; unique for the sender's incarnation.
+    std::int64_t amount = 0;        ///< Millionths of the whole.
+    std::int64_t tokens = 0;        ///< Millionths of a token that come with the loan.
+    std::int64_t lender_tokens = 0; ///< Millionths of a token that the sender has left.
+    bool is_prolonged = false;      ///< Prolongs a loan; another answer to the request follows.
+    MSGPACK_DEFINE(allotment, request, receiver_incarnation, loan, amount, tokens, lender_tokens,
+                   is_prolonged)
 };
 
-/// Asks for a part of an allotment and says how much the sender holds and needs.
+/// Asks for a part of an allotment and for longer loans.
 struct share_request {
     std::string allotment;
-    std::int64_t wanted = 0; ///< Micro-units.
-    std::int64_t held = 0;
-    std::int64_t demand = 0;
-    MSGPACK_DEFINE(allotment, wanted, held, demand)
+    std::uint64_t number = 0;             ///< Unique for the sender's incarnation; grows.
+    std::int64_t wanted = 0;              ///< Millionths of a token.
+    std::int64_t held = 0;                ///< Millionths of the whole.
+    std::int64_t demand = 0;              ///< Millionths of a request in a second.
+    std::vector<std::uint64_t> prolonged; ///< Loans of the receiver that the sender still needs.
+    MSGPACK_DEFINE(allotment, number, wanted, held, demand, prolonged)
 };
 
-/// Receiver's word that a transfer was counted; lets the sender forget it.
-struct share_receipt {
-    std::string allotment;
-    std::uint64_t transfer_id = 0;
-    MSGPACK_DEFINE(allotment, transfer_id)
-};
-
-using peer_message =
-    std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
-                 primary_suspicion, share_transfer, share_request, share_receipt>;
+using peer_message = std::variant<heartbeat, configuration_request, configuration_chunk, group_state,
+                                  group_state_request, primary_suspicion, share_transfer, share_request>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- /dev/null
+++ b/tests/allotment/shared_bucket_tests.cpp
@@ -0,0 +1,87 @@
+#include <criterion/criterion.h>
+
+#include "allotment/shared_bucket.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+
+namespace {
+
+monotonic_time at(std::chrono::milliseconds time)
+{
+    return monotonic_time(time);
+}
+
+/// Bucket that owns half of 100 requests in a second and a burst of 20.
+shared_bucket half_bucket()
+{
+    shared_bucket bucket(at(0ms));
+    bucket.set_limits(100, 20, at(0ms));
+    bucket.change_ledger(at(0ms), [](share_ledger& ledger) { ledger.set_owned(whole_share / 2); });
+    return bucket;
+}
+
+} // namespace
+
+Test(shared_bucket, new_bucket_is_empty_and_fills_by_its_share)
+{
+    auto bucket = half_bucket();
+    cr_assert(not(bucket.take(1, at(0ms))));
+    cr_assert(bucket.take(5, at(100ms)));
+    cr_assert(not(bucket.take(1, at(100ms))));
+}
+
+Test(shared_bucket, burst_is_bounded_by_the_share)
+{
+    auto bucket = half_bucket();
+    cr_assert(bucket.tokens(at(10'000ms)) == 10);
+}
+
+Test(shared_bucket, loan_counts_only_until_its_end)
+{
+    auto bucket = half_bucket();
+    bucket.take(bucket.tokens(at(1'000ms)), at(1'000ms));
+    bucket.change_ledger(at(1'000ms), [](share_ledger& ledger) {
+        ledger.borrow({"peer", 1}, whole_share / 2, at(1'000ms), 50ms);
+    });
+    // 50 ms at the whole rate, then 50 ms at half of it.
+    cr_assert(bucket.tokens(at(1'100ms)) > 7.4 && bucket.tokens(at(1'100ms)) < 7.6);
+}
+
+Test(shared_bucket, borrower_that_was_paused_cannot_use_an_ended_loan)
+{
+    auto bucket = half_bucket();
+    bucket.change_ledger(at(0ms), [](share_ledger& ledger) {
+        ledger.borrow({"peer", 1}, whole_share / 2, at(0ms), 50ms);
+    });
+    cr_assert(bucket.tokens(at(60'000ms)) <= 10);
+    cr_assert(bucket.ledger().available(at(60'000ms)) == whole_share / 2);
+}
+
+Test(shared_bucket, lender_has_its_part_back_only_after_the_margin)
+{
+    share_ledger ledger;
+    ledger.set_owned(whole_share / 2);
+    ledger.lend(1, whole_share / 4, at(0ms), 1'000ms);
+    cr_assert(ledger.available(at(1'050ms)) == whole_share / 4);
+    cr_assert(ledger.available(at(1'101ms)) == whole_share / 2);
+}
+
+Test(shared_bucket, smaller_share_loses_the_tokens_without_room)
+{
+    auto bucket = half_bucket();
+    bucket.tokens(at(10'000ms));
+    auto const lost = bucket.change_ledger(
+        at(10'000ms), [](share_ledger& ledger) { ledger.lend(1, whole_share / 4, at(10'000ms), 1s); });
+    cr_assert(lost == 5);
+    cr_assert(bucket.tokens(at(10'000ms)) == 5);
+}
+
+Test(shared_bucket, loan_that_has_ended_cannot_be_prolonged)
+{
+    share_ledger ledger;
+    ledger.set_owned(whole_share);
+    ledger.lend(1, 10, at(0ms), 100ms);
+    cr_assert(ledger.prolong_lent(1, at(100ms), 100ms) == 10);
+    cr_assert(not(ledger.prolong_lent(1, at(300ms), 100ms).has_value()));
+}
