--- a/benchmarks/load_caller.cpp
+++ b/benchmarks/load_caller.cpp
@@ -20,7 +20,8 @@
 
 } // namespace
 
-load_caller::load_caller(reactor& reactor, endpoint target, std::string key, answered_callback answered)
+load_caller::load_caller(reactor& reactor, endpoint const& target, std::string key,
+                         answered_callback answered)
     : m_reactor(reactor), m_key(std::move(key)), m_answered(std::move(answered)),
       m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
--- a/benchmarks/load_caller.h
+++ b/benchmarks/load_caller.h
@@ -14,7 +14,7 @@
 public:
     using answered_callback = std::function<void(duration delay, std::string const& body)>;
 
-    load_caller(reactor& reactor, endpoint target, std::string key, answered_callback answered);
+    load_caller(reactor& reactor, endpoint const& target, std::string key, answered_callback answered);
     ~load_caller();
     load_caller(load_caller const&) = delete;
     load_caller& operator=(load_caller const&) = delete;
--- a/benchmarks/measure_failover.cpp
+++ b/benchmarks/measure_failover.cpp
@@ -204,7 +204,7 @@
     report.add_figure("seeds_per_shape", Json::UInt64(seeds_per_shape));
     report.add_figure("read_gap_worst_ms", quantile(read_gaps, 1));
     report.add_figure("deposits", Json::UInt64(deposits.deposits));
-    report.add_figure("quiet_minutes", Json::UInt64(10 * 2 * seeds_per_shape));
+    report.add_figure("quiet_minutes", Json::UInt64(10UL * 2 * seeds_per_shape));
     report.add_maximum("write_gap_median_ms", 1'000, quantile(gaps, 0.5));
     report.add_maximum("write_gap_worst_ms", 2'000, quantile(gaps, 1));
     report.add_exact("needless_promotions", 0, static_cast<double>(promotions));
--- a/libraries/adapters/libpq_connector.cpp
+++ b/libraries/adapters/libpq_connector.cpp
@@ -97,7 +97,7 @@
         watch(EPOLLOUT);
     }
 
-    void execute(batch question, batch_callback answered)
+    void execute(batch const& question, batch_callback answered)
     {
         if (m_is_ended) {
             m_pending.push_back({0, {}, std::move(answered)});
@@ -317,8 +317,8 @@
         [this](member_address const& address, open_callback opened) {
             return open(address, std::move(opened));
         },
-        [this](connection_id id, batch question, batch_callback answered) {
-            execute(id, std::move(question), std::move(answered));
+        [this](connection_id id, batch const& question, batch_callback answered) {
+            execute(id, question, std::move(answered));
         },
         [this](connection_id id) { close(id); },
     };
@@ -333,14 +333,14 @@
     return connection_id{id};
 }
 
-void libpq_connector::execute(connection_id id, batch question, batch_callback answered)
+void libpq_connector::execute(connection_id id, batch const& question, batch_callback answered)
 {
     auto const found = m_connections.find(static_cast<std::uint64_t>(id));
     if (found == m_connections.end()) {
         return;
     }
     auto const target = found->second;
-    target->execute(std::move(question), std::move(answered));
+    target->execute(question, std::move(answered));
 }
 
 void libpq_connector::close(connection_id id)
--- a/libraries/adapters/libpq_connector.h
+++ b/libraries/adapters/libpq_connector.h
@@ -34,7 +34,7 @@
     class connection;
 
     connection_id open(member_address const& address, open_callback opened);
-    void execute(connection_id id, batch question, batch_callback answered);
+    void execute(connection_id id, batch const& question, batch_callback answered);
     void close(connection_id id);
 
     reactor& m_reactor;
--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -134,7 +134,7 @@
                      done(std::optional(table_row{key, std::move(answer.body), answer.row_version}));
                  }});
     };
-    hooks.put_row = [this](std::string key, std::uint64_t expected, std::string value, auto done) {
+    hooks.put_row = [this](std::string const& key, std::uint64_t expected, std::string value, auto done) {
         enqueue({"PUT", "/table/" + escape(key), std::move(value), fmt::to_string(expected),
                  [done = std::move(done)](http_answer const& answer) {
                      auto status = status_of(answer);
@@ -145,7 +145,7 @@
                      done(answer.row_version);
                  }});
     };
-    hooks.scan_rows = [this](std::string prefix, auto done) {
+    hooks.scan_rows = [this](std::string const& prefix, auto done) {
         enqueue(
             {"GET", "/scan/" + escape(prefix), "", "", [done = std::move(done)](http_answer const& answer) {
                  auto status = status_of(answer);
@@ -162,11 +162,11 @@
                  done(std::move(rows));
              }});
     };
-    hooks.put_object = [this](std::string name, std::string body, auto done) {
+    hooks.put_object = [this](std::string const& name, std::string body, auto done) {
         enqueue({"PUT", "/objects/" + escape(name), std::move(body), "",
                  [done = std::move(done)](http_answer const& answer) { done(status_of(answer)); }});
     };
-    hooks.get_object = [this](std::string name, auto done) {
+    hooks.get_object = [this](std::string const& name, auto done) {
         enqueue({"GET", "/objects/" + escape(name), "", "", [done = std::move(done)](http_answer answer) {
                      auto status = status_of(answer);
                      if (!status.ok()) {
--- a/libraries/callers/caller_endpoint.cpp
+++ b/libraries/callers/caller_endpoint.cpp
@@ -90,7 +90,7 @@
         }
         for (auto const& field : value.getMemberNames()) {
             if (field != "sql" && field != "parameters") {
-                fail(invalid_parameter(name + "." + field, "no field of this name"));
+                fail(invalid_parameter(fmt::format("{}.{}", name, field), "no field of this name"));
             }
         }
         statement parsed;
@@ -227,11 +227,11 @@
 
 caller_endpoint::caller_endpoint(reactor& reactor, http_listener_options options, request_handler handler)
     : m_handler(std::move(handler)),
-      m_listener(reactor, std::move(options), [this](http_request request) { handle(std::move(request)); })
+      m_listener(reactor, std::move(options), [this](http_request const& request) { handle(request); })
 {
 }
 
-void caller_endpoint::handle(http_request request)
+void caller_endpoint::handle(http_request const& request)
 {
     if (request.method != "POST") {
         m_listener.send_answer(request.id, http_method_not_allowed, "text/plain",
--- a/libraries/callers/caller_endpoint.h
+++ b/libraries/callers/caller_endpoint.h
@@ -27,7 +27,7 @@
     http_listener& listener() { return m_listener; }
 
 private:
-    void handle(http_request request);
+    void handle(http_request const& request);
 
     request_handler m_handler;
     http_listener m_listener;
--- a/libraries/callers/http_listener.cpp
+++ b/libraries/callers/http_listener.cpp
@@ -172,9 +172,9 @@
     return true;
 }
 
-bool http_listener::SendResponse(std::string const& response, void* addInfo)
+bool http_listener::SendResponse(std::string const& response, void* call_pointer)
 {
-    send_answer(*static_cast<call_id*>(addInfo), MHD_HTTP_OK, "application/json", response);
+    send_answer(*static_cast<call_id*>(call_pointer), MHD_HTTP_OK, "application/json", response);
     return true;
 }
 
--- a/libraries/callers/http_listener.h
+++ b/libraries/callers/http_listener.h
@@ -68,7 +68,7 @@
     bool StartListening() override; // NOLINT(readability-identifier-naming)
     bool StopListening() override;  // NOLINT(readability-identifier-naming)
     bool SendResponse(std::string const& response,
-                      void* addInfo) override; // NOLINT(readability-identifier-naming)
+                      void* call_pointer) override; // NOLINT(readability-identifier-naming)
 
 private:
     struct call;
--- a/libraries/configuration/configuration_service.cpp
+++ b/libraries/configuration/configuration_service.cpp
@@ -148,14 +148,14 @@
 }
 
 void configuration_service::read_history(std::size_t limit,
-                                         std::function<void(std::vector<history_entry>)> done)
+                                         std::function<void(std::vector<history_entry>)> const& done)
 {
     auto const entries = std::make_shared<std::vector<history_entry>>();
     append_history(m_current ? m_current->digest : std::string(), limit, entries, done);
 }
 
-void configuration_service::read_snapshot(std::string const& digest,
-                                          std::function<void(absl::StatusOr<configuration_snapshot>)> done)
+void configuration_service::read_snapshot(
+    std::string const& digest, std::function<void(absl::StatusOr<configuration_snapshot>)> const& done)
 {
     if (m_current && m_current->digest == digest) {
         done(*m_current);
--- a/libraries/configuration/configuration_service.h
+++ b/libraries/configuration/configuration_service.h
@@ -79,11 +79,11 @@
                         publication_callback done);
 
     /// Walks the history back from the version in force.
-    void read_history(std::size_t limit, std::function<void(std::vector<history_entry>)> done);
+    void read_history(std::size_t limit, std::function<void(std::vector<history_entry>)> const& done);
 
     /// Reads one version by its digest, from memory or from the object store.
     void read_snapshot(std::string const& digest,
-                       std::function<void(absl::StatusOr<configuration_snapshot>)> done);
+                       std::function<void(absl::StatusOr<configuration_snapshot>)> const& done);
 
 private:
     struct publication_attempt;
--- a/libraries/settings/daemon_settings.cpp
+++ b/libraries/settings/daemon_settings.cpp
@@ -37,7 +37,7 @@
 
 std::string read_name(yaml_section& section, std::string const& field)
 {
-    auto const name = section.required_string(field);
+    auto name = section.required_string(field);
     auto const is_valid =
         !name.empty() && name.size() <= longest_name &&
         name.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string::npos;
@@ -76,8 +76,8 @@
     constexpr std::uint64_t most_callers = 100'000;
     constexpr std::uint64_t default_callers = 8'000;
     constexpr std::uint64_t smallest_body = 1'024;
-    constexpr std::uint64_t largest_body = 16 * 1'024 * 1'024;
-    constexpr std::uint64_t default_body = 256 * 1'024;
+    constexpr std::uint64_t largest_body = 16UL * 1'024 * 1'024;
+    constexpr std::uint64_t default_body = 256UL * 1'024;
     auto callers = root.section("callers");
     settings.callers = read_listener(callers);
     settings.max_callers = callers.optional_number("max_connections", 1, most_callers, default_callers);
--- a/libraries/settings/yaml_section.cpp
+++ b/libraries/settings/yaml_section.cpp
@@ -40,8 +40,8 @@
     return absl::InvalidArgumentError(absl::StrJoin(lines, "\n"));
 }
 
-yaml_section::yaml_section(YAML::Node node, std::string path, settings_problems& problems)
-    : m_node(std::move(node)), m_path(std::move(path)), m_problems(problems)
+yaml_section::yaml_section(YAML::Node const& node, std::string path, settings_problems& problems)
+    : m_node(node), m_path(std::move(path)), m_problems(problems)
 {
     if (m_node.IsDefined() && !m_node.IsNull() && !m_node.IsMap()) {
         m_problems.add(m_node,
--- a/libraries/settings/yaml_section.h
+++ b/libraries/settings/yaml_section.h
@@ -44,7 +44,7 @@
 /// is missing or wrong; finish() reports the fields that nobody asked for.
 class yaml_section {
 public:
-    yaml_section(YAML::Node node, std::string path, settings_problems& problems);
+    yaml_section(YAML::Node const& node, std::string path, settings_problems& problems);
 
     std::string required_string(std::string const& field);
     std::string optional_string(std::string const& field, std::string fallback);
--- a/standins/experiment/entry_log.cpp
+++ b/standins/experiment/entry_log.cpp
@@ -51,7 +51,7 @@
         }
         auto const& name = each.parameters[name_parameter].value();
         auto& count = index.counts[name];
-        count = static_cast<std::size_t>(static_cast<int>(count) + step);
+        count = step > 0 ? count + 1 : count - 1;
         if (count == 0) {
             index.counts.erase(name);
         }
--- a/standins/processes/postgres_session.cpp
+++ b/standins/processes/postgres_session.cpp
@@ -51,14 +51,14 @@
 std::string take_text(std::string_view& bytes)
 {
     auto const end = bytes.find('\0');
-    auto const text = std::string(bytes.substr(0, end));
+    auto text = std::string(bytes.substr(0, end));
     bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
     return text;
 }
 
 std::string command_tag(std::string const& sql, result_set const& result)
 {
-    auto const word = absl::AsciiStrToUpper(sql.substr(0, sql.find_first_of(" (\n\t")));
+    auto word = absl::AsciiStrToUpper(sql.substr(0, sql.find_first_of(" (\n\t")));
     if (word == "INSERT") {
         return fmt::format("INSERT 0 {}", result.affected_rows);
     }
--- a/standins/virtual_fleet/virtual_databases.cpp
+++ b/standins/virtual_fleet/virtual_databases.cpp
@@ -95,7 +95,7 @@
 }
 
 database_hooks virtual_databases::hooks(std::string const& zone,
-                                        std::function<void(std::function<void()>)> run)
+                                        std::function<void(std::function<void()>)> const& run)
 {
     auto const owner = m_next_owner++;
     return {
--- a/standins/virtual_fleet/virtual_databases.h
+++ b/standins/virtual_fleet/virtual_databases.h
@@ -52,7 +52,7 @@
     void set_question_filter(std::function<void(batch&)> filter) { m_question_filter = std::move(filter); }
 
     /// Hooks of one VM. `run` delivers a callback to the VM, or drops it when the VM is gone.
-    database_hooks hooks(std::string const& zone, std::function<void(std::function<void()>)> run);
+    database_hooks hooks(std::string const& zone, std::function<void(std::function<void()>)> const& run);
 
     /// Closes the connections that `zone`'s VM with this token opened.
     void close_all(std::uint64_t owner);
--- a/tests/failover/watcher_choice_tests.cpp
+++ b/tests/failover/watcher_choice_tests.cpp
@@ -13,6 +13,7 @@
 std::vector<watcher_candidate> eight_vms()
 {
     std::vector<watcher_candidate> candidates;
+    candidates.reserve(8);
     for (int i = 0; i < 8; ++i) {
         candidates.push_back({"vm-" + std::to_string(i), "zone-" + std::to_string(i % 3)});
     }
