control: Measure the cost against the fleet's size and cut what grows

Messages were 900 bytes on average: watchers repeated a group's whole description twice a second to everybody, and heartbeats were answered even where the next one echoes soon. Watchers were chosen anew from all VMs at each tick.

Change: descriptions go only to VMs that ask; repetitions come every 2 s (news still at once); large fleets gossip every second; small ones need no answers; watchers are chosen twice a second.

--- /dev/null
+++ b/benchmarks/measure_control_cost.cpp
@@ -0,0 +1,119 @@
+#include <cmath>
+#include <ctime>
+#include <fstream>
+
+#include <fmt/core.h>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+#include "fleet_setup.h"
+#include "measure_report.h"
+#include "virtual_fleet.h"
+
+namespace greengagehitch {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double fleet_at_full_size = 1'700;
+constexpr double microseconds_in_second = 1e6;
+constexpr duration start_time = 10s;
+constexpr duration measured_time = 20s;
+constexpr std::size_t zones = 13;
+
+/// Cost of control for each VM at one size of the fleet.
+struct cost {
+    double vms = 0;
+    double bytes_per_second = 0;
+    double core_share = 0;
+    double memory_mb = 0;
+};
+
+double processor_seconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double resident_mb()
+{
+    std::ifstream file("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    constexpr double megabyte = 1024.0 * 1024.0;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / megabyte;
+}
+
+cost measure_size(std::size_t vms, std::uint64_t seed)
+{
+    auto shape = standin::umuganda_shape();
+    shape.vms = vms;
+    shape.zones.clear();
+    for (std::size_t i = 0; i < zones; ++i) {
+        shape.zones.push_back(fmt::format("zone-{}", i + 1));
+    }
+    // Each VM opens a connection and a control channel to each member; the limit must hold them all.
+    shape.max_connections = 4 * vms;
+    auto const memory_before = resident_mb();
+    auto const setup = standin::make_setup(shape, 8, 1e6, 1e6);
+    standin::virtual_fleet fleet(shape, seed);
+    fleet.store_configuration(setup.document, setup.keys);
+    fleet.start_all();
+    fleet.clock().run_for(start_time);
+    auto const bytes = fleet.datagram_bytes();
+    auto const processor = processor_seconds();
+    fleet.clock().run_for(measured_time);
+    auto const seconds = std::chrono::duration<double>(measured_time).count();
+    auto const count = static_cast<double>(vms);
+    return {count, static_cast<double>(fleet.datagram_bytes() - bytes) / seconds / count,
+            (processor_seconds() - processor) / seconds / count, (resident_mb() - memory_before) / count};
+}
+
+/// Value at the full size on the line through the second and the last point, over the logarithm of the size.
+/// The first point is a fleet so small that each VM hears all others, which larger ones do not.
+double extrapolate(std::vector<cost> const& costs, double cost::*figure)
+{
+    auto const& first = costs[1];
+    auto const& last = costs.back();
+    auto const slope = std::max(0.0, (last.*figure - first.*figure) / std::log2(last.vms / first.vms));
+    return last.*figure + slope * std::log2(fleet_at_full_size / last.vms);
+}
+
+int measure(std::uint64_t seed)
+{
+    measure_report report("control_cost");
+    std::vector<cost> costs;
+    for (auto const vms : {8UL, 32UL, 128UL, 300UL}) {
+        auto const at_size = measure_size(vms, seed);
+        costs.push_back(at_size);
+        report.add_figure(fmt::format("bytes_per_second_at_{}", vms), at_size.bytes_per_second);
+        report.add_figure(fmt::format("core_share_at_{}", vms), at_size.core_share);
+        report.add_figure(fmt::format("memory_mb_at_{}", vms), at_size.memory_mb);
+        report.add_figure(fmt::format("microseconds_per_second_at_{}", vms),
+                          at_size.core_share * microseconds_in_second);
+    }
+    report.add_maximum("core_share", 0.019, extrapolate(costs, &cost::core_share));
+    report.add_maximum("memory_mb", 128, extrapolate(costs, &cost::memory_mb));
+    report.add_maximum("bytes_per_second", 6'144, extrapolate(costs, &cost::bytes_per_second));
+    return report.print();
+}
+
+} // namespace
+
+} // namespace greengagehitch
+
+int main(int argc, char** argv)
+{
+    try {
+        TCLAP::CmdLine command_line("Measures the cost of control against the size of the fleet", ' ',
+                                    "0.1.0");
+        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed", false, 1, "seed", command_line);
+        command_line.parse(argc, argv);
+        return greengagehitch::measure(seed.getValue());
+    }
+    catch (std::exception const& exception) {
+        fmt::print(stderr, "{}\n", exception.what());
+        return 1;
+    }
+}
--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -199,19 +199,16 @@
 
 void platform_client::enqueue(http_call call)
 {
-    {
-        std::lock_guard const lock(m_mutex);
-        if (m_calls.size() < max_waiting_calls) {
-            m_calls.push_back(std::move(call));
-            call.done = nullptr;
-        }
-    }
-    if (call.done) {
+    std::unique_lock lock(m_mutex);
+    if (m_calls.size() >= max_waiting_calls) {
+        lock.unlock();
         // Too many calls wait already; the caller hears so on the reactor's thread, like of any other
         // failure.
         m_reactor.post([done = std::move(call.done)] { done({}); });
         return;
     }
+    m_calls.push_back(std::move(call));
+    lock.unlock();
     m_has_work.notify_one();
 }
 
--- a/libraries/failover/failover_service.cpp
+++ b/libraries/failover/failover_service.cpp
@@ -33,7 +33,9 @@
 /// Time that a majority waits for the other members' positions.
 constexpr duration straggler_wait = std::chrono::milliseconds(30);
 constexpr duration claim_pause = std::chrono::milliseconds(200);
-constexpr duration tell_period = std::chrono::milliseconds(500);
+/// News go out at once; this only repeats them for those that missed them.
+constexpr duration tell_period = std::chrono::seconds(2);
+constexpr duration choice_period = std::chrono::milliseconds(500);
 constexpr duration hint_period = std::chrono::milliseconds(50);
 
 /// Position of a granted member that decides which one becomes primary.
@@ -74,7 +76,7 @@
 void failover_service::tick()
 {
     for (auto const& [name, group] : m_directory->groups()) {
-        auto watchers = watchers_of(name);
+        auto const& watchers = known_watchers_of(name);
         auto const self = std::find(watchers.begin(), watchers.end(), m_membership->identity().name);
         if (self == watchers.end()) {
             m_watches.erase(name);
@@ -85,7 +87,7 @@
         if (is_new) {
             entry->second.watching_since = m_kernel.now();
         }
-        entry->second.watchers = std::move(watchers);
+        entry->second.watchers = watchers;
         watch_group(*group, entry->second, rank);
     }
 }
@@ -131,6 +133,18 @@
     return choose_watchers(database, std::move(candidates), watchers_per_group);
 }
 
+std::vector<std::string> const& failover_service::known_watchers_of(std::string const& database)
+{
+    // Choosing looks at every VM, so it must not happen at every tick of a large fleet.
+    auto& known = m_known_watchers[database];
+    auto const now = m_kernel.now();
+    if (!known.chosen_at || now - *known.chosen_at >= choice_period) {
+        known.chosen_at = now;
+        known.watchers = watchers_of(database);
+    }
+    return known.watchers;
+}
+
 void failover_service::probe_members(active_group& group)
 {
     auto const now = m_kernel.now();
@@ -277,7 +291,7 @@
         m_directory->probe(group, member, probe_timeout);
         return;
     }
-    for (auto const& name : watchers_of(group.name)) {
+    for (auto const& name : known_watchers_of(group.name)) {
         m_membership->send(name, primary_suspicion{group.name, group.view.term(), true, false});
     }
 }
@@ -423,7 +437,7 @@
 
 void failover_service::announce(active_group const& group)
 {
-    auto const state = m_directory->describe(group);
+    auto const state = m_directory->describe(group, false);
     for (auto const& [name, peer] : m_membership->peers()) {
         if (peer.interests.contains(group.name)) {
             m_membership->send(name, state);
--- a/libraries/failover/failover_service.h
+++ b/libraries/failover/failover_service.h
@@ -63,6 +63,7 @@
     void tick();
     void watch_group(active_group& group, watch& state, std::size_t rank);
     std::vector<std::string> watchers_of(std::string const& database) const;
+    std::vector<std::string> const& known_watchers_of(std::string const& database);
     void probe_members(active_group& group);
     bool is_primary_lost(active_group const& group, watch& state) const;
     bool is_replication_stalled(active_group const& group, watch& state) const;
@@ -86,6 +87,12 @@
     platform_hooks const& m_platform;
     group_directory* m_directory = nullptr;
     membership_service* m_membership = nullptr;
+    struct watcher_list {
+        std::optional<monotonic_time> chosen_at;
+        std::vector<std::string> watchers;
+    };
+
+    std::map<std::string, watcher_list> m_known_watchers;
     std::map<std::string, watch> m_watches;
     std::map<std::string, monotonic_time> m_hinted_at;
     std::uint64_t m_claims = 0;
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t gossip_fanout = 7;
 /// In larger fleets the fan-out of one period; news need about log(fleet) periods.
 constexpr std::size_t large_fleet_fanout = 2;
-constexpr std::size_t max_rumors = 4;
+constexpr std::size_t max_rumors = 2;
 
 } // namespace
 
@@ -38,7 +38,11 @@
     poll_list();
     m_kernel.start_periodic(gossip_period, [this] {
         forget_silent_peers();
-        gossip();
+        m_is_odd_period = !m_is_odd_period;
+        // A large fleet has news at once from those that hear them, so its regular heartbeats may be fewer.
+        if (m_peers.size() <= gossip_fanout || m_is_odd_period) {
+            gossip();
+        }
     });
 }
 
@@ -264,7 +268,8 @@
     if (m_read_heartbeat) {
         m_read_heartbeat(peer, message);
     }
-    if (!message.is_reply) {
+    // In a small fleet the next heartbeat to this peer echoes its sequence number soon enough.
+    if (!message.is_reply && m_peers.size() > gossip_fanout) {
         send_heartbeat(peer, true);
     }
 }
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -134,6 +134,7 @@
     std::uint64_t m_next_sequence = 1;
     bool m_is_leaving = false;
     bool m_has_list = false;
+    bool m_is_odd_period = false;
     std::uint64_t m_rejected_datagrams = 0;
 };
 
--- a/libraries/routing/group_directory.cpp
+++ b/libraries/routing/group_directory.cpp
@@ -75,7 +75,7 @@
     m_membership->on_message<group_state_request>(
         [this](peer_state const& peer, group_state_request const& request) {
             if (auto const* const group = find(request.database)) {
-                m_membership->send(peer.name, describe(*group));
+                m_membership->send(peer.name, describe(*group, true));
             }
         });
     m_kernel.start_periodic(missing_description_period, [this] {
@@ -220,7 +220,7 @@
     m_primary_waiters[database].push_back(std::move(callback));
 }
 
-group_state group_directory::describe(active_group const& group) const
+group_state group_directory::describe(active_group const& group, bool with_description) const
 {
     group_state state;
     state.database = group.name;
@@ -228,7 +228,7 @@
     if (auto const primary = group.view.primary()) {
         state.primary = group.view.description().members[*primary].name;
     }
-    state.description = group.description_text;
+    state.description = with_description ? group.description_text : std::string();
     for (std::size_t i = 0; i < group.view.size(); ++i) {
         state.samples.push_back(to_sample(group.view.member(i), m_kernel.now()));
     }
--- a/libraries/routing/group_directory.h
+++ b/libraries/routing/group_directory.h
@@ -86,8 +86,8 @@
     /// Marker for a status question; unique in this VM.
     std::string next_marker() { return std::to_string(m_next_marker++); }
 
-    /// State of a group as a message to other VMs.
-    group_state describe(active_group const& group) const;
+    /// State of a group as a message to other VMs; the platform's description only for those that lack it.
+    group_state describe(active_group const& group, bool with_description) const;
 
 private:
     void follow_configuration();
--- a/standins/virtual_fleet/virtual_fleet.cpp
+++ b/standins/virtual_fleet/virtual_fleet.cpp
@@ -230,6 +230,9 @@
 
 void virtual_fleet::send_datagram(std::size_t from, endpoint const& target, std::string const& datagram)
 {
+    constexpr std::uint64_t header_size = 28;
+    m_datagram_bytes += datagram.size() + header_size;
+    ++m_datagrams;
     for (std::size_t to = 0; to < m_vms.size(); ++to) {
         if (m_vms[to].name != target.host) {
             continue;
--- a/standins/virtual_fleet/virtual_fleet.h
+++ b/standins/virtual_fleet/virtual_fleet.h
@@ -77,6 +77,10 @@
     /// Share of replies that never reach their callers; breaks the promise of an answer on purpose.
     void set_dropped_replies(double share) { m_dropped_replies = share; }
 
+    /// Bytes and number of the datagrams that all VMs have sent, IP and UDP headers included.
+    std::uint64_t datagram_bytes() const { return m_datagram_bytes; }
+    std::uint64_t datagrams() const { return m_datagrams; }
+
     /// Told of each admitted request of any VM, at the moment of its admission.
     void set_admission_observer(std::function<void(std::string const&)> observer)
     {
@@ -111,6 +115,8 @@
     std::function<void(std::string const&)> m_trace;
     std::function<void(std::string const&)> m_on_admitted;
     double m_dropped_replies = 0;
+    std::uint64_t m_datagram_bytes = 0;
+    std::uint64_t m_datagrams = 0;
 };
 
 } // namespace greengagehitch::standin
