pool: Let the pool own connections whose reset is under way

Cause: the drain test failed under the address sanitizer (exit code 1 of the daemon): a connection whose last answers had not come was owned by the callbacks that it held itself, a cycle that was never freed. Found by reading from the leak's place; the callbacks now name the connection and the pool owns it.

--- a/libraries/pool/member_pool.cpp
+++ b/libraries/pool/member_pool.cpp
@@ -51,34 +51,30 @@
     auto const owner = m_pool.lock();
     VERIFY(owner);
     auto const succeeded = std::make_shared<bool>(false);
-    auto* const connection = m_connection.get();
-    // The closures own the connection from here on, until its reset is done.
-    auto const owned = std::make_shared<std::unique_ptr<member_connection>>(std::move(m_connection));
     owner->forget_lease();
-    ++owner->m_resetting;
+    // The pool owns the connection from here on, until its reset is done.
+    auto* const connection = owner->keep_in_transit(std::move(m_connection));
     connection->execute(
         std::move(question), timeout,
-        [owned, weak = m_pool, succeeded, answered = std::move(answered)](batch_answer answer) {
+        [connection, weak = m_pool, succeeded, answered = std::move(answered)](batch_answer answer) {
             *succeeded = answer.is_ok();
             auto const pool = weak.lock();
-            if (pool && *owned && (*owned)->is_broken()) {
-                auto const broken = std::move(*owned);
-                pool->finish_reset(nullptr, false);
+            if (pool && connection->is_broken()) {
+                pool->finish_reset(connection, false);
             }
             answered(std::move(answer));
         });
     connection->execute(single(group_contract::reset()), timeout + reset_timeout,
-                        [owned, weak = m_pool, succeeded](batch_answer const& answer) {
+                        [connection, weak = m_pool, succeeded](batch_answer const& answer) {
                             auto const pool = weak.lock();
-                            if (!pool || !*owned) {
+                            if (!pool || !pool->is_in_transit(connection)) {
                                 return;
                             }
-                            if (*succeeded || (*owned)->is_broken()) {
-                                pool->finish_reset(std::move(*owned), answer.is_ok());
+                            if (*succeeded || connection->is_broken()) {
+                                pool->finish_reset(connection, answer.is_ok());
                                 return;
                             }
-                            --pool->m_resetting;
-                            pool->reset(std::move(*owned), true);
+                            pool->reset(connection);
                         });
 }
 
@@ -94,7 +90,7 @@
         pool->open_if_needed();
         return;
     }
-    pool->reset(std::move(m_connection), true);
+    pool->reset(pool->keep_in_transit(std::move(m_connection)));
 }
 
 member_pool::member_pool(kernel& kernel, database_hooks const& hooks, member_address address, options options)
@@ -126,7 +122,7 @@
     state["idle"] = Json::UInt64(m_idle.size());
     state["leased"] = Json::UInt64(m_leased);
     state["opening"] = Json::UInt64(m_opening);
-    state["resetting"] = Json::UInt64(m_resetting);
+    state["resetting"] = Json::UInt64(m_in_transit.size());
     state["waiting"] = Json::UInt64(m_waiters.size());
     state["max_connections"] = Json::UInt64(m_options.max_connections());
     return state;
@@ -227,37 +223,39 @@
     });
 }
 
-void member_pool::reset(std::unique_ptr<member_connection> connection, bool needs_rollback)
+member_connection* member_pool::keep_in_transit(std::unique_ptr<member_connection> connection)
 {
-    ++m_resetting;
-    auto const owned = std::make_shared<std::unique_ptr<member_connection>>(std::move(connection));
-    auto* const raw = owned->get();
-    if (needs_rollback) {
-        raw->execute(single(group_contract::rollback()), reset_timeout, [](batch_answer const& /*answer*/) {
-            // A failure shows in the reset that follows.
-        });
-    }
-    if (raw->is_broken()) {
-        finish_reset(nullptr, false);
-        return;
-    }
-    raw->execute(single(group_contract::reset()), reset_timeout,
-                 [weak = weak_from_this(), owned](batch_answer const& answer) {
-                     if (auto const self = weak.lock()) {
-                         self->finish_reset(std::move(*owned), answer.is_ok());
-                     }
-                 });
+    auto* const kept = connection.get();
+    m_in_transit.emplace(kept, std::move(connection));
+    return kept;
+}
+
+void member_pool::reset(member_connection* connection)
+{
+    connection->execute(single(group_contract::rollback()), reset_timeout,
+                        [](batch_answer const& /*answer*/) {
+                            // A failure shows in the reset that follows.
+                        });
+    connection->execute(single(group_contract::reset()), reset_timeout,
+                        [weak = weak_from_this(), connection](batch_answer const& answer) {
+                            if (auto const self = weak.lock()) {
+                                self->finish_reset(connection, answer.is_ok());
+                            }
+                        });
 }
 
-void member_pool::finish_reset(std::unique_ptr<member_connection> connection, bool is_clean)
+void member_pool::finish_reset(member_connection* connection, bool is_clean)
 {
-    --m_resetting;
+    auto const found = m_in_transit.find(connection);
+    VERIFY(found != m_in_transit.end());
+    auto finished = std::move(found->second);
+    m_in_transit.erase(found);
     auto const fits = connections() < m_options.max_connections();
-    if (connection && is_clean && !connection->is_broken() && fits) {
-        m_idle.push_back(std::move(connection));
+    if (is_clean && !finished->is_broken() && fits) {
+        m_idle.push_back(std::move(finished));
     }
     else {
-        connection.reset();
+        finished.reset();
     }
     serve_waiters();
 }
--- a/libraries/pool/member_pool.h
+++ b/libraries/pool/member_pool.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -61,7 +62,7 @@
     /// Opens a connection ahead of need.
     void warm_up();
 
-    std::size_t connections() const { return m_idle.size() + m_leased + m_opening + m_resetting; }
+    std::size_t connections() const { return m_idle.size() + m_leased + m_opening + m_in_transit.size(); }
     std::size_t leased() const { return m_leased; }
     std::size_t waiting() const { return m_waiters.size(); }
 
@@ -82,8 +83,11 @@
     void fail_waiters(database_failure const& failure);
     void drop_expired_waiters();
     void schedule_expiry();
-    void reset(std::unique_ptr<member_connection> connection, bool needs_rollback);
-    void finish_reset(std::unique_ptr<member_connection> connection, bool is_clean);
+    /// Owns a connection whose last answers are still on their way.
+    member_connection* keep_in_transit(std::unique_ptr<member_connection> connection);
+    bool is_in_transit(member_connection* connection) const { return m_in_transit.contains(connection); }
+    void reset(member_connection* connection);
+    void finish_reset(member_connection* connection, bool is_clean);
     void forget_lease() { --m_leased; }
 
     kernel& m_kernel;
@@ -94,7 +98,7 @@
     fair_queue<waiter> m_waiters;
     std::size_t m_leased = 0;
     std::size_t m_opening = 0;
-    std::size_t m_resetting = 0;
+    std::map<member_connection*, std::unique_ptr<member_connection>> m_in_transit;
     std::optional<monotonic_time> m_no_opening_before;
     bool m_has_expiry_timer = false;
 };
