--- a/benchmarks/measure_control_cost.cpp
+++ b/benchmarks/measure_control_cost.cpp
@@ -3,10 +3,10 @@
 #include <fstream>
 
 #include <fmt/core.h>
-#include <tclap/CmdLine.h>
 #include <unistd.h>
 
 #include "fleet_setup.h"
+#include "measure_main.h"
 #include "measure_report.h"
 #include "virtual_fleet.h"
 
@@ -105,15 +105,6 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        TCLAP::CmdLine command_line("Measures the cost of control against the size of the fleet", ' ',
-                                    "0.1.0");
-        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "seed", false, 1, "seed", command_line);
-        command_line.parse(argc, argv);
-        return greengagehitch::measure(seed.getValue());
-    }
-    catch (std::exception const& exception) {
-        fmt::print(stderr, "{}\n", exception.what());
-        return 1;
-    }
+    return greengagehitch::run_seeded_measurement(
+        argc, argv, "Measures the cost of control against the size of the fleet", greengagehitch::measure);
 }
--- a/benchmarks/measure_limits.cpp
+++ b/benchmarks/measure_limits.cpp
@@ -3,9 +3,9 @@
 #include <map>
 
 #include <fmt/core.h>
-#include <tclap/CmdLine.h>
 
 #include "fleet_setup.h"
+#include "measure_main.h"
 #include "measure_report.h"
 #include "parallel_runs.h"
 #include "virtual_fleet.h"
@@ -389,14 +389,6 @@
 
 int main(int argc, char** argv)
 {
-    try {
-        TCLAP::CmdLine command_line("Measures limits in virtual time", ' ', "0.1.0");
-        TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "seed", command_line);
-        command_line.parse(argc, argv);
-        return greengagehitch::measure(seed.getValue());
-    }
-    catch (std::exception const& exception) {
-        fmt::print(stderr, "{}\n", exception.what());
-        return 1;
-    }
+    return greengagehitch::run_seeded_measurement(argc, argv, "Measures limits in virtual time",
+                                                  greengagehitch::measure);
 }
