--- a/meta/demo.py
+++ b/meta/demo.py
@@ -1,7 +1,8 @@
-"""Takes a booking through one daemon, reads it back through the other, and shows a wrong key's answer."""
+"""Takes a booking through one daemon, reads it back through the other, shows a wrong key and a failover."""
 
 import json
 import sys
+import time
 
 from local_fleet import Fleet
 
@@ -62,6 +63,20 @@
     return session
 
 
+def show_failover(fleet, key):
+    fleet.switch(0, killed=True)
+    start = time.monotonic()
+    booked = book(fleet, 1, key, 2)
+    gap = (time.monotonic() - start) * 1000
+    show("The primary is killed; the next booking through vm-2 took %.0f ms:" % gap, booked)
+    expect(rows_of(booked) == [[2]], "a booking goes through after the failover")
+    session = booked.get("result", {}).get("session", "")
+    expect(rows_of(read(fleet, 0, key, 1, session)) == [[1, "north pond", 4]],
+           "the booking from before the failover is still there")
+    status = fleet.operator("status", daemon=1)["databases"][0]
+    print("  %s: term %d, primary %s" % (status["database"], status["term"], status["primary"]))
+
+
 def withdraw_key(fleet, key_id, key):
     fleet.operator("key", "withdraw", key_id)
     fleet.wait_until(lambda: "error" in read(fleet, 1, key, 1, ""), what="the withdrawal")
@@ -78,6 +93,7 @@
                          what="the configuration at vm-2")
         fleet.wait_until(lambda: rows_of(read(fleet, 1, given["key"], 0, "")) == [], what="the first read")
         show_path(fleet, given["key"])
+        show_failover(fleet, given["key"])
         withdraw_key(fleet, given["id"], given["key"])
     finally:
         fleet.stop()
--- a/tests/processes/test_daemon.py
+++ b/tests/processes/test_daemon.py
@@ -209,6 +209,26 @@
             fleet.stop()
 
 
+class FailoverTest(unittest.TestCase):
+    def test_killed_primary_is_replaced_and_its_writes_stay(self):
+        fleet = Fleet(BUILD, daemons=2, schema=SCHEMA)
+        try:
+            fleet.apply_configuration(CONFIGURATION)
+            key = fleet.operator("key", "give", "rink")["key"]
+
+            def write(vm, number):
+                return fleet.call(vm, "execute", {"class": "bookings", "request_id": "f%d" % number, "statement": {
+                    "sql": "insert into bookings values ($1, 'north', 1)", "parameters": [number]}}, key)
+            fleet.wait_until(lambda: "result" in write(0, 1), what="the first write")
+            fleet.switch(0, killed=True)
+            fleet.wait_until(lambda: "result" in write(1, 2), what="a write after the failover")
+            found = fleet.call(0, "execute", {"class": "stock", "session": write(1, 2)["result"]["session"], "statement": {
+                "sql": "select id from bookings order by id"}}, key)
+            self.assertEqual(found["result"]["results"][0]["rows"], [[1], [2]])
+        finally:
+            fleet.stop()
+
+
 class TlsTest(unittest.TestCase):
     def test_callers_are_served_over_https(self):
         import ssl
