--- /dev/null
+++ b/libraries/adapters/json_line_log.cpp
@@ -0,0 +1,89 @@
+#include "adapters/json_line_log.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+
+#include <fcntl.h>
+#include <fmt/chrono.h>
+#include <fmt/core.h>
+#include <unistd.h>
+
+#include "base/json.h"
+
+namespace greengagehitch {
+
+namespace {
+
+/// Lines in a second, on average and at once. Enough for each decision of a VM under its usual load.
+constexpr double lines_per_second = 200;
+constexpr double most_lines_at_once = 400;
+constexpr std::size_t largest_line = 32UL * 1024;
+
+} // namespace
+
+json_line_log::json_line_log(std::string vm, log_level lowest) : m_vm(std::move(vm)), m_lowest(lowest)
+{
+    auto const flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+    m_state->budget = most_lines_at_once;
+}
+
+bool json_line_log::may_write(log_level level) const
+{
+    auto const now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::steady_clock::now().time_since_epoch())
+                         .count();
+    auto& state = *m_state;
+    auto const elapsed = static_cast<double>(now - state.budget_at_ms) / 1000;
+    state.budget = std::min(most_lines_at_once, state.budget + std::max(0.0, elapsed) * lines_per_second);
+    state.budget_at_ms = now;
+    if (state.budget < 1 && level < log_level::warning) {
+        return false;
+    }
+    state.budget -= 1;
+    return true;
+}
+
+void json_line_log::write(log_record const& record) const
+{
+    if (record.level < m_lowest) {
+        return;
+    }
+    auto& state = *m_state;
+    if (!may_write(record.level)) {
+        ++state.left_out;
+        return;
+    }
+    auto const now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    auto const milliseconds = now.time_since_epoch().count() % 1000;
+    Json::Value line = record.fields.isObject() ? record.fields : Json::Value(Json::objectValue);
+    line["time"] = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                               fmt::gmtime(std::chrono::system_clock::to_time_t(now)), milliseconds);
+    line["level"] = std::string(find_name(log_level_names, record.level));
+    line["vm"] = m_vm;
+    line["service"] = record.service;
+    line["message"] = record.message;
+    if (state.left_out != 0) {
+        line["left_out"] = Json::UInt64(state.left_out);
+    }
+    auto text = to_json_line(line);
+    if (text.size() > largest_line) {
+        ++state.left_out;
+        return;
+    }
+    text += '\n';
+    auto const bytes = state.partial + text;
+    auto const written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+    if (written < 0) {
+        ++state.left_out;
+        return;
+    }
+    state.left_out = 0;
+    state.partial = bytes.substr(static_cast<std::size_t>(written));
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/adapters/json_line_log.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/log_record.h"
+
+namespace greengagehitch {
+
+/// Writes log records as JSON lines to standard output. Never waits for a reader: a line that does not fit
+/// into the pipe, or that exceeds the budget of lines in a second, is left out and counted in the next line.
+class json_line_log {
+public:
+    json_line_log(std::string vm, log_level lowest);
+
+    void write(log_record const& record) const;
+
+private:
+    struct state {
+        std::string partial; ///< Rest of a line of which the pipe took the beginning.
+        double budget = 0;   ///< Lines that may be written now.
+        std::int64_t budget_at_ms = 0;
+        std::uint64_t left_out = 0;
+    };
+
+    bool may_write(log_level level) const;
+
+    std::string m_vm;
+    log_level m_lowest;
+    std::shared_ptr<state> m_state = std::make_shared<state>();
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/fleet/fleet_state.cpp
@@ -0,0 +1,57 @@
+#include "fleet/fleet_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehitch {
+
+Json::Value fleet_state::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["configuration_version"] = Json::UInt64(m_configuration ? m_configuration->version : 0);
+    if (auto const age = configuration_age()) {
+        state["configuration_age_ms"] = to_milliseconds(*age);
+    }
+    state["members"] = Json::UInt64(m_members.size());
+    return state;
+}
+
+void fleet_state::set_configuration(served_configuration configuration)
+{
+    if (m_configuration && configuration.version <= m_configuration->version) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["version"] = Json::UInt64(configuration.version);
+    fields["previous"] = Json::UInt64(m_configuration ? m_configuration->version : 0);
+    fields["classes"] = Json::UInt64(configuration.classes.size());
+    fields["keys"] = Json::UInt64(configuration.account_of_key.size());
+    m_kernel.log(log_level::info, service_name, "configuration is in force", std::move(fields));
+    m_configuration = std::make_shared<served_configuration const>(std::move(configuration));
+    for (auto const& follower : m_configuration_followers) {
+        follower(*m_configuration);
+    }
+}
+
+void fleet_state::confirm_configuration(monotonic_time known_at)
+{
+    m_confirmed_at = std::max(m_confirmed_at.value_or(known_at), known_at);
+}
+
+void fleet_state::set_members(member_directory members)
+{
+    m_members = std::move(members);
+    for (auto const& follower : m_member_followers) {
+        follower(m_members);
+    }
+}
+
+std::optional<duration> fleet_state::configuration_age() const
+{
+    if (!m_confirmed_at || !m_configuration) {
+        return std::nullopt;
+    }
+    return m_kernel.now() - *m_confirmed_at;
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/fleet/report_service.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "fleet/fleet_state.h"
+#include "kernel/kernel.h"
+#include "limits/rate_shares.h"
+#include "membership/membership_service.h"
+#include "members/group_registry.h"
+
+namespace greengagehitch {
+
+/// Shares with peers what each VM must know of the others: demands, leaders, suspicions, and how well it
+/// reaches the platform.
+class report_service : public service {
+public:
+    static constexpr std::string_view service_name = "reports";
+
+    explicit report_service(kernel& kernel) : m_kernel(kernel) {}
+
+    std::string_view name() const override { return service_name; }
+    void start() override;
+
+    /// Sends a report now, since something changed that peers wait for.
+    void send_now();
+
+    struct group_opinion {
+        std::size_t voters = 0;  ///< VMs that use the group, this one included.
+        std::size_t suspects = 0;
+        log_position highest;    ///< Highest position that any of them saw committed.
+        std::string duty_holder; ///< Peer that orders promotions for the group; empty for none.
+    };
+
+    /// What the VMs that were heard lately say of a group.
+    group_opinion opinion_on(database_group const& group) const;
+
+    /// Peers that were heard lately and reach the platform's store.
+    std::vector<std::string> peers_with_store() const;
+
+    /// Set by the service that orders promotions: whether this VM holds the duty for a group.
+    void set_holds_duty(std::function<bool(std::string const&)> question)
+    {
+        m_holds_duty = std::move(question);
+    }
+
+private:
+    struct received_report {
+        vm_report report;
+        monotonic_time heard_at;
+    };
+
+    void tick();
+    void broadcast();
+    void take_report(peer_state const& peer, vm_report const& report);
+    bool is_fresh(received_report const& entry) const;
+
+    kernel& m_kernel;
+    fleet_state* m_fleet = nullptr;
+    membership_service* m_membership = nullptr;
+    rate_shares* m_rates = nullptr;
+    group_registry* m_groups = nullptr;
+    std::map<std::string, received_report> m_reports;
+    std::vector<account_demand> m_demands;
+    std::map<std::string, bool> m_suspected;
+    std::function<bool(std::string const&)> m_holds_duty;
+    monotonic_time m_published_at;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/database_group.cpp
@@ -0,0 +1,426 @@
+#include "members/database_group.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+/// A member that failed is left alone for this long, unless nothing else is left.
+constexpr duration avoid_time = std::chrono::milliseconds(400);
+/// A replica that lacked a position needs about its replication delay to get there.
+constexpr duration lagging_time = std::chrono::milliseconds(60);
+constexpr duration search_period = std::chrono::milliseconds(80);
+constexpr duration question_timeout = std::chrono::milliseconds(300);
+/// Silence after which a member that owes answers is suspected.
+constexpr duration suspicion_time = std::chrono::milliseconds(400);
+constexpr std::size_t suspicion_failures = 2;
+/// Time for which commits at the leader may stay without an answer.
+constexpr duration stuck_commit_time = std::chrono::milliseconds(1'500);
+/// Extra cost of another zone: the round trip and the bytes between zones.
+constexpr duration other_zone_cost = std::chrono::milliseconds(8);
+/// Reads stay off the leader, whose slots serve what only it can.
+constexpr duration leader_cost = std::chrono::milliseconds(15);
+/// A latency that was not measured for this long says little.
+constexpr duration latency_memory = std::chrono::seconds(1);
+constexpr duration usual_latency = std::chrono::milliseconds(30);
+constexpr int smoothing_divisor = 6;
+
+} // namespace
+
+database_group::database_group(std::string name, dependencies dependencies)
+    : m_name(std::move(name)), m_dependencies(std::move(dependencies)), m_kernel(m_dependencies.core)
+{
+}
+
+void database_group::set_members(std::vector<member_entry> const& entries)
+{
+    std::set<std::string> present;
+    for (auto const& entry : entries) {
+        present.insert(entry.id);
+        auto found = m_members.find(entry.id);
+        if (found != m_members.end() && (found->second.entry.address != entry.address ||
+                                         found->second.entry.started_at != entry.started_at)) {
+            forget_member(found->second);
+            m_members.erase(found);
+            found = m_members.end();
+        }
+        if (found == m_members.end()) {
+            found = m_members.emplace(entry.id, group_member{}).first;
+            link_pool::options options;
+            options.max_links = [max_links = m_dependencies.max_links, id = entry.id] { return max_links(id); };
+            options.on_open_failed = [this, id = entry.id](member_error error) { note_failure(id, error); };
+            options.on_opened = [this, id = entry.id](member_answer const&) {
+                if (auto* const member = find_member(id)) {
+                    member->failing_since.reset();
+                    member->failures = 0;
+                }
+            };
+            found->second.pool = std::make_shared<link_pool>(
+                m_kernel, m_dependencies.links, link_target{entry.address, m_name, entry.id, {}},
+                std::move(options));
+        }
+        auto& member = found->second;
+        auto const is_new_claim = entry.claims_primary && (!member.entry.claims_primary || member.claim_change == 0);
+        if (is_new_claim) {
+            member.claim_change = entry.change;
+            member.is_denied = false;
+        }
+        if (!entry.claims_primary) {
+            member.claim_change = 0;
+        }
+        member.entry = entry;
+    }
+    for (auto each = m_members.begin(); each != m_members.end();) {
+        if (present.contains(each->first)) {
+            ++each;
+            continue;
+        }
+        forget_member(each->second);
+        each = m_members.erase(each);
+    }
+    release_waiting();
+}
+
+void database_group::forget_member(group_member& member)
+{
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_name;
+    fields["member"] = member.entry.id;
+    m_kernel.log(log_level::info, "groups", "member is gone from the directory", std::move(fields));
+    member.pool->shut_down();
+}
+
+group_member* database_group::find_member(std::string const& id)
+{
+    auto const found = m_members.find(id);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+group_member* database_group::leader()
+{
+    group_member* best = nullptr;
+    for (auto& [id, member] : m_members) {
+        if (member.is_denied || (member.proven_term == 0 && !member.entry.claims_primary)) {
+            continue;
+        }
+        if (best == nullptr || member.proven_term > best->proven_term ||
+            (member.proven_term == best->proven_term && member.claim_change > best->claim_change)) {
+            best = &member;
+        }
+    }
+    return best;
+}
+
+void database_group::prove_leader(std::string const& id, log_position position, monotonic_time asked_at)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr || position.term < proven_term()) {
+        return;
+    }
+    member->is_denied = false;
+    member->proven_term = position.term;
+    for (auto& [other, each] : m_members) {
+        if (other != id) {
+            each.proven_term = 0;
+        }
+    }
+    m_evidence.add(position, asked_at);
+    m_highest = std::max(m_highest, position);
+    if (m_leader_logged != id) {
+        m_leader_logged = id;
+        Json::Value fields(Json::objectValue);
+        fields["group"] = m_name;
+        fields["leader"] = id;
+        fields["term"] = Json::UInt64(position.term);
+        m_kernel.log(log_level::info, "groups", "leader is proven", std::move(fields));
+    }
+    release_waiting();
+}
+
+void database_group::deny_leader(std::string const& id)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr || member->is_denied) {
+        return;
+    }
+    member->is_denied = true;
+    member->proven_term = 0;
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_name;
+    fields["member"] = id;
+    m_kernel.log(log_level::info, "groups", "member does not lead", std::move(fields));
+}
+
+void database_group::hear_of_leader(std::string const& id, std::uint64_t term)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr || term <= proven_term()) {
+        return;
+    }
+    member->is_denied = false;
+    member->proven_term = term;
+    for (auto& [other, each] : m_members) {
+        if (other != id) {
+            each.proven_term = 0;
+        }
+    }
+    release_waiting();
+}
+
+std::uint64_t database_group::proven_term() const
+{
+    std::uint64_t term = 0;
+    for (auto const& [id, member] : m_members) {
+        term = std::max(term, member.proven_term);
+    }
+    return term;
+}
+
+void database_group::wait_for_leader(monotonic_time deadline, std::function<void(bool)> callback)
+{
+    auto const number = m_next_wait++;
+    auto& added = m_waiting[number];
+    added.deadline = deadline;
+    added.callback = std::move(callback);
+    added.timer = m_kernel.start_timer(deadline - m_kernel.now(), [this, number] {
+        auto const found = m_waiting.find(number);
+        if (found == m_waiting.end()) {
+            return;
+        }
+        auto const expired = std::move(found->second.callback);
+        m_waiting.erase(found);
+        expired(false);
+    });
+    search_leader();
+}
+
+void database_group::release_waiting()
+{
+    if (m_waiting.empty() || leader() == nullptr) {
+        return;
+    }
+    for (auto& [number, each] : std::exchange(m_waiting, {})) {
+        m_kernel.cancel_timer(each.timer);
+        each.callback(true);
+    }
+}
+
+void database_group::search_leader()
+{
+    if (m_is_searching || m_search_account.empty()) {
+        return;
+    }
+    m_is_searching = true;
+    for (auto& [id, member] : m_members) {
+        ask_whether_leads(member, m_search_account);
+    }
+    m_kernel.start_timer(search_period, [this] {
+        m_is_searching = false;
+        if (!m_waiting.empty() && leader() == nullptr) {
+            search_leader();
+        }
+    });
+}
+
+void database_group::refresh_evidence(std::string const& client_account)
+{
+    m_search_account = client_account;
+    if (auto* const member = leader()) {
+        ask_whether_leads(*member, client_account);
+        return;
+    }
+    search_leader();
+}
+
+void database_group::ask_whether_leads(group_member& member, std::string const& client_account)
+{
+    auto const id = member.entry.id;
+    if (!m_asked.insert(id).second) {
+        return;
+    }
+    auto const pool = member.pool;
+    auto ask = [this, id, pool](link_pointer const& link) {
+        std::vector<member_command> question(2);
+        question[0].kind = command_kind::begin;
+        question[1].kind = command_kind::rollback;
+        auto const asked_at = m_kernel.now();
+        link->send(std::move(question), question_timeout,
+                   [this, id, pool, link, asked_at](std::vector<member_answer> const& answers) {
+                       pool->release(link);
+                       m_asked.erase(id);
+                       auto const& begun = answers.front();
+                       if (begun.is_ok() && begun.position) {
+                           prove_leader(id, *begun.position, asked_at);
+                       }
+                       else if (begun.error == member_error::read_only) {
+                           deny_leader(id);
+                       }
+                       else if (begun.error) {
+                           note_failure(id, *begun.error);
+                       }
+                   });
+    };
+    if (auto const idle = pool->take_any_idle()) {
+        ask(idle);
+        return;
+    }
+    pool->acquire(client_account, {}, [this, id, ask](std::variant<link_pointer, member_error> result) {
+        if (auto const* const link = std::get_if<link_pointer>(&result)) {
+            ask(*link);
+            return;
+        }
+        m_asked.erase(id);
+    });
+}
+
+group_member* database_group::choose_reader(std::string const& client_account,
+                                            std::set<std::string> const& excluded)
+{
+    auto const now = m_kernel.now();
+    group_member* best = nullptr;
+    duration best_score{};
+    for (auto const is_last_resort : {false, true}) {
+        for (auto& [id, member] : m_members) {
+            auto const is_unfit = member.avoid_before > now || member.lagging_before > now;
+            if (member.entry.is_draining || excluded.contains(id) || (is_unfit && !is_last_resort)) {
+                continue;
+            }
+            auto const its_score = score(member, client_account);
+            if (best == nullptr || its_score < best_score) {
+                best = &member;
+                best_score = its_score;
+            }
+        }
+        if (best != nullptr) {
+            break;
+        }
+    }
+    return best;
+}
+
+duration database_group::score(group_member& member, std::string const& client_account)
+{
+    auto const age = m_kernel.now() - member.latency_at;
+    auto const latency = age > latency_memory ? std::min(member.latency, usual_latency) : member.latency;
+    auto const slots = static_cast<duration::rep>(std::max<std::size_t>(1, member.entry.slots));
+    auto total = latency + latency * static_cast<duration::rep>(member.in_flight) / slots;
+    total += member.pool->expected_wait(client_account);
+    if (member.entry.availability_zone != m_dependencies.availability_zone) {
+        total += other_zone_cost;
+    }
+    if (member.entry.claims_primary || member.proven_term != 0) {
+        total += leader_cost;
+    }
+    return total;
+}
+
+void database_group::note_sent(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        ++member->in_flight;
+    }
+}
+
+void database_group::note_returned(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        member->in_flight -= member->in_flight > 0 ? 1 : 0;
+    }
+}
+
+void database_group::note_overdue(std::string const& id, std::string const& client_account)
+{
+    if (auto* const member = find_member(id)) {
+        ask_whether_leads(*member, client_account);
+    }
+}
+
+void database_group::note_answer(std::string const& id, duration latency)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr) {
+        return;
+    }
+    member->latency += (latency - member->latency) / smoothing_divisor;
+    member->latency_at = m_kernel.now();
+    member->failing_since.reset();
+    member->failures = 0;
+}
+
+void database_group::note_failure(std::string const& id, member_error error)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr || is_answer(error)) {
+        return;
+    }
+    auto const now = m_kernel.now();
+    member->avoid_before = now + avoid_time;
+    ++member->failures;
+    member->failing_since = member->failing_since.value_or(now);
+}
+
+void database_group::note_stuck_commit(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        member->commits_stuck_since = member->commits_stuck_since.value_or(m_kernel.now());
+    }
+}
+
+void database_group::note_commit(std::string const& id, log_position position)
+{
+    if (auto* const member = find_member(id)) {
+        member->commits_stuck_since.reset();
+    }
+    m_highest = std::max(m_highest, position);
+}
+
+void database_group::note_lagging(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        member->lagging_before = m_kernel.now() + lagging_time;
+    }
+}
+
+bool database_group::suspects_leader() const
+{
+    auto const now = m_kernel.now();
+    for (auto const& [id, member] : m_members) {
+        if (member.proven_term == 0 && !member.entry.claims_primary) {
+            continue;
+        }
+        if (member.failing_since && member.failures >= suspicion_failures &&
+            now - *member.failing_since > suspicion_time) {
+            return true;
+        }
+        if (member.commits_stuck_since && now - *member.commits_stuck_since > stuck_commit_time) {
+            return true;
+        }
+    }
+    return false;
+}
+
+Json::Value database_group::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["term"] = Json::UInt64(proven_term());
+    for (auto const& [id, member] : m_members) {
+        Json::Value entry(Json::objectValue);
+        entry["availability_zone"] = member.entry.availability_zone;
+        entry["is_draining"] = member.entry.is_draining;
+        entry["claims_primary"] = member.entry.claims_primary;
+        entry["proven_term"] = Json::UInt64(member.proven_term);
+        entry["links"] = Json::UInt64(member.pool->links());
+        entry["in_flight"] = Json::UInt64(member.in_flight);
+        entry["latency_ms"] = to_milliseconds(member.latency);
+        entry["failures"] = Json::UInt64(member.failures);
+        state["members"][id] = std::move(entry);
+    }
+    if (auto const newest = m_evidence.newest()) {
+        state["evidence_age_ms"] = to_milliseconds(m_kernel.now() - newest->asked_at);
+    }
+    return state;
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/database_group.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/member_entry.h"
+#include "kernel/kernel.h"
+#include "members/link_pool.h"
+#include "members/position_evidence.h"
+
+namespace greengagehitch {
+
+/// What this VM knows of one member of a group.
+struct group_member {
+    member_entry entry;
+    std::shared_ptr<link_pool> pool;
+    std::size_t in_flight = 0;
+    duration latency = std::chrono::milliseconds(30); ///< Smoothed time from a statement to its answer.
+    monotonic_time latency_at;                        ///< When `latency` was last measured.
+    monotonic_time avoid_before;                      ///< After a failure.
+    monotonic_time lagging_before;                    ///< After it lacked a position.
+    std::uint64_t proven_term = 0;                    ///< Term that it was last proven to lead; 0 for none.
+    bool is_denied = false;                           ///< Said that it does not lead.
+    std::uint64_t claim_change = 0;                   ///< Directory change at which it began to claim the lead.
+    std::optional<monotonic_time> failing_since;      ///< First failure since its last answer.
+    std::size_t failures = 0;                         ///< Since its last answer.
+    std::optional<monotonic_time> commits_stuck_since; ///< First commit without an answer since the last one with.
+};
+
+/// One database group as this VM sees it: its members, who leads, and how far its log reached when.
+class database_group {
+public:
+    struct dependencies {
+        kernel& core;
+        link_hooks const& links;
+        std::string availability_zone;
+        std::function<std::size_t(std::string const& member)> max_links;
+    };
+
+    database_group(std::string name, dependencies dependencies);
+
+    std::string const& name() const { return m_name; }
+
+    /// Takes in the directory's entries of this group, by member id.
+    void set_members(std::vector<member_entry> const& entries);
+
+    group_member* find_member(std::string const& id);
+    std::map<std::string, group_member> const& members() const { return m_members; }
+
+    /// Member that leads as far as this VM knows; null when none is known.
+    group_member* leader();
+
+    /// Takes in that a member led when it answered a question sent at `asked_at`.
+    void prove_leader(std::string const& member, log_position position, monotonic_time asked_at);
+    void deny_leader(std::string const& member);
+    /// Takes in a peer's word that a member leads `term`.
+    void hear_of_leader(std::string const& member, std::uint64_t term);
+    std::uint64_t proven_term() const;
+
+    /// Runs `callback` once a leader is known; at `deadline` with false.
+    void wait_for_leader(monotonic_time deadline, std::function<void(bool)> callback);
+    std::size_t waiting_for_leader() const { return m_waiting.size(); }
+
+    /// Asks the leader for fresh evidence, and looks for the leader where none is known.
+    void refresh_evidence(std::string const& client_account);
+
+    /// Member for a read that needs no lead; null when none may answer. `excluded` were tried.
+    group_member* choose_reader(std::string const& client_account, std::set<std::string> const& excluded);
+
+    /// Counts a statement that is on its way to a member, until it has returned in whatever way.
+    void note_sent(std::string const& member);
+    void note_returned(std::string const& member);
+    /// A statement has no answer for longer than usual: asks the member for a sign of life.
+    void note_overdue(std::string const& member, std::string const& client_account);
+    void note_answer(std::string const& member, duration latency);
+    void note_failure(std::string const& member, member_error error);
+    /// A commit got no answer although the member may be reachable.
+    void note_stuck_commit(std::string const& member);
+    void note_commit(std::string const& member, log_position position);
+    void note_lagging(std::string const& member);
+
+    position_evidence const& evidence() const { return m_evidence; }
+    log_position highest_seen() const { return m_highest; }
+
+    /// True when this VM finds the leader unreachable or unable to commit.
+    bool suspects_leader() const;
+
+    Json::Value dump() const;
+
+private:
+    struct leader_wait {
+        monotonic_time deadline;
+        std::function<void(bool)> callback;
+        timer_id timer = timer_id::none;
+    };
+
+    void release_waiting();
+    void search_leader();
+    void ask_whether_leads(group_member& member, std::string const& client_account);
+    duration score(group_member& member, std::string const& client_account);
+    void forget_member(group_member& member);
+
+    std::string m_name;
+    dependencies m_dependencies;
+    kernel& m_kernel;
+    std::map<std::string, group_member> m_members;
+    position_evidence m_evidence;
+    log_position m_highest;
+    std::string m_leader_logged;
+    std::map<std::uint64_t, leader_wait> m_waiting;
+    std::uint64_t m_next_wait = 1;
+    bool m_is_searching = false;
+    std::string m_search_account;
+    std::set<std::string> m_asked; ///< Members with a question about the lead on its way.
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/link_pool.cpp
@@ -0,0 +1,266 @@
+#include "members/link_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+/// A handshake takes tens of milliseconds and a slot; a member that is slower than this is in trouble.
+constexpr duration open_timeout = std::chrono::milliseconds(600);
+/// Pause after a member had no connection left; the peers that hold them use theirs for about this long.
+constexpr duration pause_when_full = std::chrono::milliseconds(60);
+/// Pause after a member could not be reached.
+constexpr duration pause_when_unreachable = std::chrono::milliseconds(150);
+/// A request that has waited this long goes before the account whose link became free.
+constexpr duration patience = std::chrono::milliseconds(40);
+/// Handshakes under way at once, so that they leave slots to statements.
+constexpr std::size_t most_opening = 3;
+constexpr int smoothing_divisor = 8;
+
+void smooth(duration& average, duration sample)
+{
+    average += (sample - average) / smoothing_divisor;
+}
+
+} // namespace
+
+link_pool::link_pool(kernel& kernel, link_hooks const& hooks, link_target target, options options)
+    : m_kernel(kernel), m_hooks(hooks), m_target(std::move(target)), m_options(std::move(options))
+{
+}
+
+link_request_pointer link_pool::acquire(std::string const& client_account,
+                                        member_link::values_map const& values, link_callback callback)
+{
+    auto request = std::make_shared<link_request>();
+    request->m_client_account = client_account;
+    request->m_values = values;
+    request->m_since = m_kernel.now();
+    request->m_callback = std::move(callback);
+    m_waiting.push_back(request);
+    schedule_serve(duration::zero());
+    return request;
+}
+
+void link_pool::release(link_pointer const& link)
+{
+    VERIFY(m_leased > 0);
+    --m_leased;
+    if (auto const since = m_leased_at.find(link.get()); since != m_leased_at.end()) {
+        smooth(m_hold_time, m_kernel.now() - since->second);
+        m_leased_at.erase(since);
+    }
+    auto const is_clean = !m_is_shut_down && link->is_open() && link->is_quiet() &&
+                          link->state() == transaction_state::idle && links() < m_options.max_links();
+    if (is_clean) {
+        m_idle.push_back(link);
+    }
+    else {
+        link->close();
+    }
+    if (!m_waiting.empty()) {
+        serve();
+    }
+}
+
+duration link_pool::expected_wait(std::string const& client_account) const
+{
+    for (auto const& link : m_idle) {
+        if (link->target().client_account == client_account) {
+            return duration::zero();
+        }
+    }
+    auto const now = m_kernel.now();
+    auto const pause = std::max(duration::zero(), m_no_opening_before - now);
+    if (m_waiting.empty() && (links() < m_options.max_links() || !m_idle.empty())) {
+        return m_open_time + pause;
+    }
+    auto const lanes = std::max<std::size_t>(1, m_leased + m_opening);
+    return m_open_time / 2 + pause +
+           m_hold_time * static_cast<duration::rep>(m_waiting.size() + 1) / static_cast<duration::rep>(lanes);
+}
+
+link_pointer link_pool::take_any_idle()
+{
+    if (m_idle.empty()) {
+        return nullptr;
+    }
+    auto link = m_idle.back();
+    m_idle.pop_back();
+    ++m_leased;
+    return link;
+}
+
+void link_pool::close_idle(duration limit)
+{
+    auto const now = m_kernel.now();
+    while (!m_idle.empty() && now - m_idle.front()->last_used() > limit) {
+        m_idle.front()->close();
+        m_idle.pop_front();
+    }
+}
+
+void link_pool::shut_down()
+{
+    m_is_shut_down = true;
+    for (auto const& link : std::exchange(m_idle, {})) {
+        link->close();
+    }
+    fail_waiting(member_error::refused);
+}
+
+void link_pool::schedule_serve(duration delay)
+{
+    if (std::exchange(m_has_serve_timer, true)) {
+        return;
+    }
+    m_kernel.start_timer(delay, [weak = weak_from_this()] {
+        if (auto const pool = weak.lock()) {
+            pool->m_has_serve_timer = false;
+            pool->serve();
+        }
+    });
+}
+
+void link_pool::serve()
+{
+    auto const keep_alive = shared_from_this();
+    std::erase_if(m_waiting, [](auto const& request) { return !request->is_waiting(); });
+    if (m_is_shut_down) {
+        fail_waiting(member_error::refused);
+        return;
+    }
+    auto const waiting = m_waiting;
+    for (auto const& request : waiting) {
+        if (request->is_waiting()) {
+            try_serve(*request);
+        }
+    }
+    std::erase_if(m_waiting, [](auto const& request) { return !request->is_waiting(); });
+    if (!m_waiting.empty()) {
+        schedule_serve(std::max<duration>(std::chrono::milliseconds(5), m_no_opening_before - m_kernel.now()));
+    }
+}
+
+bool link_pool::try_serve(link_request& request)
+{
+    if (auto link = take_idle(request.m_client_account, request.m_values)) {
+        ++m_leased;
+        m_leased_at[link.get()] = m_kernel.now();
+        auto const callback = std::exchange(request.m_callback, nullptr);
+        callback(std::move(link));
+        return true;
+    }
+    auto const now = m_kernel.now();
+    if (now < m_no_opening_before || m_opening >= most_opening) {
+        return false;
+    }
+    auto const same_account = [&request](auto const& other) {
+        return other->is_waiting() && other->m_client_account == request.m_client_account;
+    };
+    auto const wanted =
+        static_cast<std::size_t>(std::count_if(m_waiting.begin(), m_waiting.end(), same_account));
+    if (m_opening_for[request.m_client_account] >= wanted) {
+        return false;
+    }
+    if (links() < m_options.max_links() || make_room()) {
+        open_for(request.m_client_account);
+    }
+    return false;
+}
+
+link_pointer link_pool::take_idle(std::string const& client_account, member_link::values_map const& values)
+{
+    auto best = m_idle.end();
+    for (auto each = m_idle.begin(); each != m_idle.end(); ++each) {
+        if (!(*each)->is_open() || (*each)->target().client_account != client_account) {
+            continue;
+        }
+        best = each;
+        if ((*each)->has_values(values)) {
+            break;
+        }
+    }
+    if (best == m_idle.end()) {
+        return nullptr;
+    }
+    auto link = *best;
+    m_idle.erase(best);
+    return link;
+}
+
+bool link_pool::make_room()
+{
+    std::erase_if(m_idle, [](auto const& link) { return !link->is_open(); });
+    if (links() < m_options.max_links()) {
+        return true;
+    }
+    if (m_idle.empty()) {
+        return false;
+    }
+    m_idle.front()->close();
+    m_idle.pop_front();
+    return links() < m_options.max_links();
+}
+
+void link_pool::open_for(std::string const& client_account)
+{
+    auto target = m_target;
+    target.client_account = client_account;
+    auto const link = std::make_shared<member_link>(m_kernel, m_hooks, std::move(target));
+    ++m_opening;
+    ++m_opening_for[client_account];
+    m_opening_links.push_back(link);
+    auto const started = m_kernel.now();
+    link->open(open_timeout, [weak = weak_from_this(), raw = link.get(), started](member_answer const& answer) {
+        auto const pool = weak.lock();
+        if (!pool) {
+            return;
+        }
+        auto const found = std::find_if(pool->m_opening_links.begin(), pool->m_opening_links.end(),
+                                        [raw](auto const& each) { return each.get() == raw; });
+        VERIFY(found != pool->m_opening_links.end());
+        auto const opened = *found;
+        pool->m_opening_links.erase(found);
+        if (answer.is_ok()) {
+            smooth(pool->m_open_time, pool->m_kernel.now() - started);
+        }
+        pool->finish_open(opened, answer);
+    });
+}
+
+void link_pool::finish_open(link_pointer const& link, member_answer const& answer)
+{
+    --m_opening;
+    --m_opening_for[link->target().client_account];
+    if (answer.is_ok()) {
+        m_idle.push_back(link);
+        if (m_options.on_opened) {
+            m_options.on_opened(answer);
+        }
+        serve();
+        return;
+    }
+    auto const error = *answer.error;
+    auto const is_full = error == member_error::too_many_connections || error == member_error::busy;
+    m_no_opening_before = m_kernel.now() + (is_full ? pause_when_full : pause_when_unreachable);
+    if (m_options.on_open_failed) {
+        m_options.on_open_failed(error);
+    }
+    if (!is_full || links() == 0) {
+        fail_waiting(error);
+    }
+}
+
+void link_pool::fail_waiting(member_error error)
+{
+    for (auto const& request : std::exchange(m_waiting, {})) {
+        if (auto const callback = std::exchange(request->m_callback, nullptr)) {
+            callback(error);
+        }
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/member_link.cpp
@@ -0,0 +1,190 @@
+#include "members/member_link.h"
+
+#include <utility>
+
+namespace greengagehitch {
+
+member_link::member_link(kernel& kernel, link_hooks const& hooks, link_target target)
+    : m_kernel(kernel), m_hooks(hooks), m_kernel_lifetime(kernel.lifetime()), m_target(std::move(target)),
+      m_last_used(kernel.now())
+{
+}
+
+member_link::~member_link()
+{
+    if (m_kernel_lifetime.expired()) {
+        return;
+    }
+    close();
+}
+
+void member_link::open(duration timeout, std::function<void(member_answer)> opened)
+{
+    m_opened = std::move(opened);
+    auto const weak = weak_from_this();
+    m_id = m_hooks.open(m_target, link_events{m_kernel.guard<member_answer>([weak](member_answer answer) {
+                                                  if (auto const link = weak.lock()) {
+                                                      link->take_opened(answer);
+                                                  }
+                                              }),
+                                              m_kernel.guard<member_answer>([weak](member_answer answer) {
+                                                  if (auto const link = weak.lock()) {
+                                                      link->take_answer(std::move(answer));
+                                                  }
+                                              }),
+                                              m_kernel.guard<member_error>([weak](member_error error) {
+                                                  if (auto const link = weak.lock()) {
+                                                      link->fail_all(error);
+                                                  }
+                                              })});
+    m_open_timer = m_kernel.start_timer(timeout, [weak] {
+        if (auto const link = weak.lock(); link && !link->m_is_open) {
+            link->fail_all(member_error::refused);
+        }
+    });
+}
+
+void member_link::send(std::vector<member_command> commands, duration timeout, answers_callback answered)
+{
+    if (m_is_closed || !m_is_open) {
+        std::vector<member_answer> answers(commands.size());
+        for (auto& answer : answers) {
+            answer.error = member_error::refused;
+        }
+        m_kernel.start_timer(duration::zero(), [answers = std::move(answers), answered = std::move(answered)] {
+            answered(answers);
+        });
+        return;
+    }
+    auto const added = std::make_shared<batch_state>();
+    added->expected = commands.size();
+    added->answered = std::move(answered);
+    added->timer = m_kernel.start_timer(timeout, [weak = weak_from_this(), pending = std::weak_ptr(added)] {
+        auto const link = weak.lock();
+        auto const late = pending.lock();
+        if (link && late && late->answers.size() < late->expected) {
+            link->fail_all(member_error::timed_out);
+        }
+    });
+    m_batches.push_back(added);
+    m_last_used = m_kernel.now();
+    m_hooks.send(m_id, commands);
+}
+
+void member_link::close()
+{
+    if (!m_is_closed) {
+        fail_all(member_error::connection_lost);
+    }
+}
+
+std::vector<member_command> member_link::align_values(values_map const& values)
+{
+    std::vector<member_command> commands;
+    if (m_values == values) {
+        return commands;
+    }
+    for (auto const& [name, value] : m_values) {
+        if (!values.contains(name)) {
+            member_command reset;
+            reset.kind = command_kind::reset;
+            commands.push_back(std::move(reset));
+            m_values.clear();
+            m_prepared.clear();
+            break;
+        }
+    }
+    for (auto const& [name, value] : values) {
+        auto const held = m_values.find(name);
+        if (held != m_values.end() && held->second == value) {
+            continue;
+        }
+        member_command set;
+        set.kind = command_kind::set_value;
+        set.name = name;
+        set.argument = value;
+        commands.push_back(std::move(set));
+    }
+    m_values = values;
+    return commands;
+}
+
+std::vector<member_command> member_link::align_prepared(prepared_shape const& shape)
+{
+    if (!m_prepared.insert(shape).second) {
+        return {};
+    }
+    member_command prepare;
+    prepare.kind = command_kind::prepare;
+    prepare.name = name_of(shape);
+    prepare.prepared = shape;
+    return {std::move(prepare)};
+}
+
+std::string member_link::name_of(prepared_shape const& shape)
+{
+    return (shape.is_write ? "w_" : "r_") + shape.shape;
+}
+
+void member_link::take_opened(member_answer const& answer)
+{
+    if (m_is_closed) {
+        return;
+    }
+    if (!answer.is_ok()) {
+        fail_all(*answer.error);
+        return;
+    }
+    m_is_open = true;
+    m_kernel.cancel_timer(std::exchange(m_open_timer, timer_id::none));
+    if (auto const opened = std::exchange(m_opened, nullptr)) {
+        opened(answer);
+    }
+}
+
+void member_link::take_answer(member_answer answer)
+{
+    if (m_is_closed || m_batches.empty()) {
+        close();
+        return;
+    }
+    m_state = answer.state;
+    auto const batch = m_batches.front();
+    batch->answers.push_back(std::move(answer));
+    if (batch->answers.size() < batch->expected) {
+        return;
+    }
+    m_batches.pop_front();
+    m_kernel.cancel_timer(batch->timer);
+    m_last_used = m_kernel.now();
+    batch->answered(std::move(batch->answers));
+}
+
+void member_link::fail_all(member_error error)
+{
+    if (std::exchange(m_is_closed, true)) {
+        return;
+    }
+    auto const keep_alive = weak_from_this().lock();
+    m_is_open = false;
+    m_kernel.cancel_timer(std::exchange(m_open_timer, timer_id::none));
+    m_hooks.close(m_id);
+    if (auto const opened = std::exchange(m_opened, nullptr)) {
+        member_answer answer;
+        // Nothing was sent on a connection that never opened.
+        answer.error = error == member_error::connection_lost || error == member_error::timed_out
+                           ? member_error::refused
+                           : error;
+        opened(answer);
+    }
+    auto const batches = std::exchange(m_batches, {});
+    for (auto const& batch : batches) {
+        m_kernel.cancel_timer(batch->timer);
+        member_answer missing;
+        missing.error = error;
+        batch->answers.resize(batch->expected, missing);
+        batch->answered(std::move(batch->answers));
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/member_link.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "kernel/kernel.h"
+#include "members/member_command.h"
+
+namespace greengagehitch {
+
+/// Answers to the commands of one batch, in order. Commands without an answer carry connection_lost or, when
+/// the time was over, timed_out.
+using answers_callback = std::function<void(std::vector<member_answer>)>;
+
+/// Connection to one member on behalf of one client account. Several batches may be on their way; answers
+/// come in order. Tracks which session values and prepared shapes the member holds for it.
+class member_link : public std::enable_shared_from_this<member_link> {
+public:
+    using values_map = std::map<std::string, std::string>;
+
+    member_link(kernel& kernel, link_hooks const& hooks, link_target target);
+    ~member_link();
+    member_link(member_link const&) = delete;
+    member_link& operator=(member_link const&) = delete;
+    member_link(member_link&&) = delete;
+    member_link& operator=(member_link&&) = delete;
+
+    /// Opens the connection; `opened` comes once.
+    void open(duration timeout, std::function<void(member_answer)> opened);
+
+    /// Sends a batch. When it is not answered within `timeout`, the link closes: late answers are dropped.
+    void send(std::vector<member_command> commands, duration timeout, answers_callback answered);
+
+    void close();
+
+    link_target const& target() const { return m_target; }
+    bool is_open() const { return m_is_open; }
+    bool is_closed() const { return m_is_closed; }
+    bool is_quiet() const { return m_batches.empty(); }
+    transaction_state state() const { return m_state; }
+
+    /// Commands that give the connection exactly `values`; notes that it will hold them.
+    std::vector<member_command> align_values(values_map const& values);
+    bool has_values(values_map const& values) const { return m_values == values; }
+
+    /// Commands that make the shape known under `name_of(shape)`; none when it is already.
+    std::vector<member_command> align_prepared(prepared_shape const& shape);
+    static std::string name_of(prepared_shape const& shape);
+
+    /// Forgets what is prepared, after the member said that it does not know a name.
+    void forget_prepared() { m_prepared.clear(); }
+
+    monotonic_time last_used() const { return m_last_used; }
+
+private:
+    struct batch_state {
+        std::size_t expected = 0;
+        std::vector<member_answer> answers;
+        answers_callback answered;
+        timer_id timer = timer_id::none;
+    };
+
+    void take_opened(member_answer const& answer);
+    void take_answer(member_answer answer);
+    void fail_all(member_error error);
+
+    kernel& m_kernel;
+    link_hooks const& m_hooks;
+    std::weak_ptr<bool> m_kernel_lifetime;
+    link_target m_target;
+    link_id m_id = link_id::none;
+    bool m_is_open = false;
+    bool m_is_closed = false;
+    transaction_state m_state = transaction_state::idle;
+    monotonic_time m_last_used;
+    std::function<void(member_answer)> m_opened;
+    timer_id m_open_timer = timer_id::none;
+    std::deque<std::shared_ptr<batch_state>> m_batches;
+    values_map m_values;
+    std::set<prepared_shape> m_prepared;
+};
+
+using link_pointer = std::shared_ptr<member_link>;
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/members/position_evidence.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+
+#include "base/time.h"
+#include "database/group_contract.h"
+
+namespace greengagehitch {
+
+/// Proven bounds on a group's log: "the leader's log ended at `position` for a question that was sent at
+/// `asked_at`", so the position covers every commit that was acknowledged before that time.
+class position_evidence {
+public:
+    struct sample {
+        monotonic_time asked_at;
+        log_position position;
+    };
+
+    /// Takes in a proven answer of a leader.
+    void add(log_position position, monotonic_time asked_at);
+
+    /// Lowest position that covers all commits acknowledged before `time`; empty when nothing covers it. The
+    /// lowest one lets most replicas answer.
+    std::optional<log_position> covering(monotonic_time time) const;
+
+    std::optional<sample> newest() const;
+
+private:
+    std::deque<sample> m_samples; ///< Both parts grow.
+};
+
+} // namespace greengagehitch
--- a/libraries/reactor/reactor.cpp
+++ b/libraries/reactor/reactor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <utility>
 
 #include <sys/eventfd.h>
@@ -49,7 +50,10 @@
 
 monotonic_time reactor::now() const
 {
-    return monotonic_time(std::chrono::steady_clock::now().time_since_epoch());
+    // Counts the time for which the machine was suspended too: leases and evidence age meanwhile.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return monotonic_time(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 timer_id reactor::start_timer(duration delay, std::function<void()> callback)
--- /dev/null
+++ b/libraries/session_vm/session_vm.cpp
@@ -0,0 +1,53 @@
+#include "session_vm/session_vm.h"
+
+#include <utility>
+
+#include "base/digest.h"
+
+namespace greengagehitch {
+
+session_vm::session_vm(session_vm_settings const& settings, session_vm_hooks hooks)
+    : m_hooks(std::move(hooks)), m_name(settings.name), m_kernel(m_hooks.kernel)
+{
+    vm_identity identity{settings.name, settings.availability_zone, settings.peer_endpoint,
+                         m_kernel.random()};
+    m_kernel.add(std::make_unique<membership_service>(
+        m_kernel, m_hooks.platform, std::move(identity),
+        peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram));
+    m_kernel.add(std::make_unique<fleet_state>(m_kernel));
+    m_kernel.add(std::make_unique<rate_shares>(m_kernel));
+    m_kernel.add(std::make_unique<group_registry>(m_kernel, m_hooks.links));
+    m_kernel.add(std::make_unique<report_service>(m_kernel));
+    m_kernel.add(std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.links, m_hooks.promote));
+    m_kernel.add(std::make_unique<session_engine>(m_kernel, settings.sessions));
+    m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
+    m_sessions = &m_kernel.find<session_engine>(session_engine::service_name);
+}
+
+void session_vm::start()
+{
+    m_kernel.start();
+    auto& reports = m_kernel.find<report_service>(report_service::service_name);
+    m_sessions->set_has_better_peer([&reports] { return !reports.peers_with_store().empty(); });
+    m_kernel.log(log_level::info, "vm", "started", {});
+}
+
+void session_vm::handle_datagram(std::string const& datagram)
+{
+    m_kernel.find<membership_service>(membership_service::service_name).handle_datagram(datagram);
+}
+
+void session_vm::drain(std::function<void()> drained)
+{
+    m_kernel.find<membership_service>(membership_service::service_name).set_leaving();
+    m_sessions->drain(std::move(drained));
+}
+
+Json::Value session_vm::dump() const
+{
+    auto state = m_kernel.dump();
+    state["vm"] = m_name;
+    return state;
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/sessions/member_run.cpp
@@ -0,0 +1,463 @@
+#include "sessions/member_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace greengagehitch {
+
+namespace {
+
+/// Time by which evidence is renewed before it is too old; covers the way to the member.
+constexpr duration age_margin = std::chrono::milliseconds(60);
+constexpr duration evidence_poll = std::chrono::milliseconds(3);
+/// A question about the lead takes no slot, so its answer is a round trip away.
+constexpr duration evidence_patience = std::chrono::milliseconds(40);
+constexpr duration busy_pause = std::chrono::milliseconds(12);
+constexpr duration unreachable_pause = std::chrono::milliseconds(30);
+/// An answer that is later than this makes us ask the member for a sign of life.
+constexpr duration overdue_time = std::chrono::milliseconds(220);
+/// Time past the statement's timeout for the member's own word about it.
+constexpr duration answer_slack = std::chrono::milliseconds(30);
+constexpr std::size_t most_attempts = 12;
+constexpr std::size_t most_failed_runs = 2;
+/// Part of the delay target after which a read is also tried elsewhere.
+constexpr int hedge_divisor = 2;
+
+} // namespace
+
+session_answer to_session_answer(member_answer answer)
+{
+    session_answer result;
+    result.rows = std::move(answer.rows);
+    result.proof = std::move(answer.proof);
+    result.state = answer.state;
+    result.position = answer.position;
+    result.error_text = std::move(answer.error_text);
+    if (!answer.error) {
+        return result;
+    }
+    switch (*answer.error) {
+    case member_error::busy:
+    case member_error::refused:
+        result.error = session_error::busy;
+        break;
+    case member_error::lagging:
+        result.error = session_error::lagging;
+        break;
+    case member_error::read_only:
+        result.error = session_error::read_only;
+        break;
+    case member_error::wrong_member:
+        result.error = session_error::wrong_member;
+        break;
+    case member_error::too_many_connections:
+        result.error = session_error::too_many_connections;
+        break;
+    case member_error::unknown_prepared:
+        result.error = session_error::aborted;
+        break;
+    case member_error::failed:
+        result.error = session_error::failed;
+        break;
+    case member_error::timed_out:
+    case member_error::connection_lost:
+        result.error = session_error::timed_out;
+        break;
+    case member_error::malformed:
+        result.error = session_error::malformed;
+        break;
+    }
+    return result;
+}
+
+std::vector<member_command> commands_for(run_order const& order, member_link& link)
+{
+    auto commands = link.align_values(order.values);
+    member_command command;
+    command.id = order.statement.id;
+    if (!order.prepared) {
+        command.kind = command_kind::caller_statement;
+        command.text = order.statement.text;
+        commands.push_back(std::move(command));
+        return commands;
+    }
+    for (auto& prepare : link.align_prepared(*order.prepared)) {
+        commands.push_back(std::move(prepare));
+    }
+    command.kind = command_kind::execute;
+    command.name = member_link::name_of(*order.prepared);
+    command.argument = order.statement.argument;
+    commands.push_back(std::move(command));
+    return commands;
+}
+
+member_run::member_run(kernel& kernel, database_group& group, run_order order, run_mode mode,
+                       std::function<void(run_result)> done)
+    : m_kernel(kernel), m_group(group), m_order(std::move(order)), m_mode(mode), m_done(std::move(done)),
+      m_deadline(m_order.arrived + m_order.work.statement_timeout)
+{
+}
+
+void member_run::start()
+{
+    next();
+}
+
+bool member_run::needs_leader() const
+{
+    return m_goes_to_leader || m_mode == run_mode::proven_read || m_mode == run_mode::write ||
+           m_mode == run_mode::begin;
+}
+
+duration member_run::lead_time() const
+{
+    return std::max<duration>(m_deadline - m_kernel.now(), duration::zero());
+}
+
+void member_run::next_after(duration delay)
+{
+    m_kernel.start_timer(delay, [self = shared_from_this()] { self->next(); });
+}
+
+void member_run::next()
+{
+    if (!m_done) {
+        return;
+    }
+    if (m_kernel.now() >= m_deadline || ++m_attempts > most_attempts) {
+        if (m_in_flight == 0) {
+            refuse(session_error::busy, "no member could take the statement in time");
+        }
+        return;
+    }
+    if (needs_leader()) {
+        if (auto* const leader = m_group.leader()) {
+            acquire(*leader);
+            return;
+        }
+        m_group.refresh_evidence(m_order.client_account);
+        m_group.wait_for_leader(m_deadline, [self = shared_from_this()](bool is_known) {
+            if (is_known) {
+                self->next();
+            }
+            else if (self->m_in_flight == 0) {
+                self->refuse(session_error::busy, "the group has no leader", std::chrono::milliseconds(300));
+            }
+        });
+        return;
+    }
+    if (!required_floor()) {
+        wait_for_evidence();
+        return;
+    }
+    auto* const member = m_group.choose_reader(m_order.client_account, m_excluded);
+    if (member == nullptr) {
+        m_goes_to_leader = true;
+        next_after(duration::zero());
+        return;
+    }
+    acquire(*member);
+}
+
+void member_run::wait_for_evidence()
+{
+    auto const now = m_kernel.now();
+    if (!std::exchange(m_has_asked_for_evidence, true)) {
+        m_evidence_asked_at = now;
+        m_group.refresh_evidence(m_order.client_account);
+    }
+    if (now - m_evidence_asked_at > evidence_patience) {
+        m_goes_to_leader = true;
+    }
+    --m_attempts;
+    next_after(evidence_poll);
+}
+
+std::optional<log_position> member_run::required_floor() const
+{
+    auto floor = m_group.evidence().covering(m_kernel.now() - m_order.work.oldest_age + age_margin);
+    if (floor && m_order.floor) {
+        floor = std::max(*floor, *m_order.floor);
+    }
+    return floor;
+}
+
+void member_run::acquire(group_member& member)
+{
+    auto const id = member.entry.id;
+    auto const pool = member.pool;
+    auto const mode = !needs_leader()                     ? m_mode
+                      : m_mode == run_mode::read          ? run_mode::proven_read
+                      : m_mode == run_mode::begin_read    ? run_mode::begin
+                                                          : m_mode;
+    auto const request = pool->acquire(
+        m_order.client_account, m_order.values,
+        [self = shared_from_this(), id, pool, mode](std::variant<link_pointer, member_error> result) {
+            if (auto const* const error = std::get_if<member_error>(&result)) {
+                self->try_elsewhere(id, *error);
+                return;
+            }
+            auto const& link = std::get<link_pointer>(result);
+            if (!self->m_done) {
+                pool->release(link);
+                return;
+            }
+            if (mode == run_mode::begin || mode == run_mode::begin_read) {
+                self->send_begin(link, pool, id, mode);
+                return;
+            }
+            self->send(link, pool, id, mode);
+        });
+    auto const patience = needs_leader() ? lead_time() : m_order.work.delay_target / hedge_divisor;
+    m_kernel.start_timer(patience, [self = shared_from_this(), request, id] {
+        if (!request->is_waiting() || !self->m_done) {
+            request->cancel();
+            return;
+        }
+        request->cancel();
+        if (self->needs_leader()) {
+            if (self->m_in_flight == 0) {
+                self->refuse(session_error::busy, "no connection to the leader became free",
+                             std::chrono::milliseconds(100));
+            }
+            return;
+        }
+        self->m_excluded.insert(id);
+        self->next();
+    });
+}
+
+void member_run::send(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
+                      std::string const& member, run_mode mode)
+{
+    std::vector<member_command> commands = commands_for(m_order, *link);
+    if (mode == run_mode::read) {
+        auto const floor = required_floor();
+        if (!floor) {
+            // The evidence grew too old while the statement waited for the link.
+            pool->release(link);
+            next_after(duration::zero());
+            return;
+        }
+        commands.back().floor = floor;
+    }
+    attempt sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
+    if (mode == run_mode::proven_read) {
+        member_command begin;
+        begin.kind = command_kind::begin;
+        commands.insert(commands.end() - 1, std::move(begin));
+        member_command rollback;
+        rollback.kind = command_kind::rollback;
+        commands.push_back(std::move(rollback));
+        ++sent.offset;
+    }
+    ++m_in_flight;
+    m_group.note_sent(member);
+    link->send(std::move(commands), lead_time() + answer_slack,
+               [self = shared_from_this(), sent](std::vector<member_answer> answers) {
+                   self->take_answers(sent, std::move(answers));
+               });
+    watch_for_answer(member, mode);
+}
+
+void member_run::send_begin(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
+                            std::string const& member, run_mode mode)
+{
+    auto commands = link->align_values(m_order.values);
+    member_command begin;
+    begin.kind = mode == run_mode::begin ? command_kind::begin : command_kind::begin_read;
+    if (mode == run_mode::begin_read) {
+        begin.floor = required_floor();
+        if (!begin.floor) {
+            pool->release(link);
+            next_after(duration::zero());
+            return;
+        }
+    }
+    commands.push_back(std::move(begin));
+    attempt const sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
+    m_group.note_sent(member);
+    ++m_in_flight;
+    link->send(std::move(commands), lead_time() + answer_slack,
+               [self = shared_from_this(), sent](std::vector<member_answer> answers) {
+                   --self->m_in_flight;
+                   self->m_group.note_returned(sent.member);
+                   self->take_begin_answer(sent, std::move(answers[sent.offset]));
+               });
+    watch_for_answer(member, mode);
+}
+
+void member_run::watch_for_answer(std::string const& member, run_mode mode)
+{
+    auto const may_go_anywhere = mode == run_mode::read || mode == run_mode::begin_read;
+    auto const delay = may_go_anywhere
+                           ? std::max(overdue_time, m_order.work.delay_target / hedge_divisor)
+                           : overdue_time;
+    m_kernel.start_timer(delay, [self = shared_from_this(), member, mode, may_go_anywhere] {
+        if (!self->m_done) {
+            return;
+        }
+        self->m_group.note_overdue(member, self->m_order.client_account);
+        if (may_go_anywhere) {
+            self->m_excluded.insert(member);
+            self->next();
+            return;
+        }
+        auto* const leader = self->m_group.leader();
+        if (mode != run_mode::write && (leader == nullptr || leader->entry.id != member)) {
+            self->next();
+            return;
+        }
+        self->watch_for_answer(member, mode);
+    });
+}
+
+void member_run::take_answers(attempt const& sent, std::vector<member_answer> answers)
+{
+    --m_in_flight;
+    m_group.note_returned(sent.member);
+    auto answer = std::move(answers[sent.offset]);
+    if (sent.mode == run_mode::proven_read) {
+        auto const& begun = answers[sent.offset - 1];
+        if (begun.is_ok() && begun.position) {
+            m_group.prove_leader(sent.member, *begun.position, sent.sent_at);
+        }
+        else if (begun.error) {
+            answer = begun;
+        }
+    }
+    if (answer.error == member_error::unknown_prepared) {
+        sent.link->forget_prepared();
+    }
+    sent.pool->release(sent.link);
+    if (answer.is_ok()) {
+        m_group.note_answer(sent.member, m_kernel.now() - sent.sent_at);
+    }
+    take_statement_answer(sent, std::move(answer));
+}
+
+void member_run::take_statement_answer(attempt const& sent, member_answer answer)
+{
+    if (!m_done) {
+        return;
+    }
+    answer.state = transaction_state::idle;
+    if (answer.is_ok()) {
+        if (sent.mode == run_mode::write && answer.position) {
+            m_group.prove_leader(sent.member, *answer.position, sent.sent_at);
+            m_group.note_commit(sent.member, *answer.position);
+        }
+        finish({to_session_answer(std::move(answer)), std::nullopt});
+        return;
+    }
+    if (try_elsewhere(sent.member, *answer.error)) {
+        return;
+    }
+    m_group.note_failure(sent.member, *answer.error);
+    if (sent.mode == run_mode::write) {
+        auto result = to_session_answer(std::move(answer));
+        if (result.error == session_error::timed_out) {
+            m_group.note_stuck_commit(sent.member);
+            result.error = session_error::in_doubt;
+            result.error_text = "the write was sent and its answer is missing";
+        }
+        finish({std::move(result), std::nullopt});
+        return;
+    }
+    auto const is_silence = !is_answer(*answer.error);
+    if (is_silence || (answer.error == member_error::failed && ++m_failed_runs < most_failed_runs)) {
+        m_excluded.insert(sent.member);
+        if (m_in_flight == 0) {
+            next_after(duration::zero());
+        }
+        return;
+    }
+    if (m_in_flight == 0) {
+        finish({to_session_answer(std::move(answer)), std::nullopt});
+    }
+}
+
+void member_run::take_begin_answer(attempt const& sent, member_answer answer)
+{
+    if (!m_done) {
+        // The caller was answered already; a transaction that nobody uses is closed.
+        sent.link->close();
+        sent.pool->release(sent.link);
+        return;
+    }
+    if (answer.is_ok()) {
+        m_group.note_answer(sent.member, m_kernel.now() - sent.sent_at);
+        if (sent.mode == run_mode::begin && answer.position) {
+            m_group.prove_leader(sent.member, *answer.position, sent.sent_at);
+        }
+        finish({to_session_answer(std::move(answer)), pinned_link{sent.link, sent.pool, sent.member}});
+        return;
+    }
+    sent.pool->release(sent.link);
+    auto const error = *answer.error;
+    if (try_elsewhere(sent.member, error)) {
+        return;
+    }
+    m_group.note_failure(sent.member, error);
+    m_excluded.insert(sent.member);
+    // A transaction without a statement may begin again anywhere.
+    next_after(unreachable_pause);
+}
+
+bool member_run::try_elsewhere(std::string const& member, member_error error)
+{
+    if (!m_done) {
+        return true;
+    }
+    switch (error) {
+    case member_error::read_only:
+        m_group.deny_leader(member);
+        next_after(duration::zero());
+        return true;
+    case member_error::lagging:
+        m_group.note_lagging(member);
+        m_excluded.insert(member);
+        next_after(duration::zero());
+        return true;
+    case member_error::busy:
+    case member_error::unknown_prepared:
+        if (!needs_leader()) {
+            m_excluded.insert(member);
+        }
+        next_after(busy_pause);
+        return true;
+    case member_error::too_many_connections:
+    case member_error::wrong_member:
+    case member_error::refused:
+        m_group.note_failure(member, error);
+        m_excluded.insert(member);
+        next_after(unreachable_pause);
+        return true;
+    case member_error::failed:
+    case member_error::timed_out:
+    case member_error::malformed:
+    case member_error::connection_lost:
+        return false;
+    }
+    return false;
+}
+
+void member_run::refuse(session_error error, std::string text, duration retry_after)
+{
+    run_result result;
+    result.answer.error = error;
+    result.answer.error_text = std::move(text);
+    result.answer.retry_after = retry_after;
+    finish(std::move(result));
+}
+
+void member_run::finish(run_result result)
+{
+    if (auto const done = std::exchange(m_done, nullptr)) {
+        done(std::move(result));
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/sessions/session_answer.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "base/enum_names.h"
+#include "base/time.h"
+#include "database/group_contract.h"
+#include "sessions/session_statement.h"
+
+namespace greengagehitch {
+
+/// Why a statement of a session got no result. The first six promise that nothing of the attempt is kept.
+enum class session_error {
+    busy,
+    aborted,
+    lagging,
+    read_only,
+    wrong_member,
+    too_many_connections,
+    failed,
+    timed_out,
+    in_doubt, ///< A commit or single write was sent and its fate is open.
+    unknown_key,
+    unknown_database,
+    unknown_prepared,
+    too_large,
+    malformed,
+};
+
+inline constexpr std::array session_error_names{
+    enum_name<session_error>{session_error::busy, "busy"},
+    enum_name<session_error>{session_error::aborted, "aborted"},
+    enum_name<session_error>{session_error::lagging, "lagging"},
+    enum_name<session_error>{session_error::read_only, "read_only"},
+    enum_name<session_error>{session_error::wrong_member, "wrong_member"},
+    enum_name<session_error>{session_error::too_many_connections, "too_many_connections"},
+    enum_name<session_error>{session_error::failed, "failed"},
+    enum_name<session_error>{session_error::timed_out, "timed_out"},
+    enum_name<session_error>{session_error::in_doubt, "in_doubt"},
+    enum_name<session_error>{session_error::unknown_key, "unknown_key"},
+    enum_name<session_error>{session_error::unknown_database, "unknown_database"},
+    enum_name<session_error>{session_error::unknown_prepared, "unknown_prepared"},
+    enum_name<session_error>{session_error::too_large, "too_large"},
+    enum_name<session_error>{session_error::malformed, "malformed"},
+};
+
+/// True when the error promises that nothing of the attempt is kept.
+constexpr bool is_promise(session_error error)
+{
+    return error <= session_error::too_many_connections;
+}
+
+/// Answer to one statement of a session.
+struct session_answer {
+    std::optional<session_error> error;
+    std::string error_text;
+    duration retry_after{}; ///< With a promise: when a repeat may pass; 0 for at once.
+    std::vector<std::string> rows;
+    std::string proof; ///< The database's own; empty for statements that the session answers itself.
+    transaction_state state = transaction_state::idle;
+    std::optional<log_position> position;
+
+    bool is_ok() const { return !error.has_value(); }
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/sessions/session_engine.cpp
@@ -0,0 +1,135 @@
+#include "sessions/session_engine.h"
+
+#include <utility>
+#include <vector>
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(100);
+/// A drain closes idle sessions in about this many steps, so that their callers do not all return at once.
+constexpr std::size_t drain_steps = 10;
+/// Knowledge of the configuration that is older than this makes the VM leave the balancer's rotation.
+constexpr duration rotation_limit = std::chrono::milliseconds(3'200);
+
+} // namespace
+
+session_engine::session_engine(kernel& kernel, session_engine_settings settings)
+    : m_kernel(kernel), m_settings(settings)
+{
+}
+
+void session_engine::start()
+{
+    m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
+    m_rates = &m_kernel.find<rate_shares>(rate_shares::service_name);
+    m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
+    m_kernel.start_periodic(tick_period, [this] { tick(); });
+}
+
+Json::Value session_engine::dump() const
+{
+    Json::Value state(Json::objectValue);
+    state["sessions"] = Json::UInt64(m_sessions.size());
+    state["opened"] = Json::UInt64(m_counters.opened);
+    state["statements"] = Json::UInt64(m_counters.statements);
+    state["answered"] = Json::UInt64(m_counters.answered);
+    for (std::size_t i = 0; i < session_error_names.size(); ++i) {
+        state["refused"][std::string(session_error_names[i].name)] = Json::UInt64(m_counters.refused[i]);
+    }
+    return state;
+}
+
+std::variant<std::shared_ptr<client_session>, session_error>
+session_engine::open(std::string database, std::string key, session_hooks hooks)
+{
+    auto const& configuration = m_fleet->configuration();
+    if (!configuration) {
+        return session_error::busy;
+    }
+    auto const found = configuration->classes.find(database);
+    if (found == configuration->classes.end()) {
+        return may_trust_keys() ? session_error::unknown_database : session_error::busy;
+    }
+    if (!found->second.is_open_to_all && !configuration->account_of_key.contains(key)) {
+        return may_trust_keys() ? session_error::unknown_key : session_error::busy;
+    }
+    ++m_counters.opened;
+    auto session =
+        std::make_shared<client_session>(*this, std::move(database), std::move(key), std::move(hooks));
+    m_sessions.insert(session.get());
+    return session;
+}
+
+bool session_engine::is_ready() const
+{
+    auto const age = m_fleet->configuration_age();
+    return !is_draining() && age && *age <= rotation_limit && !m_fleet->members().empty();
+}
+
+bool session_engine::may_trust_keys() const
+{
+    auto const age = m_fleet->configuration_age();
+    return age && *age <= m_settings.key_evidence_limit;
+}
+
+void session_engine::drain(std::function<void()> drained)
+{
+    m_drained = std::move(drained);
+    m_drain_started = m_kernel.now();
+}
+
+void session_engine::tick()
+{
+    if (m_drain_started) {
+        continue_drain();
+        return;
+    }
+    auto const& configuration = m_fleet->configuration();
+    if (!configuration) {
+        return;
+    }
+    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
+    for (auto* const session : sessions) {
+        session->end_resting_transaction(configuration->transaction_idle_limit);
+    }
+    if (!is_ready() && m_has_better_peer && m_has_better_peer()) {
+        close_some_idle();
+    }
+}
+
+void session_engine::close_some_idle()
+{
+    auto const count = m_sessions.size() / drain_steps + 1;
+    std::size_t closed = 0;
+    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
+    for (auto* const session : sessions) {
+        if (closed < count && session->close_if_idle()) {
+            ++closed;
+        }
+    }
+}
+
+void session_engine::continue_drain()
+{
+    auto const elapsed = m_kernel.now() - *m_drain_started;
+    if (elapsed >= m_settings.transaction_drain_limit) {
+        auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
+        for (auto* const session : sessions) {
+            session->end_resting_transaction(duration::zero());
+            session->close_if_idle();
+        }
+    }
+    else {
+        close_some_idle();
+    }
+    auto const is_over = elapsed >= m_settings.drain_limit;
+    if ((m_sessions.empty() && elapsed >= m_settings.arrival_limit) || is_over) {
+        if (auto const drained = std::exchange(m_drained, nullptr)) {
+            drained();
+        }
+    }
+}
+
+} // namespace greengagehitch
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -121,8 +121,37 @@
     MSGPACK_DEFINE(allotment, number, waiting, wanted, held, demand, prolonged)
 };
 
-using peer_message = std::variant<heartbeat, configuration_request, configuration_chunk, group_state,
-                                  group_state_request, primary_suspicion, share_transfer, share_request>;
+/// Demand of one client account at the sender.
+struct account_demand {
+    std::string client_account;
+    std::uint32_t operations = 0; ///< In a second, in hundredths.
+    MSGPACK_DEFINE(client_account, operations)
+};
+
+/// What the sender knows of a group's leader.
+struct leader_report {
+    std::string group;
+    std::string member; ///< Empty when the sender knows none.
+    std::uint64_t term = 0;
+    std::uint64_t highest_term = 0; ///< Of the highest position that the sender saw committed.
+    std::uint64_t highest_position = 0;
+    bool is_suspected = false;
+    bool holds_duty = false; ///< The sender orders promotions for this group.
+    MSGPACK_DEFINE(group, member, term, highest_term, highest_position, is_suspected, holds_duty)
+};
+
+/// State that VMs which serve sessions share with each other.
+struct vm_report {
+    std::uint32_t store_age_ms = 0; ///< Since the sender's configuration was known to be the newest.
+    std::vector<std::string> heard; ///< Peers that the sender hears.
+    std::vector<account_demand> demands;
+    std::vector<leader_report> leaders;
+    MSGPACK_DEFINE(store_age_ms, heard, demands, leaders)
+};
+
+using peer_message =
+    std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
+                 primary_suspicion, share_transfer, share_request, vm_report>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- a/services/greengagehitchd/daemon.h
+++ b/services/greengagehitchd/daemon.h
@@ -12,7 +12,7 @@
 #include "callers/caller_endpoint.h"
 #include "callers/operator_endpoint.h"
 #include "entry_vm/entry_vm.h"
-#include "json_line_log.h"
+#include "adapters/json_line_log.h"
 #include "reactor/reactor.h"
 #include "settings/daemon_settings.h"
 
