limits: Move tokens between VMs, and leave lagging replicas alone

One statement ran with the values of another session, since a link was marked as aligned although nothing was sent. Ruled out: member overload; the 'shed' arrivals were lagging replicas.

--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -9,13 +9,25 @@
 namespace {
 
 /// Part of the rate that is divided equally, so that a VM without demand can serve a first operation.
-constexpr double equal_part = 0.15;
-constexpr double demand_smoothing = 0.5;
+constexpr double equal_part = 0.25;
+/// Remembers about four seconds, so that single operations do not move the parts.
+constexpr double demand_smoothing = 0.12;
 constexpr double smallest_demand = 0.05;
 /// Reports come twice a second; a peer that missed three is not counted on.
 constexpr duration report_lifetime = std::chrono::milliseconds(1'600);
 constexpr double hundredths = 100;
 
+/// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or more.
+constexpr duration longest_wait = std::chrono::milliseconds(40);
+/// Longest time that a refusal tells, in seconds.
+constexpr double longest_estimate = 5;
+constexpr std::size_t most_lenders = 3;
+/// A borrower asks for what it needs for this time, a lender keeps what it needs for this time itself.
+constexpr double wanted_seconds = 0.2;
+constexpr double reserve_seconds = 0.2;
+/// Pause after peers had nothing to give, so that a flood beyond the rate does not become a flood of questions.
+constexpr duration fruitless_pause = std::chrono::milliseconds(100);
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -65,9 +77,22 @@
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_fleet->on_configuration([this](served_configuration const& configuration) {
+        for (auto& [account, bucket] : m_buckets) {
+            if (!configuration.limits.contains(account)) {
+                refuse_waiting(account, bucket);
+            }
+        }
         std::erase_if(m_buckets,
                       [&configuration](auto const& each) { return !configuration.limits.contains(each.first); });
+        for (auto const& [account, limit] : configuration.limits) {
+            bucket_of(account);
+        }
     });
+    m_membership->on_message<token_request>(
+        [this](peer_state const& peer, token_request const& request) { answer_request(peer.name, request); });
+    m_membership->on_message<token_grant>(
+        [this](peer_state const& peer, token_grant const& grant) { take_grant(peer.name, grant); });
+    m_started_at = m_kernel.now();
     divide();
 }
 
@@ -88,7 +113,8 @@
 {
     auto const [found, is_new] = m_buckets.try_emplace(client_account);
     if (is_new) {
-        found->second.updated = m_kernel.now();
+        // The part has filled since this process started; what an earlier one left is not counted on.
+        found->second.updated = m_started_at;
         found->second.part = m_division.part_of(client_account);
     }
     return found->second;
@@ -102,25 +128,141 @@
     bucket.updated = now;
 }
 
-std::optional<duration> rate_shares::take(std::string const& client_account)
+void rate_shares::take(std::string const& client_account, admission_callback done)
 {
-    auto const& configuration = m_fleet->configuration();
+    auto const configuration = m_fleet->configuration();
     auto const limit = configuration->limits.find(client_account);
     if (limit == configuration->limits.end()) {
-        return std::nullopt;
+        done(std::nullopt);
+        return;
     }
     auto& bucket = bucket_of(client_account);
     ++bucket.arrivals;
+    refill(bucket, limit->second, m_kernel.now());
+    if (bucket.waiting.empty() && bucket.tokens >= 1) {
+        bucket.tokens -= 1;
+        done(std::nullopt);
+        return;
+    }
+    auto const number = m_next_number++;
+    bucket.waiting.push_back({number, std::move(done)});
+    auto const wait = time_to_token(client_account, bucket);
+    if (!ask_peers(client_account, bucket) && wait > longest_wait) {
+        refuse_waiting(client_account, bucket);
+        return;
+    }
+    m_kernel.start_timer(std::min(wait, longest_wait), [this, client_account] {
+        auto const found = m_buckets.find(client_account);
+        if (found != m_buckets.end()) {
+            serve_waiting(client_account, found->second);
+            refuse_waiting(client_account, found->second);
+        }
+    });
+}
+
+duration rate_shares::time_to_token(std::string const& client_account, bucket const& bucket) const
+{
+    auto const& limits = m_fleet->configuration()->limits;
+    auto const limit = limits.find(client_account);
+    auto const rate = limit == limits.end() ? 0 : limit->second.rate * bucket.part;
+    auto const missing = static_cast<double>(std::max<std::size_t>(1, bucket.waiting.size())) - bucket.tokens;
+    auto const wait = rate > 0 ? std::min(longest_estimate, missing / rate) : longest_estimate;
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::max(0.0, wait)));
+}
+
+bool rate_shares::ask_peers(std::string const& client_account, bucket& bucket)
+{
     auto const now = m_kernel.now();
-    refill(bucket, limit->second, now);
-    if (bucket.tokens >= 1) {
+    if (!bucket.requests.empty()) {
+        return true;
+    }
+    if (now < bucket.no_request_before) {
+        return false;
+    }
+    std::vector<std::pair<std::uint32_t, std::string>> stocks;
+    for (auto const& [name, peer] : m_peers) {
+        auto const stock = peer.tokens.find(client_account);
+        if (now - peer.heard_at <= report_lifetime && stock != peer.tokens.end() && stock->second != 0) {
+            stocks.emplace_back(stock->second, name);
+        }
+    }
+    std::sort(stocks.rbegin(), stocks.rend());
+    if (stocks.size() > most_lenders) {
+        stocks.resize(most_lenders);
+    }
+    for (auto const& [stock, name] : stocks) {
+        auto const number = m_next_number++;
+        bucket.requests[number] = name;
+        auto const wanted = bucket.waiting.size() + static_cast<std::size_t>(bucket.demand * wanted_seconds);
+        m_membership->send(name, token_request{client_account, number, static_cast<std::uint32_t>(wanted)});
+    }
+    return !stocks.empty();
+}
+
+void rate_shares::answer_request(std::string const& peer, token_request const& request)
+{
+    token_grant grant{request.client_account, request.number, 0};
+    auto const& configuration = m_fleet->configuration();
+    if (configuration && configuration->limits.contains(request.client_account)) {
+        auto& bucket = bucket_of(request.client_account);
+        refill(bucket, configuration->limits.at(request.client_account), m_kernel.now());
+        auto const kept = static_cast<double>(bucket.waiting.size()) + bucket.demand * reserve_seconds;
+        auto const spare = std::max(0.0, std::floor(bucket.tokens - kept));
+        grant.tokens = static_cast<std::uint32_t>(std::min(spare, static_cast<double>(request.wanted)));
+        bucket.tokens -= grant.tokens;
+    }
+    m_membership->send(peer, std::move(grant));
+}
+
+void rate_shares::take_grant(std::string const& peer, token_grant const& grant)
+{
+    auto const found = m_buckets.find(grant.client_account);
+    if (found == m_buckets.end()) {
+        return;
+    }
+    auto& bucket = found->second;
+    // Unknown and repeated grants are dropped: they may be meant for an earlier process under this name.
+    auto const request = bucket.requests.find(grant.number);
+    if (request == bucket.requests.end() || request->second != peer) {
+        return;
+    }
+    bucket.requests.erase(request);
+    if (grant.tokens == 0) {
+        m_peers[peer].tokens[grant.client_account] = 0;
+    }
+    bucket.tokens += grant.tokens;
+    serve_waiting(grant.client_account, bucket);
+    if (bucket.requests.empty() && !bucket.waiting.empty()) {
+        bucket.no_request_before = m_kernel.now() + fruitless_pause;
+        if (time_to_token(grant.client_account, bucket) > longest_wait) {
+            refuse_waiting(grant.client_account, bucket);
+        }
+    }
+}
+
+void rate_shares::serve_waiting(std::string const& client_account, bucket& bucket)
+{
+    auto const configuration = m_fleet->configuration();
+    auto const limit = configuration->limits.find(client_account);
+    if (limit != configuration->limits.end()) {
+        refill(bucket, limit->second, m_kernel.now());
+    }
+    while (!bucket.waiting.empty() && bucket.tokens >= 1) {
         bucket.tokens -= 1;
-        return std::nullopt;
+        auto const done = std::move(bucket.waiting.front().done);
+        bucket.waiting.pop_front();
+        done(std::nullopt);
+    }
+}
+
+void rate_shares::refuse_waiting(std::string const& client_account, bucket& bucket)
+{
+    // Requests that are still without an answer were lost.
+    bucket.requests.clear();
+    auto const wait = time_to_token(client_account, bucket);
+    for (auto const& each : std::exchange(bucket.waiting, {})) {
+        each.done(wait);
     }
-    auto const rate = limit->second.rate * bucket.part;
-    constexpr double longest_wait = 5;
-    auto const wait = rate > 0 ? std::min(longest_wait, (1 - bucket.tokens) / rate) : longest_wait;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(wait));
 }
 
 std::vector<account_demand> rate_shares::publish(duration period)
@@ -134,12 +276,12 @@
         if (bucket.demand < smallest_demand) {
             bucket.demand = 0;
         }
+        // Peers may ask for what this VM does not need, so the stock is made known for all accounts.
     }
     divide();
     for (auto const& [account, bucket] : m_buckets) {
-        if (bucket.demand > 0) {
-            demands.push_back({account, static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths))});
-        }
+        demands.push_back({account, static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths)),
+                           static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
     }
     return demands;
 }
@@ -151,8 +293,10 @@
     entry.hears_us = std::find(report.heard.begin(), report.heard.end(), m_membership->identity().name) !=
                      report.heard.end();
     entry.demands.clear();
+    entry.tokens.clear();
     for (auto const& demand : report.demands) {
         entry.demands[demand.client_account] = static_cast<double>(demand.operations) / hundredths;
+        entry.tokens[demand.client_account] = demand.tokens;
     }
 }
 
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -36,7 +37,12 @@
     std::map<std::string, double> m_total;
 };
 
-/// Admits operations within the rate and burst of their client account over the whole fleet.
+/// Called with nothing when an operation is admitted, otherwise with the time after which a token is expected.
+using admission_callback = std::function<void(std::optional<duration>)>;
+
+/// Admits operations within the rate and burst of their client account over the whole fleet. Each VM holds a
+/// part of the rate; where its tokens run out, it asks the peers that published the largest stock. Tokens
+/// are subtracted before they are sent, so that none is ever used twice.
 class rate_shares : public service {
 public:
     static constexpr std::string_view service_name = "rate_shares";
@@ -47,9 +53,8 @@
     void start() override;
     Json::Value dump() const override;
 
-    /// Takes one operation of the account. Returns nothing when it is admitted, otherwise the time after
-    /// which a token is expected.
-    std::optional<duration> take(std::string const& client_account);
+    /// Takes one operation of the account. Calls back at once, or after asking peers.
+    void take(std::string const& client_account, admission_callback done);
 
     /// Demands to publish now. Called once a report period; what it returns counts from the next period on.
     std::vector<account_demand> publish(duration period);
@@ -61,6 +66,11 @@
     std::optional<double> part_of_all() const;
 
 private:
+    struct waiting_operation {
+        std::uint64_t number = 0;
+        admission_callback done;
+    };
+
     struct bucket {
         double tokens = 1;
         monotonic_time updated;
@@ -68,10 +78,14 @@
         double demand = 0;        ///< Operations in a second, smoothed.
         double published = 0;
         double part = 0;          ///< Of the account's rate.
+        std::deque<waiting_operation> waiting;
+        std::map<std::uint64_t, std::string> requests; ///< Peers that were asked and have not answered.
+        monotonic_time no_request_before;              ///< After a round that brought nothing.
     };
 
     struct peer_demands {
         std::map<std::string, double> demands;
+        std::map<std::string, std::uint32_t> tokens; ///< Stock that the peer published.
         bool hears_us = false;
         monotonic_time heard_at;
     };
@@ -79,6 +93,12 @@
     bucket& bucket_of(std::string const& client_account);
     static void refill(bucket& bucket, account_limit const& limit, monotonic_time now);
     void divide();
+    bool ask_peers(std::string const& client_account, bucket& bucket);
+    void answer_request(std::string const& peer, token_request const& request);
+    void take_grant(std::string const& peer, token_grant const& grant);
+    void serve_waiting(std::string const& client_account, bucket& bucket);
+    void refuse_waiting(std::string const& client_account, bucket& bucket);
+    duration time_to_token(std::string const& client_account, bucket const& bucket) const;
 
     kernel& m_kernel;
     fleet_state* m_fleet = nullptr;
@@ -86,6 +106,8 @@
     std::map<std::string, bucket> m_buckets;
     std::map<std::string, peer_demands> m_peers;
     rate_division m_division;
+    monotonic_time m_started_at;
+    std::uint64_t m_next_number = 1;
 };
 
 } // namespace greengagehitch
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -9,8 +9,8 @@
 
 /// A member that failed is left alone for this long, unless nothing else is left.
 constexpr duration avoid_time = std::chrono::milliseconds(400);
-/// A replica that lacked a position needs about its replication delay to get there.
-constexpr duration lagging_time = std::chrono::milliseconds(60);
+/// A replica that is too far behind is asked again for its position after this time.
+constexpr duration position_period = std::chrono::milliseconds(200);
 constexpr duration search_period = std::chrono::milliseconds(80);
 constexpr duration question_timeout = std::chrono::milliseconds(300);
 /// Silence after which a member that owes answers is suspected.
@@ -234,72 +234,103 @@
     search_leader();
 }
 
-void database_group::ask_whether_leads(group_member& member, std::string const& client_account)
+void database_group::ask(group_member& member, std::string const& client_account, command_kind kind,
+                         question_callback answered)
 {
     auto const id = member.entry.id;
     if (!m_asked.insert(id).second) {
         return;
     }
     auto const pool = member.pool;
-    auto ask = [this, id, pool](link_pointer const& link) {
+    auto send = [this, id, pool, kind, answered = std::move(answered)](link_pointer const& link) {
         std::vector<member_command> question(2);
-        question[0].kind = command_kind::begin;
+        question[0].kind = kind;
         question[1].kind = command_kind::rollback;
         auto const asked_at = m_kernel.now();
         link->send(std::move(question), question_timeout,
-                   [this, id, pool, link, asked_at](std::vector<member_answer> const& answers) {
+                   [this, id, pool, link, asked_at, answered](std::vector<member_answer> const& answers) {
                        pool->release(link);
                        m_asked.erase(id);
-                       auto const& begun = answers.front();
-                       if (begun.is_ok() && begun.position) {
-                           prove_leader(id, *begun.position, asked_at);
-                       }
-                       else if (begun.error == member_error::read_only) {
-                           deny_leader(id);
-                       }
-                       else if (begun.error) {
-                           note_failure(id, *begun.error);
+                       if (answers.front().position) {
+                           note_position(id, *answers.front().position);
                        }
+                       answered(answers.front(), asked_at);
                    });
     };
     if (auto const idle = pool->take_any_idle()) {
-        ask(idle);
+        send(idle);
         return;
     }
-    pool->acquire(client_account, {}, [this, id, ask](std::variant<link_pointer, member_error> result) {
+    pool->acquire(client_account, {}, [this, id, send](std::variant<link_pointer, member_error> result) {
         if (auto const* const link = std::get_if<link_pointer>(&result)) {
-            ask(*link);
+            send(*link);
             return;
         }
         m_asked.erase(id);
     });
 }
 
+void database_group::ask_whether_leads(group_member& member, std::string const& client_account)
+{
+    ask(member, client_account, command_kind::begin,
+        [this, id = member.entry.id](member_answer const& answer, monotonic_time asked_at) {
+            if (answer.is_ok() && answer.position) {
+                prove_leader(id, *answer.position, asked_at);
+            }
+            else if (answer.error == member_error::read_only) {
+                deny_leader(id);
+            }
+            else if (answer.error) {
+                note_failure(id, *answer.error);
+            }
+        });
+}
+
+void database_group::ask_position(group_member& member, std::string const& client_account)
+{
+    ask(member, client_account, command_kind::begin_read,
+        [this, id = member.entry.id](member_answer const& answer, monotonic_time /*asked_at*/) {
+            if (answer.error) {
+                note_failure(id, *answer.error);
+            }
+        });
+}
+
 group_member* database_group::choose_reader(std::string const& client_account,
-                                            std::set<std::string> const& excluded)
+                                            std::set<std::string> const& excluded, log_position floor)
 {
     auto const now = m_kernel.now();
     group_member* best = nullptr;
     duration best_score{};
-    for (auto const is_last_resort : {false, true}) {
-        for (auto& [id, member] : m_members) {
-            auto const is_unfit = member.avoid_before > now || member.lagging_before > now;
-            if (member.entry.is_draining || excluded.contains(id) || (is_unfit && !is_last_resort)) {
-                continue;
-            }
-            auto const its_score = score(member, client_account);
-            if (best == nullptr || its_score < best_score) {
-                best = &member;
-                best_score = its_score;
+    for (auto& [id, member] : m_members) {
+        if (member.entry.is_draining || excluded.contains(id) || member.avoid_before > now) {
+            continue;
+        }
+        if (!is_expected_to_hold(member, floor)) {
+            if (now - member.observed_at > position_period) {
+                ask_position(member, client_account);
             }
+            continue;
         }
-        if (best != nullptr) {
-            break;
+        auto const its_score = score(member, client_account);
+        if (best == nullptr || its_score < best_score) {
+            best = &member;
+            best_score = its_score;
         }
     }
     return best;
 }
 
+bool database_group::is_expected_to_hold(group_member const& member, log_position floor) const
+{
+    if (member.applied >= floor || member.proven_term != 0) {
+        return true;
+    }
+    // The lag stays about the same over the time since it was seen.
+    auto const existed_at = m_evidence.reached_at(floor);
+    return existed_at && m_kernel.now() - member.lag >= *existed_at;
+}
+
 duration database_group::score(group_member& member, std::string const& client_account)
 {
     auto const age = m_kernel.now() - member.latency_at;
@@ -376,11 +407,17 @@
     m_highest = std::max(m_highest, position);
 }
 
-void database_group::note_lagging(std::string const& id)
+void database_group::note_position(std::string const& id, log_position position)
 {
-    if (auto* const member = find_member(id)) {
-        member->lagging_before = m_kernel.now() + lagging_time;
+    auto* const member = find_member(id);
+    if (member == nullptr) {
+        return;
     }
+    auto const now = m_kernel.now();
+    member->applied = position;
+    member->observed_at = now;
+    auto const reached = m_evidence.covered_at(position);
+    member->lag = reached ? std::max(duration::zero(), now - *reached) : member->lag / 2;
 }
 
 bool database_group::suspects_leader() const
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -23,7 +23,9 @@
     duration latency = std::chrono::milliseconds(30); ///< Smoothed time from a statement to its answer.
     monotonic_time latency_at;                        ///< When `latency` was last measured.
     monotonic_time avoid_before;                      ///< After a failure.
-    monotonic_time lagging_before;                    ///< After it lacked a position.
+    log_position applied;                             ///< Highest position that it showed.
+    monotonic_time observed_at;                       ///< When it showed a position last.
+    duration lag{};                                   ///< Of its readable log behind the leader's, then.
     std::uint64_t proven_term = 0;                    ///< Term that it was last proven to lead; 0 for none.
     bool is_denied = false;                           ///< Said that it does not lead.
     std::uint64_t claim_change = 0;                   ///< Directory change at which it began to claim the lead.
@@ -69,8 +71,10 @@
     /// Asks the leader for fresh evidence, and looks for the leader where none is known.
     void refresh_evidence(std::string const& client_account);
 
-    /// Member for a read that needs no lead; null when none may answer. `excluded` were tried.
-    group_member* choose_reader(std::string const& client_account, std::set<std::string> const& excluded);
+    /// Member for a read that needs no lead; null when none is expected to hold `floor`. `excluded` were
+    /// tried.
+    group_member* choose_reader(std::string const& client_account, std::set<std::string> const& excluded,
+                                log_position floor);
 
     /// Counts a statement that is on its way to a member, until it has returned in whatever way.
     void note_sent(std::string const& member);
@@ -82,7 +86,8 @@
     /// A commit got no answer although the member may be reachable.
     void note_stuck_commit(std::string const& member);
     void note_commit(std::string const& member, log_position position);
-    void note_lagging(std::string const& member);
+    /// Takes in the position that a member showed.
+    void note_position(std::string const& member, log_position position);
 
     position_evidence const& evidence() const { return m_evidence; }
     log_position highest_seen() const { return m_highest; }
@@ -102,7 +107,12 @@
     void release_waiting();
     void search_leader();
     void ask_whether_leads(group_member& member, std::string const& client_account);
+    void ask_position(group_member& member, std::string const& client_account);
+    using question_callback = std::function<void(member_answer const&, monotonic_time asked_at)>;
+    void ask(group_member& member, std::string const& client_account, command_kind kind,
+             question_callback answered);
     duration score(group_member& member, std::string const& client_account);
+    bool is_expected_to_hold(group_member const& member, log_position floor) const;
     void forget_member(group_member& member);
 
     std::string m_name;
--- a/libraries/members/position_evidence.cpp
+++ b/libraries/members/position_evidence.cpp
@@ -41,6 +41,31 @@
     return std::nullopt;
 }
 
+std::optional<monotonic_time> position_evidence::covered_at(log_position position) const
+{
+    if (m_samples.empty() || m_samples.back().position <= position) {
+        return std::nullopt;
+    }
+    auto reached = m_samples.front().asked_at;
+    for (auto const& each : m_samples) {
+        if (each.position > position) {
+            break;
+        }
+        reached = each.asked_at;
+    }
+    return reached;
+}
+
+std::optional<monotonic_time> position_evidence::reached_at(log_position position) const
+{
+    for (auto const& each : m_samples) {
+        if (each.position >= position) {
+            return each.asked_at;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<position_evidence::sample> position_evidence::newest() const
 {
     if (m_samples.empty()) {
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -15,8 +15,6 @@
 constexpr int most_busy_tries = 6;
 constexpr duration busy_pause = std::chrono::milliseconds(15);
 constexpr duration rollback_timeout = std::chrono::milliseconds(500);
-/// A shortage of tokens that ends within this time is waited for, since a refusal would cost a round trip.
-constexpr duration longest_token_wait = std::chrono::milliseconds(60);
 
 bool is_local(statement_kind kind)
 {
@@ -216,14 +214,17 @@
     return found->second;
 }
 
-bool client_session::admit(std::string const& client_account, session_statement const& statement)
+void client_session::admit(std::string const& client_account, session_statement const& statement,
+                           std::function<void()> admitted)
 {
-    auto const wait = m_engine.rates().take(client_account);
-    if (!wait) {
-        return true;
-    }
-    refuse(statement, session_error::busy, "client account is above its rate", *wait);
-    return false;
+    m_engine.rates().take(client_account, [self = shared_from_this(), statement,
+                                           admitted = std::move(admitted)](std::optional<duration> wait) {
+        if (wait) {
+            self->refuse(statement, session_error::busy, "client account is above its rate", *wait);
+            return;
+        }
+        admitted();
+    });
 }
 
 std::optional<run_order> client_session::make_order(session_statement statement,
@@ -251,15 +252,17 @@
 void client_session::begin(session_statement const& statement)
 {
     auto const account = authorize(statement);
-    if (!account || !admit(*account, statement)) {
+    if (!account) {
         return;
     }
-    m_state = transaction_state::open;
-    m_is_read_transaction = statement.kind == statement_kind::begin_read;
-    m_has_written = false;
     m_transaction_class = *find_class();
     m_transaction_account = *account;
-    answer_locally(statement);
+    admit(*account, statement, [self = shared_from_this(), statement] {
+        self->m_state = transaction_state::open;
+        self->m_is_read_transaction = statement.kind == statement_kind::begin_read;
+        self->m_has_written = false;
+        self->answer_locally(statement);
+    });
 }
 
 void client_session::run_single(session_statement statement)
@@ -269,16 +272,23 @@
         return;
     }
     auto order = make_order(statement, *account);
-    if (!order || !admit(*account, statement)) {
+    if (!order) {
         return;
     }
     order->work = *find_class();
-    auto const mode = order->is_write                                              ? run_mode::write
-                      : order->work.consistency == read_consistency::every_commit ? run_mode::proven_read
+    admit(*account, statement,
+          [self = shared_from_this(), order = *std::move(order)] { self->run_admitted(order); });
+}
+
+void client_session::run_admitted(run_order order)
+{
+    auto const statement = order.statement;
+    auto const mode = order.is_write                                              ? run_mode::write
+                      : order.work.consistency == read_consistency::every_commit ? run_mode::proven_read
                                                                                    : run_mode::read;
-    auto& group = m_engine.groups().group(order->work.group);
+    auto& group = m_engine.groups().group(order.work.group);
     std::make_shared<member_run>(
-        m_kernel, group, *std::move(order), mode,
+        m_kernel, group, std::move(order), mode,
         [self = shared_from_this(), statement, mode](run_result result) {
             if (mode == run_mode::write && result.answer.is_ok() && result.answer.position) {
                 self->m_floor = std::max(self->m_floor.value_or(log_position{}), *result.answer.position);
@@ -365,11 +375,12 @@
                   else {
                       group.note_failure(member, *answer.error);
                   }
-                  self->take_pinned_answer(statement, tries, std::move(answer));
+                  self->take_pinned_answer(statement, tries, sent_at, std::move(answer));
               });
 }
 
-void client_session::take_pinned_answer(session_statement statement, int tries, member_answer answer)
+void client_session::take_pinned_answer(session_statement statement, int tries, monotonic_time sent_at,
+                                        member_answer answer)
 {
     if (!m_pinned || m_is_closed) {
         drop_pinned();
@@ -398,6 +409,7 @@
     if (is_commit) {
         if (result.is_ok() && m_has_written && result.position) {
             m_floor = std::max(m_floor.value_or(log_position{}), *result.position);
+            group.prove_leader(m_pinned->member, *result.position, sent_at);
             group.note_commit(m_pinned->member, *result.position);
         }
         if (error == member_error::connection_lost || error == member_error::timed_out) {
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -62,13 +62,16 @@
     void run_in_transaction(session_statement statement);
     void open_and_run(session_statement statement);
     void send_pinned(session_statement statement, int tries);
-    void take_pinned_answer(session_statement statement, int tries, member_answer answer);
+    void take_pinned_answer(session_statement statement, int tries, monotonic_time sent_at,
+                            member_answer answer);
     void change_locally(session_statement const& statement);
 
     /// Checks key and class anew; answers the statement and returns nothing when it may not run.
     std::optional<std::string> authorize(session_statement const& statement);
     std::optional<served_class> find_class() const;
-    bool admit(std::string const& client_account, session_statement const& statement);
+    void admit(std::string const& client_account, session_statement const& statement,
+               std::function<void()> admitted);
+    void run_admitted(run_order order);
     std::optional<run_order> make_order(session_statement statement, std::string const& client_account);
 
     void answer_locally(session_statement const& statement);
--- a/libraries/sessions/member_run.cpp
+++ b/libraries/sessions/member_run.cpp
@@ -93,6 +93,16 @@
     return commands;
 }
 
+void close_unless_aligned(member_link& link, std::vector<member_answer> const& answers, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        if (!answers[i].is_ok()) {
+            link.close();
+            return;
+        }
+    }
+}
+
 member_run::member_run(kernel& kernel, database_group& group, run_order order, run_mode mode,
                        std::function<void(run_result)> done)
     : m_kernel(kernel), m_group(group), m_order(std::move(order)), m_mode(mode), m_done(std::move(done)),
@@ -152,7 +162,7 @@
         wait_for_evidence();
         return;
     }
-    auto* const member = m_group.choose_reader(m_order.client_account, m_excluded);
+    auto* const member = m_group.choose_reader(m_order.client_account, m_excluded, *required_floor());
     if (member == nullptr) {
         m_goes_to_leader = true;
         next_after(duration::zero());
@@ -232,17 +242,15 @@
 void member_run::send(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
                       std::string const& member, run_mode mode)
 {
-    std::vector<member_command> commands = commands_for(m_order, *link);
-    if (mode == run_mode::read) {
-        auto const floor = required_floor();
-        if (!floor) {
-            // The evidence grew too old while the statement waited for the link.
-            pool->release(link);
-            next_after(duration::zero());
-            return;
-        }
-        commands.back().floor = floor;
+    auto const floor = mode == run_mode::read ? required_floor() : std::nullopt;
+    if (mode == run_mode::read && !floor) {
+        // The evidence grew too old while the statement waited for the link.
+        pool->release(link);
+        next_after(duration::zero());
+        return;
     }
+    std::vector<member_command> commands = commands_for(m_order, *link);
+    commands.back().floor = floor;
     attempt sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
     if (mode == run_mode::proven_read) {
         member_command begin;
@@ -265,7 +273,6 @@
 void member_run::send_begin(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
                             std::string const& member, run_mode mode)
 {
-    auto commands = link->align_values(m_order.values);
     member_command begin;
     begin.kind = mode == run_mode::begin ? command_kind::begin : command_kind::begin_read;
     if (mode == run_mode::begin_read) {
@@ -276,6 +283,7 @@
             return;
         }
     }
+    auto commands = link->align_values(m_order.values);
     commands.push_back(std::move(begin));
     attempt const sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
     m_group.note_sent(member);
@@ -284,6 +292,10 @@
                [self = shared_from_this(), sent](std::vector<member_answer> answers) {
                    --self->m_in_flight;
                    self->m_group.note_returned(sent.member);
+                   if (auto const& position = answers[sent.offset].position) {
+                       self->m_group.note_position(sent.member, *position);
+                   }
+                   close_unless_aligned(*sent.link, answers, sent.offset);
                    self->take_begin_answer(sent, std::move(answers[sent.offset]));
                });
     watch_for_answer(member, mode);
@@ -328,10 +340,14 @@
             answer = begun;
         }
     }
+    close_unless_aligned(*sent.link, answers, sent.offset);
     if (answer.error == member_error::unknown_prepared) {
         sent.link->forget_prepared();
     }
     sent.pool->release(sent.link);
+    if (answer.position) {
+        m_group.note_position(sent.member, *answer.position);
+    }
     if (answer.is_ok()) {
         m_group.note_answer(sent.member, m_kernel.now() - sent.sent_at);
     }
@@ -406,18 +422,30 @@
     next_after(unreachable_pause);
 }
 
+void member_run::log_attempt(std::string const& member, member_error error) const
+{
+    Json::Value fields(Json::objectValue);
+    fields["request"] = m_order.statement.id;
+    fields["group"] = m_group.name();
+    fields["member"] = member;
+    fields["error"] = std::string(find_name(member_error_names, error));
+    fields["attempt"] = Json::UInt64(m_attempts);
+    fields["after_ms"] = to_milliseconds(m_kernel.now() - m_order.arrived);
+    m_kernel.log(log_level::info, "sessions", "attempt at a member failed", std::move(fields));
+}
+
 bool member_run::try_elsewhere(std::string const& member, member_error error)
 {
     if (!m_done) {
         return true;
     }
+    log_attempt(member, error);
     switch (error) {
     case member_error::read_only:
         m_group.deny_leader(member);
         next_after(duration::zero());
         return true;
     case member_error::lagging:
-        m_group.note_lagging(member);
         m_excluded.insert(member);
         next_after(duration::zero());
         return true;
--- a/libraries/sessions/member_run.h
+++ b/libraries/sessions/member_run.h
@@ -53,6 +53,9 @@
 /// Commands that run the statement of `order` on `link`, with what has to come before it.
 std::vector<member_command> commands_for(run_order const& order, member_link& link);
 
+/// Closes a link on which one of the first `count` commands failed: what it holds is not known any more.
+void close_unless_aligned(member_link& link, std::vector<member_answer> const& answers, std::size_t count);
+
 /// Runs one statement: chooses a member, waits for a link, sends, and tries again elsewhere where nothing was
 /// run or a read may be repeated. Calls back once.
 class member_run : public std::enable_shared_from_this<member_run> {
@@ -87,6 +90,7 @@
     void take_begin_answer(attempt const& sent, member_answer answer);
     /// Handles an error that says nothing was run; true when it was one.
     bool try_elsewhere(std::string const& member, member_error error);
+    void log_attempt(std::string const& member, member_error error) const;
     std::optional<log_position> required_floor() const;
     duration lead_time() const;
     void refuse(session_error error, std::string text, duration retry_after = {});
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -125,7 +125,24 @@
 struct account_demand {
     std::string client_account;
     std::uint32_t operations = 0; ///< In a second, in hundredths.
-    MSGPACK_DEFINE(client_account, operations)
+    std::uint32_t tokens = 0;     ///< That the sender holds.
+    MSGPACK_DEFINE(client_account, operations, tokens)
+};
+
+/// Asks for tokens of a client account's rate.
+struct token_request {
+    std::string client_account;
+    std::uint64_t number = 0; ///< Of the sender's incarnation.
+    std::uint32_t wanted = 0;
+    MSGPACK_DEFINE(client_account, number, wanted)
+};
+
+/// Gives tokens, which the sender has subtracted before. A lost grant loses them, and never makes any.
+struct token_grant {
+    std::string client_account;
+    std::uint64_t number = 0; ///< Of the request that this answers.
+    std::uint32_t tokens = 0;
+    MSGPACK_DEFINE(client_account, number, tokens)
 };
 
 /// What the sender knows of a group's leader.
@@ -151,7 +168,8 @@
 
 using peer_message =
     std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
-                 primary_suspicion, share_transfer, share_request, vm_report>;
+                 primary_suspicion, share_transfer, share_request, vm_report, token_request,
+                 token_grant>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
