fleet: Follow the store through one VM of each zone

Change: one VM of a zone follows the configuration, one of all the directory; reports carry version, digest and age, so that the others read only what changed. Reports use short names and go to other zones half as often.

--- a/libraries/fleet/fleet_state.cpp
+++ b/libraries/fleet/fleet_state.cpp
@@ -3,8 +3,26 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
+#include "wire/short_names.h"
+
 namespace greengagehitch {
 
+namespace {
+
+std::uint32_t digest_of(member_directory const& members)
+{
+    std::string text;
+    for (auto const& [id, entry] : members) {
+        text += fmt::format("{} {} {} {} {}\n", id, entry.address.to_string(), entry.is_draining,
+                            entry.claims_primary, entry.started_at);
+    }
+    return to_short_name(text);
+}
+
+} // namespace
+
 Json::Value fleet_state::dump() const
 {
     Json::Value state(Json::objectValue);
@@ -41,6 +59,7 @@
 void fleet_state::set_members(member_directory members)
 {
     m_members = std::move(members);
+    m_directory_digest = digest_of(m_members);
     for (auto const& follower : m_member_followers) {
         follower(m_members);
     }
--- a/libraries/fleet/fleet_state.h
+++ b/libraries/fleet/fleet_state.h
@@ -31,6 +31,9 @@
 
     void set_members(member_directory members);
 
+    /// Digest of what matters in the directory, to compare with peers'.
+    std::uint32_t directory_digest() const { return m_directory_digest; }
+
     /// Null until the first version came.
     std::shared_ptr<served_configuration const> const& configuration() const { return m_configuration; }
     member_directory const& members() const { return m_members; }
@@ -52,6 +55,7 @@
     std::shared_ptr<served_configuration const> m_configuration;
     std::optional<monotonic_time> m_confirmed_at;
     member_directory m_members;
+    std::uint32_t m_directory_digest = 0;
     std::vector<std::function<void(served_configuration const&)>> m_configuration_followers;
     std::vector<std::function<void(member_directory const&)>> m_member_followers;
 };
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -3,19 +3,25 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/short_names.h"
+
 namespace greengagehitch {
 
 namespace {
 
 /// Suspicions are looked at this often, and reported at once when they change.
 constexpr duration tick_period = std::chrono::milliseconds(100);
-/// Reports go out this often in a fleet of up to `usual_fleet` VMs, and more seldom in larger ones.
-constexpr duration report_period = std::chrono::milliseconds(500);
+/// Reports go out this often within an availability zone, and half as often to others, in a fleet of up to
+/// `usual_fleet` VMs, and more seldom in larger ones.
+constexpr duration report_period = std::chrono::milliseconds(600);
 constexpr std::size_t usual_fleet = 16;
-constexpr duration report_lifetime = std::chrono::milliseconds(1'600);
+constexpr duration report_lifetime = std::chrono::milliseconds(3'000);
 /// A peer that knew the newest configuration this lately reaches the store.
 constexpr std::uint32_t store_contact_ms = 2'500;
 constexpr std::uint32_t no_store_contact_ms = 1'000'000;
+/// Own knowledge of the configuration that is older than this is renewed by asking the store.
+constexpr duration evidence_patience = std::chrono::milliseconds(2'200);
+constexpr duration sent_memory = std::chrono::seconds(10);
 
 } // namespace
 
@@ -50,51 +56,75 @@
     }
     auto const fleet = std::max<std::size_t>(usual_fleet, m_membership->fleet_size());
     auto const period = report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
+    auto const configuration = m_fleet->configuration();
+    auto const version = configuration ? configuration->version : 0;
+    has_news = has_news || std::exchange(m_told_version, version) != version ||
+               std::exchange(m_told_directory, m_fleet->directory_digest()) != m_fleet->directory_digest();
     if (now - m_published_at >= period) {
         m_demands = m_rates->publish(now - m_published_at);
         m_published_at = now;
-        has_news = true;
+        m_is_odd_period = !m_is_odd_period;
+        broadcast(has_news);
     }
-    if (has_news) {
-        broadcast();
+    else if (has_news) {
+        broadcast(true);
     }
 }
 
 void report_service::send_now()
 {
-    broadcast();
+    broadcast(true);
 }
 
-void report_service::broadcast()
+vm_report report_service::make_report() const
 {
     vm_report report;
+    auto const configuration = m_fleet->configuration();
+    report.configuration_version = configuration ? configuration->version : 0;
+    report.directory = m_fleet->directory_digest();
     auto const age = m_fleet->configuration_age();
     report.store_age_ms = age ? static_cast<std::uint32_t>(std::min<std::int64_t>(
-                                    no_store_contact_ms, to_microseconds(*age) / 1000))
+                                    no_store_contact_ms, to_microseconds(*age) / 1000 + 1))
                               : no_store_contact_ms;
     for (auto const& [name, peer] : m_membership->peers()) {
         if (m_membership->is_reachable(peer)) {
-            report.heard.push_back(name);
+            report.heard.push_back(to_short_name(name));
         }
     }
     report.demands = m_demands;
     for (auto const& [name, group] : m_groups->groups()) {
         leader_report entry;
-        entry.group = name;
+        entry.group = to_short_name(name);
         if (auto const* const leader = group->leader(); leader != nullptr) {
             entry.member = leader->entry.id;
             entry.term = leader->proven_term;
         }
         entry.highest_term = group->highest_seen().term;
         entry.highest_position = group->highest_seen().position;
-        entry.is_suspected = m_suspected[name];
+        entry.is_suspected = group->suspects_leader();
         entry.holds_duty = m_holds_duty && m_holds_duty(name);
         report.leaders.push_back(std::move(entry));
     }
+    return report;
+}
+
+void report_service::broadcast(bool is_urgent)
+{
+    auto report = make_report();
+    auto const now = m_kernel.now();
+    report.number = ++m_number;
+    m_sent_at[report.number] = now;
+    while (now - m_sent_at.begin()->second > sent_memory) {
+        m_sent_at.erase(m_sent_at.begin());
+    }
     for (auto const& [name, peer] : m_membership->peers()) {
-        if (m_membership->is_reachable(peer)) {
-            m_membership->send(name, report);
+        auto const is_near = peer.availability_zone == m_membership->identity().availability_zone;
+        if (!m_membership->is_reachable(peer) || (!is_near && !is_urgent && m_is_odd_period)) {
+            continue;
         }
+        auto const heard = m_reports.find(name);
+        report.echo = heard == m_reports.end() ? 0 : heard->second.report.number;
+        m_membership->send(name, report);
     }
 }
 
@@ -102,11 +132,60 @@
 {
     m_reports[peer.name] = {report, m_kernel.now()};
     m_rates->take_report(peer.name, report);
+    compare(peer, report);
     for (auto const& entry : report.leaders) {
-        if (entry.term != 0 && !entry.is_suspected) {
-            m_groups->group(entry.group).hear_of_leader(entry.member, entry.term);
+        if (entry.term == 0 || entry.is_suspected) {
+            continue;
+        }
+        for (auto const& [name, group] : m_groups->groups()) {
+            if (to_short_name(name) == entry.group) {
+                group->hear_of_leader(entry.member, entry.term);
+            }
+        }
+    }
+}
+
+void report_service::compare(peer_state const& /*peer*/, vm_report const& report)
+{
+    auto const configuration = m_fleet->configuration();
+    auto const version = configuration ? configuration->version : 0;
+    auto const sent = m_sent_at.find(report.echo);
+    if (version != 0 && report.configuration_version == version && sent != m_sent_at.end() &&
+        report.store_age_ms < no_store_contact_ms) {
+        // The peer wrote this after it had heard our report, so its word is no older than that.
+        m_fleet->confirm_configuration(sent->second - std::chrono::milliseconds(report.store_age_ms));
+    }
+    if (report.configuration_version > version && m_read_configuration) {
+        m_read_configuration();
+    }
+    if (report.directory != m_fleet->directory_digest() && report.store_age_ms <= store_contact_ms &&
+        m_read_directory) {
+        m_read_directory();
+    }
+}
+
+bool report_service::is_first(bool of_zone) const
+{
+    auto const& own = m_membership->identity();
+    for (auto const& name : peers_with_store()) {
+        auto const is_counted = !of_zone || m_membership->availability_zone_of(name) == own.availability_zone;
+        if (is_counted && name < own.name) {
+            return false;
         }
     }
+    return true;
+}
+
+bool report_service::follows_configuration() const
+{
+    auto const age = m_fleet->configuration_age();
+    return !age || *age > evidence_patience || is_first(true);
+}
+
+bool report_service::follows_directory() const
+{
+    auto const age = m_fleet->configuration_age();
+    return !age || *age > evidence_patience || is_first(false);
 }
 
 bool report_service::is_fresh(received_report const& entry) const
@@ -125,7 +204,7 @@
             continue;
         }
         for (auto const& each : entry.report.leaders) {
-            if (each.group != group.name()) {
+            if (each.group != to_short_name(group.name())) {
                 continue;
             }
             ++opinion.voters;
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -36,6 +36,19 @@
     /// What the VMs that were heard lately say of a group.
     group_opinion opinion_on(database_group const& group) const;
 
+    /// True when this VM is the one of its availability zone that follows the configuration in the store for
+    /// the others there; also when the others' word is missing.
+    bool follows_configuration() const;
+    /// True when this VM is the one of all that hear each other that follows the members' directory.
+    bool follows_directory() const;
+
+    /// Set by the adapter of the store: to read at once what a peer knows better.
+    void set_read_hooks(std::function<void()> read_configuration, std::function<void()> read_directory)
+    {
+        m_read_configuration = std::move(read_configuration);
+        m_read_directory = std::move(read_directory);
+    }
+
     /// Peers that were heard lately and reach the platform's store.
     std::vector<std::string> peers_with_store() const;
 
@@ -52,7 +65,10 @@
     };
 
     void tick();
-    void broadcast();
+    void broadcast(bool is_urgent);
+    vm_report make_report() const;
+    void compare(peer_state const& peer, vm_report const& report);
+    bool is_first(bool of_zone) const;
     void take_report(peer_state const& peer, vm_report const& report);
     bool is_fresh(received_report const& entry) const;
 
@@ -66,6 +82,13 @@
     std::map<std::string, bool> m_suspected;
     std::function<bool(std::string const&)> m_holds_duty;
     monotonic_time m_published_at;
+    std::uint32_t m_number = 0;
+    std::map<std::uint32_t, monotonic_time> m_sent_at; ///< Of own reports, by number.
+    std::uint64_t m_told_version = 0;
+    std::uint32_t m_told_directory = 0;
+    bool m_is_odd_period = false;
+    std::function<void()> m_read_configuration;
+    std::function<void()> m_read_directory;
 };
 
 } // namespace greengagehitch
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -13,8 +13,8 @@
 /// Remembers about four seconds, so that single operations do not move the parts.
 constexpr double demand_smoothing = 0.12;
 constexpr double smallest_demand = 0.05;
-/// Reports come twice a second; a peer that missed three is not counted on.
-constexpr duration report_lifetime = std::chrono::milliseconds(1'600);
+/// Reports come about once a second; a peer that missed two is not counted on.
+constexpr duration report_lifetime = std::chrono::milliseconds(3'000);
 constexpr double hundredths = 100;
 
 /// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or more.
@@ -43,7 +43,7 @@
     m_total.clear();
 }
 
-void rate_division::add_own(std::map<std::string, double> const& demands)
+void rate_division::add_own(std::map<short_name, double> const& demands)
 {
     m_own = demands;
     for (auto const& [account, demand] : demands) {
@@ -51,7 +51,7 @@
     }
 }
 
-void rate_division::add_peer(std::map<std::string, double> const& demands)
+void rate_division::add_peer(std::map<short_name, double> const& demands)
 {
     ++m_heard;
     for (auto const& [account, demand] : demands) {
@@ -62,8 +62,8 @@
 double rate_division::part_of(std::string const& client_account) const
 {
     auto const fleet = static_cast<double>(std::max(m_fleet_size, m_heard));
-    auto const total = m_total.find(client_account);
-    auto const own = m_own.find(client_account);
+    auto const total = m_total.find(to_short_name(client_account));
+    auto const own = m_own.find(to_short_name(client_account));
     if (total == m_total.end() || total->second <= 0) {
         return 1 / fleet;
     }
@@ -181,7 +181,7 @@
     }
     std::vector<std::pair<std::uint32_t, std::string>> stocks;
     for (auto const& [name, peer] : m_peers) {
-        auto const stock = peer.tokens.find(client_account);
+        auto const stock = peer.tokens.find(to_short_name(client_account));
         if (now - peer.heard_at <= report_lifetime && stock != peer.tokens.end() && stock->second != 0) {
             stocks.emplace_back(stock->second, name);
         }
@@ -228,7 +228,7 @@
     }
     bucket.requests.erase(request);
     if (grant.tokens == 0) {
-        m_peers[peer].tokens[grant.client_account] = 0;
+        m_peers[peer].tokens[to_short_name(grant.client_account)] = 0;
     }
     bucket.tokens += grant.tokens;
     serve_waiting(grant.client_account, bucket);
@@ -280,7 +280,7 @@
     }
     divide();
     for (auto const& [account, bucket] : m_buckets) {
-        demands.push_back({account, static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths)),
+        demands.push_back({to_short_name(account), static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths)),
                            static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
     }
     return demands;
@@ -290,8 +290,8 @@
 {
     auto& entry = m_peers[peer];
     entry.heard_at = m_kernel.now();
-    entry.hears_us = std::find(report.heard.begin(), report.heard.end(), m_membership->identity().name) !=
-                     report.heard.end();
+    auto const own_name = to_short_name(m_membership->identity().name);
+    entry.hears_us = std::find(report.heard.begin(), report.heard.end(), own_name) != report.heard.end();
     entry.demands.clear();
     entry.tokens.clear();
     for (auto const& demand : report.demands) {
@@ -304,9 +304,9 @@
 {
     auto const now = m_kernel.now();
     m_division.reset(m_membership->fleet_size());
-    std::map<std::string, double> own;
+    std::map<short_name, double> own;
     for (auto const& [account, bucket] : m_buckets) {
-        own[account] = bucket.published;
+        own[to_short_name(account)] = bucket.published;
     }
     m_division.add_own(own);
     for (auto const& [name, peer] : m_peers) {
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -11,7 +11,7 @@
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
 #include "membership/membership_service.h"
-#include "wire/peer_messages.h"
+#include "wire/short_names.h"
 
 namespace greengagehitch {
 
@@ -24,8 +24,8 @@
     void reset(std::size_t fleet_size);
 
     /// Adds this VM's or a heard peer's published demand, by client account.
-    void add_own(std::map<std::string, double> const& demands);
-    void add_peer(std::map<std::string, double> const& demands);
+    void add_own(std::map<short_name, double> const& demands);
+    void add_peer(std::map<short_name, double> const& demands);
 
     /// Part of the account's rate in [0, 1].
     double part_of(std::string const& client_account) const;
@@ -33,8 +33,8 @@
 private:
     std::size_t m_fleet_size = 1;
     std::size_t m_heard = 1;
-    std::map<std::string, double> m_own;
-    std::map<std::string, double> m_total;
+    std::map<short_name, double> m_own;
+    std::map<short_name, double> m_total;
 };
 
 /// Called with nothing when an operation is admitted, otherwise with the time after which a token is expected.
@@ -84,8 +84,8 @@
     };
 
     struct peer_demands {
-        std::map<std::string, double> demands;
-        std::map<std::string, std::uint32_t> tokens; ///< Stock that the peer published.
+        std::map<short_name, double> demands;
+        std::map<short_name, std::uint32_t> tokens; ///< Stock that the peer published.
         bool hears_us = false;
         monotonic_time heard_at;
     };
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr duration gossip_period = std::chrono::milliseconds(500);
-constexpr duration suspicion_time = std::chrono::milliseconds(1'600);
 constexpr duration forget_time = std::chrono::minutes(5);
 constexpr duration shortest_list_period = std::chrono::seconds(2);
 constexpr duration heartbeat_memory = std::chrono::seconds(10);
@@ -24,9 +22,10 @@
 
 membership_service::membership_service(kernel& kernel, platform_hooks const& platform, vm_identity identity,
                                        peer_codec codec,
-                                       std::function<void(endpoint const&, std::string)> send_datagram)
+                                       std::function<void(endpoint const&, std::string)> send_datagram,
+                                       membership_pace pace)
     : m_kernel(kernel), m_platform(platform), m_identity(std::move(identity)), m_codec(std::move(codec)),
-      m_send_datagram(std::move(send_datagram))
+      m_pace(pace), m_send_datagram(std::move(send_datagram))
 {
 }
 
@@ -36,7 +35,7 @@
         // read_heartbeat() has taken it in, since it alone may change the peer's state.
     });
     poll_list();
-    m_kernel.start_periodic(gossip_period, [this] {
+    m_kernel.start_periodic(m_pace.gossip_period, [this] {
         forget_silent_peers();
         m_is_odd_period = !m_is_odd_period;
         // A large fleet has news at once from those that hear them, so its regular heartbeats may be fewer.
@@ -120,7 +119,7 @@
 
 bool membership_service::is_reachable(peer_state const& peer) const
 {
-    return peer.last_heard && m_kernel.now() - *peer.last_heard <= suspicion_time;
+    return peer.last_heard && m_kernel.now() - *peer.last_heard <= m_pace.suspicion_time;
 }
 
 bool membership_service::has_majority() const
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -21,6 +21,12 @@
     std::uint64_t incarnation = 0; ///< Random, new with each start.
 };
 
+/// How often the VM shows signs of life by itself, and how long it believes in those of others.
+struct membership_pace {
+    duration gossip_period = std::chrono::milliseconds(500);
+    duration suspicion_time = std::chrono::milliseconds(1'600);
+};
+
 /// What is known of another entry VM.
 struct peer_state {
     std::string name;
@@ -43,7 +49,8 @@
     static constexpr std::string_view service_name = "membership";
 
     membership_service(kernel& kernel, platform_hooks const& platform, vm_identity identity, peer_codec codec,
-                       std::function<void(endpoint const&, std::string)> send_datagram);
+                       std::function<void(endpoint const&, std::string)> send_datagram,
+                       membership_pace pace = {});
 
     std::string_view name() const override { return service_name; }
     void start() override;
@@ -124,6 +131,7 @@
     platform_hooks const& m_platform;
     vm_identity m_identity;
     peer_codec m_codec;
+    membership_pace m_pace;
     std::function<void(endpoint const&, std::string)> m_send_datagram;
     std::map<std::string, peer_state> m_peers;
     std::map<std::size_t, std::function<void(peer_state const&, peer_message const&)>> m_handlers;
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -6,6 +6,15 @@
 
 namespace greengagehitch {
 
+namespace {
+
+/// Reports are signs of life too; heartbeats only make VMs known to each other.
+constexpr duration heartbeat_period = std::chrono::seconds(2);
+/// Time in which two reports to another zone should have come.
+constexpr duration peer_suspicion_time = std::chrono::milliseconds(2'600);
+
+} // namespace
+
 session_vm::session_vm(session_vm_settings const& settings, session_vm_hooks hooks)
     : m_hooks(std::move(hooks)), m_name(settings.name), m_kernel(m_hooks.kernel)
 {
@@ -13,7 +22,8 @@
                          m_kernel.random()};
     m_kernel.add(std::make_unique<membership_service>(
         m_kernel, m_hooks.platform, std::move(identity),
-        peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram));
+        peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram,
+        membership_pace{heartbeat_period, peer_suspicion_time}));
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel));
     m_kernel.add(std::make_unique<group_registry>(m_kernel, m_hooks.links));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -45,6 +45,7 @@
 
     session_engine& sessions() { return *m_sessions; }
     fleet_state& fleet() { return *m_fleet; }
+    report_service& reports() { return m_kernel.find<report_service>(report_service::service_name); }
     Json::Value dump() const;
 
 private:
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -121,33 +121,21 @@
     MSGPACK_DEFINE(allotment, number, waiting, wanted, held, demand, prolonged)
 };
 
+/// Short name of a client account, group or VM in reports, which go out often. Names that share one are
+/// treated as one by the receiver, which costs fairness but breaks no bound.
+using short_name = std::uint32_t;
+
 /// Demand of one client account at the sender.
 struct account_demand {
-    std::string client_account;
+    short_name client_account = 0;
     std::uint32_t operations = 0; ///< In a second, in hundredths.
     std::uint32_t tokens = 0;     ///< That the sender holds.
     MSGPACK_DEFINE(client_account, operations, tokens)
 };
 
-/// Asks for tokens of a client account's rate.
-struct token_request {
-    std::string client_account;
-    std::uint64_t number = 0; ///< Of the sender's incarnation.
-    std::uint32_t wanted = 0;
-    MSGPACK_DEFINE(client_account, number, wanted)
-};
-
-/// Gives tokens, which the sender has subtracted before. A lost grant loses them, and never makes any.
-struct token_grant {
-    std::string client_account;
-    std::uint64_t number = 0; ///< Of the request that this answers.
-    std::uint32_t tokens = 0;
-    MSGPACK_DEFINE(client_account, number, tokens)
-};
-
 /// What the sender knows of a group's leader.
 struct leader_report {
-    std::string group;
+    short_name group = 0;
     std::string member; ///< Empty when the sender knows none.
     std::uint64_t term = 0;
     std::uint64_t highest_term = 0; ///< Of the highest position that the sender saw committed.
@@ -159,11 +147,31 @@
 
 /// State that VMs which serve sessions share with each other.
 struct vm_report {
-    std::uint32_t store_age_ms = 0; ///< Since the sender's configuration was known to be the newest.
-    std::vector<std::string> heard; ///< Peers that the sender hears.
+    std::uint32_t number = 0; ///< Grows with each report of the sender's incarnation.
+    std::uint32_t echo = 0;   ///< Number of the last report heard from the receiver.
+    std::uint64_t configuration_version = 0;
+    std::uint32_t store_age_ms = 0; ///< Since that version was known to be the newest.
+    std::uint32_t directory = 0;    ///< Digest of the members' directory as the sender knows it.
+    std::vector<short_name> heard;  ///< Peers that the sender hears.
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
-    MSGPACK_DEFINE(store_age_ms, heard, demands, leaders)
+    MSGPACK_DEFINE(number, echo, configuration_version, store_age_ms, directory, heard, demands, leaders)
+};
+
+/// Asks for tokens of a client account's rate.
+struct token_request {
+    std::string client_account;
+    std::uint64_t number = 0; ///< Of the sender's incarnation.
+    std::uint32_t wanted = 0;
+    MSGPACK_DEFINE(client_account, number, wanted)
+};
+
+/// Gives tokens, which the sender has subtracted before. A lost grant loses them, and never makes any.
+struct token_grant {
+    std::string client_account;
+    std::uint64_t number = 0; ///< Of the request that this answers.
+    std::uint32_t tokens = 0;
+    MSGPACK_DEFINE(client_account, number, tokens)
 };
 
 using peer_message =
--- /dev/null
+++ b/libraries/wire/short_names.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string_view>
+
+#include "wire/peer_messages.h"
+
+namespace greengagehitch {
+
+/// Short name by which reports refer to a VM, client account or group.
+short_name to_short_name(std::string_view name);
+
+} // namespace greengagehitch
