--- /dev/null
+++ b/libraries/adapters/peer_channels.cpp
@@ -0,0 +1,220 @@
+#include "adapters/peer_channels.h"
+
+#include <utility>
+
+#include "base/digest.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::size_t length_size = 4;
+constexpr std::size_t longest_message = 4UL * 1024 * 1024;
+/// A connection that is not there by then will not serve the requests that wait for it.
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
+constexpr int bits_in_byte = 8;
+
+std::string frame(std::string const& message)
+{
+    std::string framed;
+    framed.reserve(length_size + message.size());
+    for (std::size_t i = 0; i < length_size; ++i) {
+        framed.push_back(static_cast<char>(message.size() >> (bits_in_byte * i)));
+    }
+    return framed + message;
+}
+
+std::size_t read_length(std::string const& bytes)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < length_size; ++i) {
+        length |= static_cast<std::size_t>(static_cast<unsigned char>(bytes[i])) << (bits_in_byte * i);
+    }
+    return length;
+}
+
+} // namespace
+
+struct peer_channels::channel {
+    std::shared_ptr<tcp_stream> stream;
+    std::string vm;           ///< Of an outgoing connection.
+    std::uint64_t number = 0; ///< Of an incoming connection.
+    std::string input;
+    bool is_connected = false;
+    bool is_proven = false;
+    bool is_ended = false;
+};
+
+peer_channels::peer_channels(reactor& reactor, std::string const& fleet_secret)
+    : m_reactor(reactor), m_proof(hmac_sha256(fleet_secret, "channels")),
+      m_acceptor(reactor, [this](std::shared_ptr<tcp_stream> stream) { accept(std::move(stream)); })
+{
+}
+
+peer_channels::~peer_channels()
+{
+    for (auto const& [vm, each] : m_outgoing) {
+        each->stream->close();
+    }
+    for (auto const& [number, each] : m_incoming) {
+        each->stream->close();
+    }
+}
+
+channel_hooks peer_channels::hooks()
+{
+    return {[this](std::string const& vm, endpoint const& address, std::string const& message) {
+                send(vm, address, message);
+            },
+            [this](std::string const& vm) { drop(vm); },
+            [this](channel_id to, std::string const& message) { reply(to, message); }};
+}
+
+void peer_channels::send(std::string const& vm, endpoint const& address, std::string const& message)
+{
+    if (!m_outgoing.contains(vm)) {
+        connect(vm, address);
+    }
+    auto const found = m_outgoing.find(vm);
+    if (found == m_outgoing.end()) {
+        m_reactor.start_timer(duration::zero(), [this, vm] { m_events.lost(vm, false); });
+        return;
+    }
+    found->second->stream->send(frame(message));
+}
+
+void peer_channels::connect(std::string const& vm, endpoint const& address)
+{
+    if (address.port == 0) {
+        return;
+    }
+    auto stream = tcp_stream::try_connect(m_reactor, address);
+    if (!stream) {
+        return;
+    }
+    auto const added = std::make_shared<channel>();
+    added->stream = std::move(stream);
+    added->vm = vm;
+    added->is_proven = true;
+    m_outgoing[vm] = added;
+    auto const weak = std::weak_ptr(added);
+    tcp_stream::events events;
+    events.connected = [weak] {
+        if (auto const channel = weak.lock()) {
+            channel->is_connected = true;
+        }
+    };
+    events.bytes = [this, weak](std::string_view bytes) {
+        if (auto const channel = weak.lock()) {
+            take_bytes(channel, bytes);
+        }
+    };
+    events.ended = [this, weak] {
+        if (auto const channel = weak.lock()) {
+            end(channel);
+        }
+    };
+    added->stream->start(std::move(events));
+    added->stream->send(frame(m_proof));
+    m_reactor.start_timer(connect_timeout, [this, weak] {
+        auto const channel = weak.lock();
+        if (channel && !channel->is_connected && !channel->is_ended) {
+            end(channel);
+        }
+    });
+}
+
+void peer_channels::drop(std::string const& vm)
+{
+    auto const found = m_outgoing.find(vm);
+    if (found == m_outgoing.end()) {
+        return;
+    }
+    auto const dropped = found->second;
+    m_outgoing.erase(found);
+    dropped->is_ended = true;
+    dropped->stream->close();
+}
+
+void peer_channels::reply(channel_id to, std::string const& message)
+{
+    auto const found = m_incoming.find(static_cast<std::uint64_t>(to));
+    if (found != m_incoming.end()) {
+        found->second->stream->send(frame(message));
+    }
+}
+
+void peer_channels::accept(std::shared_ptr<tcp_stream> stream)
+{
+    auto const added = std::make_shared<channel>();
+    added->stream = std::move(stream);
+    added->number = m_next_number++;
+    added->is_connected = true;
+    m_incoming[added->number] = added;
+    auto const weak = std::weak_ptr(added);
+    tcp_stream::events events;
+    events.bytes = [this, weak](std::string_view bytes) {
+        if (auto const channel = weak.lock()) {
+            take_bytes(channel, bytes);
+        }
+    };
+    events.ended = [this, weak] {
+        if (auto const channel = weak.lock()) {
+            end(channel);
+        }
+    };
+    added->stream->start(std::move(events));
+}
+
+void peer_channels::take_bytes(std::shared_ptr<channel> const& from, std::string_view bytes)
+{
+    from->input.append(bytes);
+    while (!from->is_ended && from->input.size() >= length_size) {
+        auto const length = read_length(from->input);
+        if (length > longest_message) {
+            end(from);
+            return;
+        }
+        if (from->input.size() < length_size + length) {
+            return;
+        }
+        auto const message = from->input.substr(length_size, length);
+        from->input.erase(0, length_size + length);
+        take_message(*from, message);
+    }
+}
+
+void peer_channels::take_message(channel& from, std::string const& message)
+{
+    if (from.number == 0) {
+        m_events.reply(from.vm, message);
+        return;
+    }
+    if (from.is_proven) {
+        m_events.request(channel_id{from.number}, message);
+        return;
+    }
+    if (!is_equal_in_constant_time(message, m_proof)) {
+        end(m_incoming.at(from.number));
+        return;
+    }
+    from.is_proven = true;
+}
+
+void peer_channels::end(std::shared_ptr<channel> const& ended)
+{
+    auto const keep_alive = ended;
+    if (std::exchange(ended->is_ended, true)) {
+        return;
+    }
+    ended->stream->close();
+    if (ended->number != 0) {
+        m_incoming.erase(ended->number);
+        m_events.closed(channel_id{ended->number});
+        return;
+    }
+    m_outgoing.erase(ended->vm);
+    m_events.lost(ended->vm, ended->is_connected);
+}
+
+} // namespace greengagehitch
--- a/libraries/database/group_contract.h
+++ b/libraries/database/group_contract.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include <msgpack.hpp>
+
 #include "base/enum_names.h"
 #include "database/statement.h"
 
@@ -16,6 +18,7 @@
     std::uint64_t position = 0;
 
     auto operator<=>(log_position const&) const = default;
+    MSGPACK_DEFINE(term, position)
 };
 
 enum class member_role { replica, primary };
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -26,6 +26,11 @@
 constexpr int most_orders = 25;
 constexpr duration lead_poll = std::chrono::milliseconds(60);
 constexpr int most_lead_polls = 50;
+/// Time for which a claim keeps others from acting for the group. The platform's rules forbid two holders to
+/// act in turn within three seconds; the rest covers orders on their way.
+constexpr std::int64_t claim_lifetime_ms = 4'500;
+/// An order is given only on a claim that is younger than this.
+constexpr duration fresh_claim = std::chrono::milliseconds(1'400);
 /// Connections for questions to members belong to no client account.
 constexpr auto control_account = "-";
 
@@ -38,12 +43,13 @@
     std::string holder;
     std::string member;
     std::uint64_t fence = 0;
+    std::int64_t claimed_at_ms = 0; ///< On the store's clock.
 };
 
 duty_row parse_row(std::optional<table_row> const& row)
 {
     duty_row parsed;
-    if (!row) {
+    if (!row || row->version == 0) {
         return parsed;
     }
     auto const root = try_parse_json(row->value);
@@ -51,6 +57,7 @@
         parsed.holder = (*root)["holder"].asString();
         parsed.member = (*root)["member"].asString();
         parsed.fence = (*root)["fence"].asUInt64();
+        parsed.claimed_at_ms = (*root)["claimed_at_ms"].asInt64();
     }
     return parsed;
 }
@@ -336,6 +343,7 @@
 {
     auto* const running = find(group);
     auto const number = running->number;
+    running->claimed_at = m_kernel.now();
     m_platform.read_row(row_key(group), m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(
                                             [this, group, member, number, claimed](
                                                 absl::StatusOr<std::optional<table_row>> const& row) {
@@ -346,24 +354,36 @@
                                                     end(group, "store did not answer", true);
                                                     return;
                                                 }
-                                                auto const version = *row ? (*row)->version : 0;
-                                                put_claim(group, member, version, parse_row(*row).fence + 1,
-                                                          claimed);
+                                                take_claim_row(group, member, *row, claimed);
                                             }));
 }
 
+void takeover_service::take_claim_row(std::string const& group, std::string const& member,
+                                      std::optional<table_row> const& row, std::function<void()> claimed)
+{
+    auto const known = parse_row(row);
+    auto const now_ms = row ? row->read_at_ms : 0;
+    auto const is_mine = known.holder == m_membership->identity().name;
+    if (!is_mine && !known.holder.empty() && now_ms - known.claimed_at_ms < claim_lifetime_ms) {
+        end(group, "another VM holds the duty", true);
+        return;
+    }
+    auto const fence = is_mine && known.member == member ? known.fence : known.fence + 1;
+    put_claim(group, member, row ? row->version : 0, {fence, now_ms}, std::move(claimed));
+}
+
 void takeover_service::put_claim(std::string const& group, std::string const& member,
-                                 std::uint64_t row_version, std::uint64_t fence,
-                                 std::function<void()> claimed)
+                                 std::uint64_t row_version, claim claim, std::function<void()> claimed)
 {
     auto const number = find(group)->number;
     Json::Value row(Json::objectValue);
     row["holder"] = m_membership->identity().name;
     row["member"] = member;
-    row["fence"] = Json::UInt64(fence);
+    row["fence"] = Json::UInt64(claim.fence);
+    row["claimed_at_ms"] = Json::Int64(claim.made_at_ms);
     m_platform.put_row(row_key(group), row_version, to_json_line(row),
                        m_kernel.guard<absl::StatusOr<std::uint64_t>>(
-                           [this, group, member, number, fence, claimed](absl::StatusOr<std::uint64_t> const& put) {
+                           [this, group, member, number, claim, claimed](absl::StatusOr<std::uint64_t> const& put) {
                                auto* const running = find(group, number);
                                if (running == nullptr) {
                                    return;
@@ -374,7 +394,8 @@
                                        true);
                                    return;
                                }
-                               running->fence = fence;
+                               running->fence = claim.fence;
+
                                running->fenced_member = member;
                                m_held[group] = m_kernel.now();
                                m_reports->send_now();
@@ -392,6 +413,11 @@
         end(group, "orders were not carried out", true);
         return;
     }
+    if (m_kernel.now() - running->claimed_at > fresh_claim) {
+        // Another VM may have taken the duty meanwhile.
+        claim_duty(group, member, [this, group, member] { give_order(group, member); });
+        return;
+    }
     promotion_order order{group, member, m_membership->identity().name, running->fence};
     m_promote(order, m_kernel.guard<absl::Status>(
                          [this, group, member, number = running->number](absl::Status const& status) {
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -60,6 +60,11 @@
         bool is_draining = false;
     };
 
+    struct claim {
+        std::uint64_t fence = 0;
+        std::int64_t made_at_ms = 0; ///< On the store's clock.
+    };
+
     /// One replacement of a leader under way.
     struct takeover {
         std::uint64_t number = 0;
@@ -69,6 +74,7 @@
         std::uint64_t term = 0; ///< The new one.
         std::uint64_t row_version = 0;
         std::uint64_t fence = 0;
+        monotonic_time claimed_at;
         std::string fenced_member; ///< Member for which the fence was taken.
         std::map<std::string, link_pointer> links;
         std::map<std::string, heard_member> heard;
@@ -85,8 +91,10 @@
     bool is_my_turn(database_group const& group) const;
     void begin(database_group& group, takeover_cause cause);
     void claim_duty(std::string const& group, std::string const& member, std::function<void()> claimed);
+    void take_claim_row(std::string const& group, std::string const& member,
+                        std::optional<table_row> const& row, std::function<void()> claimed);
     void put_claim(std::string const& group, std::string const& member, std::uint64_t row_version,
-                   std::uint64_t fence, std::function<void()> claimed);
+                   claim claim, std::function<void()> claimed);
     void stop_replicas(std::string const& group);
     void ask(std::string const& group, std::string const& member, member_command command);
     void take_standing(std::string const& group, std::string const& member, member_answer const& answer);
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -11,8 +11,10 @@
 constexpr duration avoid_time = std::chrono::milliseconds(400);
 /// A replica that is too far behind is asked again for its position after this time.
 constexpr duration position_period = std::chrono::milliseconds(200);
+/// A member whose queue was too long has served part of it by then.
+constexpr duration crowded_time = std::chrono::milliseconds(30);
 constexpr duration search_period = std::chrono::milliseconds(80);
-constexpr duration question_timeout = std::chrono::milliseconds(300);
+constexpr std::uint32_t question_timeout_ms = 300;
 /// Silence after which a member that owes answers is suspected.
 constexpr duration suspicion_time = std::chrono::milliseconds(400);
 constexpr std::size_t suspicion_failures = 2;
@@ -48,21 +50,11 @@
         }
         if (found == m_members.end()) {
             found = m_members.emplace(entry.id, group_member{}).first;
-            link_pool::options options;
-            options.max_links = [max_links = m_dependencies.max_links, id = entry.id] { return max_links(id); };
-            options.on_open_failed = [this, id = entry.id](member_error error) { note_failure(id, error); };
-            options.on_opened = [this, id = entry.id](member_answer const&) {
-                if (auto* const member = find_member(id)) {
-                    member->failing_since.reset();
-                    member->failures = 0;
-                }
-            };
-            found->second.pool = std::make_shared<link_pool>(
-                m_kernel, m_dependencies.links, link_target{entry.address, m_name, entry.id, {}},
-                std::move(options));
+            found->second.entry = entry;
+            m_dependencies.member_added(entry);
         }
         auto& member = found->second;
-        auto const is_new_claim = entry.claims_primary && (!member.entry.claims_primary || member.claim_change == 0);
+        auto const is_new_claim = entry.claims_primary && member.claim_change == 0;
         if (is_new_claim) {
             member.claim_change = entry.change;
             member.is_denied = false;
@@ -89,7 +81,7 @@
     fields["group"] = m_name;
     fields["member"] = member.entry.id;
     m_kernel.log(log_level::info, "groups", "member is gone from the directory", std::move(fields));
-    member.pool->shut_down();
+    m_dependencies.member_gone(member.entry);
 }
 
 group_member* database_group::find_member(std::string const& id)
@@ -234,6 +226,19 @@
     search_leader();
 }
 
+void database_group::run(std::string const& id, member_request request, reply_callback done)
+{
+    auto const* const member = find_member(id);
+    if (member == nullptr) {
+        auto const commands = request.commands.size();
+        m_kernel.start_timer(duration::zero(), [commands, done = std::move(done)] {
+            done(make_failed_reply(commands, member_error::refused, "member is gone"));
+        });
+        return;
+    }
+    m_dependencies.run(member->entry, std::move(request), std::move(done));
+}
+
 void database_group::ask(group_member& member, std::string const& client_account, command_kind kind,
                          question_callback answered)
 {
@@ -241,33 +246,26 @@
     if (!m_asked.insert(id).second) {
         return;
     }
-    auto const pool = member.pool;
-    auto send = [this, id, pool, kind, answered = std::move(answered)](link_pointer const& link) {
-        std::vector<member_command> question(2);
-        question[0].kind = kind;
-        question[1].kind = command_kind::rollback;
-        auto const asked_at = m_kernel.now();
-        link->send(std::move(question), question_timeout,
-                   [this, id, pool, link, asked_at, answered](std::vector<member_answer> const& answers) {
-                       pool->release(link);
-                       m_asked.erase(id);
-                       if (answers.front().position) {
-                           note_position(id, *answers.front().position);
-                       }
-                       answered(answers.front(), asked_at);
-                   });
-    };
-    if (auto const idle = pool->take_any_idle()) {
-        send(idle);
-        return;
-    }
-    pool->acquire(client_account, {}, [this, id, send](std::variant<link_pointer, member_error> result) {
-        if (auto const* const link = std::get_if<link_pointer>(&result)) {
-            send(*link);
-            return;
-        }
-        m_asked.erase(id);
-    });
+    member_request question;
+    question.client_account = client_account;
+    question.needs_slot = false;
+    question.time_limit_ms = question_timeout_ms;
+    question.queue_limit_ms = question_timeout_ms;
+    question.commands.resize(2);
+    question.commands[0].kind = kind;
+    question.commands[1].kind = command_kind::rollback;
+    run(id, std::move(question),
+        [this, id, asked_at = m_kernel.now(), answered = std::move(answered)](member_reply const& reply) {
+            m_asked.erase(id);
+            auto const& answer = reply.answers.front();
+            if (answer.position) {
+                note_position(id, *answer.position);
+            }
+            if (!answer.error || is_answer(*answer.error)) {
+                note_life(id);
+            }
+            answered(answer, asked_at);
+        });
 }
 
 void database_group::ask_whether_leads(group_member& member, std::string const& client_account)
@@ -312,7 +310,7 @@
             }
             continue;
         }
-        auto const its_score = score(member, client_account);
+        auto const its_score = score(member);
         if (best == nullptr || its_score < best_score) {
             best = &member;
             best_score = its_score;
@@ -331,13 +329,12 @@
     return existed_at && m_kernel.now() - member.lag >= *existed_at;
 }
 
-duration database_group::score(group_member& member, std::string const& client_account)
+duration database_group::score(group_member const& member) const
 {
     auto const age = m_kernel.now() - member.latency_at;
     auto const latency = age > latency_memory ? std::min(member.latency, usual_latency) : member.latency;
     auto const slots = static_cast<duration::rep>(std::max<std::size_t>(1, member.entry.slots));
     auto total = latency + latency * static_cast<duration::rep>(member.in_flight) / slots;
-    total += member.pool->expected_wait(client_account);
     if (member.entry.availability_zone != m_dependencies.availability_zone) {
         total += other_zone_cost;
     }
@@ -376,8 +373,22 @@
     }
     member->latency += (latency - member->latency) / smoothing_divisor;
     member->latency_at = m_kernel.now();
-    member->failing_since.reset();
-    member->failures = 0;
+    note_life(id);
+}
+
+void database_group::note_life(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        member->failing_since.reset();
+        member->failures = 0;
+    }
+}
+
+void database_group::note_crowded(std::string const& id)
+{
+    if (auto* const member = find_member(id)) {
+        member->avoid_before = std::max(member->avoid_before, m_kernel.now() + crowded_time);
+    }
 }
 
 void database_group::note_failure(std::string const& id, member_error error)
@@ -448,7 +459,6 @@
         entry["is_draining"] = member.entry.is_draining;
         entry["claims_primary"] = member.entry.claims_primary;
         entry["proven_term"] = Json::UInt64(member.proven_term);
-        entry["links"] = Json::UInt64(member.pool->links());
         entry["in_flight"] = Json::UInt64(member.in_flight);
         entry["latency_ms"] = to_milliseconds(member.latency);
         entry["failures"] = Json::UInt64(member.failures);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
+#include "brokers/member_request.h"
 #include "fleet/member_entry.h"
 #include "kernel/kernel.h"
-#include "members/link_pool.h"
 #include "members/position_evidence.h"
 
 namespace greengagehitch {
@@ -18,7 +18,6 @@
 /// What this VM knows of one member of a group.
 struct group_member {
     member_entry entry;
-    std::shared_ptr<link_pool> pool;
     std::size_t in_flight = 0;
     duration latency = std::chrono::milliseconds(30); ///< Smoothed time from a statement to its answer.
     monotonic_time latency_at;                        ///< When `latency` was last measured.
@@ -39,9 +38,10 @@
 public:
     struct dependencies {
         kernel& core;
-        link_hooks const& links;
         std::string availability_zone;
-        std::function<std::size_t(std::string const& member)> max_links;
+        std::function<void(member_entry const&, member_request, reply_callback)> run;
+        std::function<void(member_entry const&)> member_added;
+        std::function<void(member_entry const&)> member_gone;
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -75,6 +75,11 @@
     /// tried.
     group_member* choose_reader(std::string const& client_account, std::set<std::string> const& excluded,
                                 log_position floor);
+    /// A member's queue is too long now.
+    void note_crowded(std::string const& member);
+
+    /// Sends a request to a member, through whoever holds the connections to it.
+    void run(std::string const& member, member_request request, reply_callback done);
 
     /// Counts a statement that is on its way to a member, until it has returned in whatever way.
     void note_sent(std::string const& member);
@@ -82,6 +87,8 @@
     /// A statement has no answer for longer than usual: asks the member for a sign of life.
     void note_overdue(std::string const& member, std::string const& client_account);
     void note_answer(std::string const& member, duration latency);
+    /// The member gave a sign of life.
+    void note_life(std::string const& member);
     void note_failure(std::string const& member, member_error error);
     /// A commit got no answer although the member may be reachable.
     void note_stuck_commit(std::string const& member);
@@ -111,7 +118,7 @@
     using question_callback = std::function<void(member_answer const&, monotonic_time asked_at)>;
     void ask(group_member& member, std::string const& client_account, command_kind kind,
              question_callback answered);
-    duration score(group_member& member, std::string const& client_account);
+    duration score(group_member const& member) const;
     bool is_expected_to_hold(group_member const& member, log_position floor) const;
     void forget_member(group_member& member);
 
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -1,7 +1,7 @@
 #include "members/group_registry.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace greengagehitch {
 
@@ -10,7 +10,10 @@
 /// Used while the configuration names no bound for a group.
 constexpr std::size_t default_max_links = 4;
 constexpr duration idle_limit = std::chrono::seconds(20);
-constexpr duration sweep_period = std::chrono::seconds(2);
+/// How soon a VM that no longer brokers a member gives up its connections.
+constexpr duration sweep_period = std::chrono::milliseconds(200);
+/// Part of a member's connections that stays with VMs which do not broker it.
+constexpr std::size_t reserve_divisor = 6;
 
 } // namespace
 
@@ -19,11 +22,10 @@
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_fleet->on_members([this](member_directory const& members) { take_members(members); });
+    m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_kernel.start_periodic(sweep_period, [this] {
-        for (auto const& [name, group] : m_groups) {
-            for (auto const& [id, member] : group->members()) {
-                member.pool->close_idle(idle_limit);
-            }
+        for (auto const& [member, desk] : m_desks) {
+            desk->trim(idle_limit);
         }
     });
 }
@@ -41,33 +43,59 @@
 {
     auto& entry = m_groups[name];
     if (!entry) {
-        entry = std::make_unique<database_group>(
-            name, database_group::dependencies{m_kernel, m_links, m_membership->identity().availability_zone,
-                                               [this, name](std::string const&) { return max_links(name); }});
+        database_group::dependencies dependencies{
+            m_kernel,
+            m_membership->identity().availability_zone,
+            [this](member_entry const& member, member_request request, reply_callback done) {
+                m_brokers->run(member, std::move(request), std::move(done));
+            },
+            [this](member_entry const& member) { add_member(member); },
+            [this](member_entry const& member) { remove_member(member); }};
+        entry = std::make_unique<database_group>(name, std::move(dependencies));
     }
     return *entry;
 }
 
-std::size_t group_registry::max_links(std::string const& name) const
+void group_registry::add_member(member_entry const& entry)
 {
-    auto const& configuration = m_fleet->configuration();
-    if (!configuration) {
-        return default_max_links;
+    member_desk::options options;
+    options.slots = entry.slots;
+    options.max_links = [this, group = entry.group, member = entry.id] { return max_links(group, member); };
+    options.on_open_failed = [this, entry](member_error error) {
+        group(entry.group).note_failure(entry.id, error);
+    };
+    options.on_opened = [this, entry] { group(entry.group).note_life(entry.id); };
+    auto desk = std::make_shared<member_desk>(
+        m_kernel, m_links, link_target{entry.address, entry.group, entry.id, {}}, std::move(options));
+    m_desks[entry.id] = desk;
+    m_brokers->add_desk(entry, std::move(desk));
+}
+
+void group_registry::remove_member(member_entry const& entry)
+{
+    auto const found = m_desks.find(entry.id);
+    if (found == m_desks.end()) {
+        return;
     }
-    auto const limits = configuration->groups.find(name);
-    if (limits == configuration->groups.end() || limits->second.max_connections == 0) {
+    found->second->shut_down();
+    m_brokers->remove_desk(entry.id);
+    m_desks.erase(found);
+}
+
+std::size_t group_registry::max_links(std::string const& name, std::string const& member) const
+{
+    auto const& configuration = m_fleet->configuration();
+    auto const limits =
+        configuration ? configuration->groups.find(name) : std::map<std::string, group_limits>::const_iterator{};
+    if (!configuration || limits == configuration->groups.end() || limits->second.max_connections == 0) {
         return default_max_links;
     }
-    auto const& zone = m_membership->identity().availability_zone;
-    std::set<std::string> zones{zone};
-    std::size_t in_zone = m_membership->is_leaving() ? 1 : 0;
-    for (auto const& vm : m_membership->live_vms()) {
-        auto const its_zone = m_membership->availability_zone_of(vm);
-        zones.insert(its_zone);
-        in_zone += its_zone == zone ? 1 : 0;
+    auto const all = limits->second.max_connections;
+    auto const reserve = std::max<std::size_t>(1, all / reserve_divisor);
+    if (m_brokers->is_broker_of(member)) {
+        return std::max<std::size_t>(1, all - reserve);
     }
-    auto const parts = zones.size() * std::max<std::size_t>(1, in_zone);
-    return std::max<std::size_t>(1, limits->second.max_connections / parts);
+    return std::max<std::size_t>(1, reserve / std::max<std::size_t>(1, m_membership->fleet_size()));
 }
 
 void group_registry::take_members(member_directory const& members)
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -5,14 +5,16 @@
 #include <string>
 
 #include "fleet/fleet_state.h"
+#include "brokers/broker_service.h"
 #include "kernel/kernel.h"
 #include "membership/membership_service.h"
 #include "members/database_group.h"
 
 namespace greengagehitch {
 
-/// All database groups that the directory names. Divides the connections to each member between VMs: equally
-/// over availability zones, since callers reach the VMs of their own zone, and within a zone over its VMs.
+/// All database groups that the directory names, with this VM's desks for their members. The VM that brokers a
+/// member holds most of the connections that it takes; the others keep a few, for the time in which a broker
+/// is lost.
 class group_registry : public service {
 public:
     static constexpr std::string_view service_name = "groups";
@@ -28,15 +30,19 @@
     std::map<std::string, std::unique_ptr<database_group>> const& groups() const { return m_groups; }
 
     /// Connections that this VM may hold to a member of the group.
-    std::size_t max_links(std::string const& group) const;
+    std::size_t max_links(std::string const& group, std::string const& member) const;
 
 private:
     void take_members(member_directory const& members);
+    void add_member(member_entry const& entry);
+    void remove_member(member_entry const& entry);
 
     kernel& m_kernel;
     link_hooks const& m_links;
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
+    broker_service* m_brokers = nullptr;
+    std::map<std::string, std::shared_ptr<member_desk>> m_desks; ///< By member.
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
 };
 
--- a/libraries/members/link_pool.cpp
+++ b/libraries/members/link_pool.cpp
@@ -13,17 +13,8 @@
 constexpr duration pause_when_full = std::chrono::milliseconds(60);
 /// Pause after a member could not be reached.
 constexpr duration pause_when_unreachable = std::chrono::milliseconds(150);
-/// A request that has waited this long goes before the account whose link became free.
-constexpr duration patience = std::chrono::milliseconds(40);
 /// Handshakes under way at once, so that they leave slots to statements.
 constexpr std::size_t most_opening = 3;
-constexpr int smoothing_divisor = 8;
-
-void smooth(duration& average, duration sample)
-{
-    average += (sample - average) / smoothing_divisor;
-}
-
 } // namespace
 
 link_pool::link_pool(kernel& kernel, link_hooks const& hooks, link_target target, options options)
@@ -48,10 +39,6 @@
 {
     VERIFY(m_leased > 0);
     --m_leased;
-    if (auto const since = m_leased_at.find(link.get()); since != m_leased_at.end()) {
-        smooth(m_hold_time, m_kernel.now() - since->second);
-        m_leased_at.erase(since);
-    }
     auto const is_clean = !m_is_shut_down && link->is_open() && link->is_quiet() &&
                           link->state() == transaction_state::idle && links() < m_options.max_links();
     if (is_clean) {
@@ -65,38 +52,11 @@
     }
 }
 
-duration link_pool::expected_wait(std::string const& client_account) const
-{
-    for (auto const& link : m_idle) {
-        if (link->target().client_account == client_account) {
-            return duration::zero();
-        }
-    }
-    auto const now = m_kernel.now();
-    auto const pause = std::max(duration::zero(), m_no_opening_before - now);
-    if (m_waiting.empty() && (links() < m_options.max_links() || !m_idle.empty())) {
-        return m_open_time + pause;
-    }
-    auto const lanes = std::max<std::size_t>(1, m_leased + m_opening);
-    return m_open_time / 2 + pause +
-           m_hold_time * static_cast<duration::rep>(m_waiting.size() + 1) / static_cast<duration::rep>(lanes);
-}
-
-link_pointer link_pool::take_any_idle()
-{
-    if (m_idle.empty()) {
-        return nullptr;
-    }
-    auto link = m_idle.back();
-    m_idle.pop_back();
-    ++m_leased;
-    return link;
-}
-
-void link_pool::close_idle(duration limit)
+void link_pool::trim(duration limit)
 {
     auto const now = m_kernel.now();
-    while (!m_idle.empty() && now - m_idle.front()->last_used() > limit) {
+    while (!m_idle.empty() &&
+           (links() > m_options.max_links() || now - m_idle.front()->last_used() > limit)) {
         m_idle.front()->close();
         m_idle.pop_front();
     }
@@ -148,7 +108,6 @@
 {
     if (auto link = take_idle(request.m_client_account, request.m_values)) {
         ++m_leased;
-        m_leased_at[link.get()] = m_kernel.now();
         auto const callback = std::exchange(request.m_callback, nullptr);
         callback(std::move(link));
         return true;
@@ -213,8 +172,7 @@
     ++m_opening;
     ++m_opening_for[client_account];
     m_opening_links.push_back(link);
-    auto const started = m_kernel.now();
-    link->open(open_timeout, [weak = weak_from_this(), raw = link.get(), started](member_answer const& answer) {
+    link->open(open_timeout, [weak = weak_from_this(), raw = link.get()](member_answer const& answer) {
         auto const pool = weak.lock();
         if (!pool) {
             return;
@@ -224,9 +182,6 @@
         VERIFY(found != pool->m_opening_links.end());
         auto const opened = *found;
         pool->m_opening_links.erase(found);
-        if (answer.is_ok()) {
-            smooth(pool->m_open_time, pool->m_kernel.now() - started);
-        }
         pool->finish_open(opened, answer);
     });
 }
--- a/libraries/members/link_pool.h
+++ b/libraries/members/link_pool.h
@@ -50,18 +50,12 @@
     /// Takes back a link. One that is not clean is closed.
     void release(link_pointer const& link);
 
-    /// Time that a request of the account is expected to wait for a link.
-    duration expected_wait(std::string const& client_account) const;
-
     std::size_t links() const { return m_idle.size() + m_leased + m_opening; }
     std::size_t leased() const { return m_leased; }
     std::size_t waiting() const { return m_waiting.size(); }
 
-    /// An idle link of any account, for a question that no account asks; null when there is none.
-    link_pointer take_any_idle();
-
-    /// Closes links that were idle for longer than `limit`.
-    void close_idle(duration limit);
+    /// Closes idle links beyond the bound, and those that were idle for longer than `limit`.
+    void trim(duration limit);
 
     /// Closes all idle links and fails the waiting requests, since the member is gone.
     void shut_down();
@@ -87,9 +81,6 @@
     std::list<link_pointer> m_opening_links;
     std::list<link_request_pointer> m_waiting;
     monotonic_time m_no_opening_before;
-    duration m_open_time = std::chrono::milliseconds(20); ///< Smoothed.
-    duration m_hold_time = std::chrono::milliseconds(30); ///< Smoothed time for which a link is leased.
-    std::map<member_link const*, monotonic_time> m_leased_at;
     bool m_has_serve_timer = false;
     bool m_is_shut_down = false;
 };
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <msgpack.hpp>
+
 #include "base/enum_names.h"
 #include "database/group_contract.h"
 #include "sessions/session_statement.h"
@@ -29,6 +31,12 @@
     step_down,        ///< A primary of a lower term than the one given becomes a replica.
 };
 
+} // namespace greengagehitch
+
+MSGPACK_ADD_ENUM(greengagehitch::command_kind)
+
+namespace greengagehitch {
+
 /// One command on a member connection. The dialect turns it into bytes.
 struct member_command {
     command_kind kind = command_kind::caller_statement;
@@ -39,6 +47,7 @@
     prepared_shape prepared;
     std::optional<log_position> floor; ///< Position that the member's log must contain.
     std::uint64_t term = 0;
+    MSGPACK_DEFINE(kind, id, text, name, argument, prepared, floor, term)
 };
 
 enum class member_error {
@@ -69,6 +78,14 @@
     enum_name<member_error>{member_error::refused, "refused"},
 };
 
+} // namespace greengagehitch
+
+MSGPACK_ADD_ENUM(greengagehitch::member_error)
+MSGPACK_ADD_ENUM(greengagehitch::member_role)
+MSGPACK_ADD_ENUM(greengagehitch::transaction_state)
+
+namespace greengagehitch {
+
 /// True when the member said that it did not run the command.
 constexpr bool is_not_run(member_error error)
 {
@@ -88,6 +105,7 @@
     std::uint64_t term = 0;
     log_position received;
     std::uint64_t stopped_at_term = 0; ///< Term at which it was told to stop receiving; 0 for none.
+    MSGPACK_DEFINE(role, term, received, stopped_at_term)
 };
 
 /// A member's answer to one command.
@@ -101,6 +119,7 @@
     std::optional<member_standing> standing; ///< With answers to commands about the group.
 
     bool is_ok() const { return !error.has_value(); }
+    MSGPACK_DEFINE(error, error_text, rows, proof, state, position, standing)
 };
 
 /// Whom to connect to, and for whom.
--- a/libraries/platform/platform_hooks.h
+++ b/libraries/platform/platform_hooks.h
@@ -18,6 +18,7 @@
     std::string key;
     std::string value;
     std::uint64_t version = 0;
+    std::int64_t read_at_ms = 0; ///< On the store's own steady clock; 0 where it shows none.
 };
 
 enum class vm_state { live, leaving };
@@ -39,6 +40,7 @@
 /// Calls to the platform. A callback comes at most once. absl::StatusCode::kUnavailable and kDeadlineExceeded
 /// leave open whether a change took effect; kAborted says that the row's version differed.
 struct platform_hooks {
+    /// An absent row is either none at all or one of version 0.
     std::function<void(std::string key, std::function<void(absl::StatusOr<std::optional<table_row>>)>)>
         read_row;
     std::function<void(std::string key, std::uint64_t expected_version, std::string value,
--- a/platform/line_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -1,4 +1,4 @@
-#include "platform/line_stream.h"
+#include "reactor/tcp_stream.h"
 
 #include <cerrno>
 #include <utility>
@@ -39,18 +39,18 @@
 
 } // namespace
 
-line_stream::line_stream(reactor& reactor, file_descriptor socket, bool is_connected)
+tcp_stream::tcp_stream(reactor& reactor, file_descriptor socket, bool is_connected)
     : m_reactor(reactor), m_socket(std::move(socket)), m_is_connected(is_connected)
 {
     tune(m_socket.get());
 }
 
-line_stream::~line_stream()
+tcp_stream::~tcp_stream()
 {
     close();
 }
 
-std::shared_ptr<line_stream> line_stream::try_connect(reactor& reactor, endpoint const& target)
+std::shared_ptr<tcp_stream> tcp_stream::try_connect(reactor& reactor, endpoint const& target)
 {
     Poco::Net::SocketAddress const address(target.host, target.port);
     file_descriptor socket(
@@ -62,16 +62,16 @@
     if (code != 0 && errno != EINPROGRESS) {
         return nullptr;
     }
-    return std::make_shared<line_stream>(reactor, std::move(socket), code == 0);
+    return std::make_shared<tcp_stream>(reactor, std::move(socket), code == 0);
 }
 
-void line_stream::start(events events)
+void tcp_stream::start(events events)
 {
     m_events = std::move(events);
     watch();
 }
 
-void line_stream::watch()
+void tcp_stream::watch()
 {
     auto const wants_writes = !m_is_connected || m_sent < m_output.size();
     m_watches_writes = wants_writes;
@@ -83,7 +83,7 @@
                     });
 }
 
-void line_stream::handle(std::uint32_t events)
+void tcp_stream::handle(std::uint32_t events)
 {
     if (!m_is_connected) {
         int error = 0;
@@ -113,7 +113,7 @@
     }
 }
 
-void line_stream::read()
+void tcp_stream::read()
 {
     std::array<char, read_size> bytes{};
     auto const size = ::recv(m_socket.get(), bytes.data(), bytes.size(), 0);
@@ -127,20 +127,10 @@
     if (m_is_closing) {
         return;
     }
-    m_reader.append({bytes.data(), static_cast<std::size_t>(size)});
-    while (is_open() && !m_is_closing) {
-        auto line = m_reader.next();
-        if (!line) {
-            break;
-        }
-        m_events.line(*std::move(line));
-    }
-    if (is_open() && !m_is_closing && m_reader.is_too_long() && m_events.too_long) {
-        m_events.too_long();
-    }
+    m_events.bytes({bytes.data(), static_cast<std::size_t>(size)});
 }
 
-void line_stream::send(std::string_view bytes)
+void tcp_stream::send(std::string_view bytes)
 {
     if (!is_open() || m_is_closing) {
         return;
@@ -151,7 +141,7 @@
     }
 }
 
-void line_stream::flush()
+void tcp_stream::flush()
 {
     while (m_sent < m_output.size()) {
         auto const size =
@@ -185,7 +175,7 @@
     }
 }
 
-void line_stream::close()
+void tcp_stream::close()
 {
     if (is_open()) {
         m_reactor.unwatch(m_socket.get());
@@ -193,7 +183,7 @@
     }
 }
 
-void line_stream::close_after_sending()
+void tcp_stream::close_after_sending()
 {
     m_is_closing = true;
     if (m_sent == m_output.size()) {
@@ -201,7 +191,7 @@
     }
 }
 
-void line_stream::end()
+void tcp_stream::end()
 {
     auto const keep_alive = shared_from_this();
     auto const ended = m_events.ended;
@@ -211,14 +201,14 @@
     }
 }
 
-line_acceptor::~line_acceptor()
+tcp_acceptor::~tcp_acceptor()
 {
     if (m_socket.is_valid()) {
         m_reactor.unwatch(m_socket.get());
     }
 }
 
-absl::Status line_acceptor::try_listen(endpoint const& address)
+absl::Status tcp_acceptor::try_listen(endpoint const& address)
 {
     Poco::Net::SocketAddress const target(address.host, address.port);
     m_socket = file_descriptor(::socket(target.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
@@ -231,7 +221,7 @@
     return absl::OkStatus();
 }
 
-std::uint16_t line_acceptor::port() const
+std::uint16_t tcp_acceptor::port() const
 {
     sockaddr_in address{};
     socklen_t size = sizeof(address);
@@ -239,14 +229,14 @@
     return ntohs(address.sin_port);
 }
 
-void line_acceptor::accept_waiting()
+void tcp_acceptor::accept_waiting()
 {
     while (true) {
         file_descriptor socket(::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!socket.is_valid()) {
             return;
         }
-        m_accepted(std::make_shared<line_stream>(m_reactor, std::move(socket), true));
+        m_accepted(std::make_shared<tcp_stream>(m_reactor, std::move(socket), true));
     }
 }
 
--- a/platform/line_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -3,33 +3,35 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
 
-#include "platform/line_protocol.h"
 #include "reactor/file_descriptor.h"
 #include "reactor/reactor.h"
+#include "settings/daemon_settings.h"
 
 namespace greengagehitch {
 
-/// One TCP connection that carries lines, on the reactor. Owned by its user; calls back only while it lives
+/// One TCP connection on the reactor. Owned by its user; calls back only while it lives
 /// and is open.
-class line_stream : public std::enable_shared_from_this<line_stream> {
+class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
 public:
     struct events {
         std::function<void()> connected;
-        std::function<void(std::string line)> line;
-        std::function<void()> too_long; ///< A message exceeds the longest one.
+        std::function<void(std::string_view)> bytes;
         std::function<void()> ended;    ///< The other end is gone, or the connection failed.
     };
 
-    line_stream(reactor& reactor, file_descriptor socket, bool is_connected);
-    ~line_stream();
-    line_stream(line_stream const&) = delete;
-    line_stream& operator=(line_stream const&) = delete;
-    line_stream(line_stream&&) = delete;
-    line_stream& operator=(line_stream&&) = delete;
+    tcp_stream(reactor& reactor, file_descriptor socket, bool is_connected);
+    ~tcp_stream();
+    tcp_stream(tcp_stream const&) = delete;
+    tcp_stream& operator=(tcp_stream const&) = delete;
+    tcp_stream(tcp_stream&&) = delete;
+    tcp_stream& operator=(tcp_stream&&) = delete;
 
     /// Starts to connect; null when the system refuses at once.
-    static std::shared_ptr<line_stream> try_connect(reactor& reactor, endpoint const& target);
+    static std::shared_ptr<tcp_stream> try_connect(reactor& reactor, endpoint const& target);
 
     void start(events events);
     void send(std::string_view bytes);
@@ -56,22 +58,21 @@
     bool m_watches_writes = false;
     std::string m_output;
     std::size_t m_sent = 0;
-    line_protocol::line_reader m_reader;
     events m_events;
 };
 
 /// Accepts connections on an address and hands over each as a stream.
-class line_acceptor {
+class tcp_acceptor {
 public:
-    line_acceptor(reactor& reactor, std::function<void(std::shared_ptr<line_stream>)> accepted)
+    tcp_acceptor(reactor& reactor, std::function<void(std::shared_ptr<tcp_stream>)> accepted)
         : m_reactor(reactor), m_accepted(std::move(accepted))
     {
     }
-    ~line_acceptor();
-    line_acceptor(line_acceptor const&) = delete;
-    line_acceptor& operator=(line_acceptor const&) = delete;
-    line_acceptor(line_acceptor&&) = delete;
-    line_acceptor& operator=(line_acceptor&&) = delete;
+    ~tcp_acceptor();
+    tcp_acceptor(tcp_acceptor const&) = delete;
+    tcp_acceptor& operator=(tcp_acceptor const&) = delete;
+    tcp_acceptor(tcp_acceptor&&) = delete;
+    tcp_acceptor& operator=(tcp_acceptor&&) = delete;
 
     absl::Status try_listen(endpoint const& address);
     /// Port that is listened on, also when the settings left it to the system.
@@ -82,7 +83,7 @@
 
     reactor& m_reactor;
     file_descriptor m_socket;
-    std::function<void(std::shared_ptr<line_stream>)> m_accepted;
+    std::function<void(std::shared_ptr<tcp_stream>)> m_accepted;
 };
 
 } // namespace greengagehitch
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -26,6 +26,7 @@
         membership_pace{heartbeat_period, peer_suspicion_time}));
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel));
+    m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
     m_kernel.add(std::make_unique<group_registry>(m_kernel, m_hooks.links));
     m_kernel.add(std::make_unique<report_service>(m_kernel));
     m_kernel.add(std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.links, m_hooks.promote));
@@ -39,6 +40,7 @@
     m_kernel.start();
     auto& reports = m_kernel.find<report_service>(report_service::service_name);
     m_sessions->set_has_better_peer([&reports] { return !reports.peers_with_store().empty(); });
+    m_sessions->set_has_guests([this] { return brokers().has_guests(); });
     m_kernel.log(log_level::info, "vm", "started", {});
 }
 
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -20,6 +20,7 @@
     kernel_hooks kernel;
     std::function<void(endpoint const&, std::string datagram)> send_datagram;
     link_hooks links;
+    channel_hooks channels;
     platform_hooks platform;
     promotion_hook promote;
 };
@@ -45,6 +46,7 @@
 
     session_engine& sessions() { return *m_sessions; }
     fleet_state& fleet() { return *m_fleet; }
+    broker_service& brokers() { return m_kernel.find<broker_service>(broker_service::service_name); }
     report_service& reports() { return m_kernel.find<report_service>(report_service::service_name); }
     Json::Value dump() const;
 
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -14,7 +14,6 @@
 constexpr duration commit_slack = std::chrono::milliseconds(30);
 constexpr int most_busy_tries = 6;
 constexpr duration busy_pause = std::chrono::milliseconds(15);
-constexpr duration rollback_timeout = std::chrono::milliseconds(500);
 
 bool is_local(statement_kind kind)
 {
@@ -357,26 +356,30 @@
     if (!order) {
         return;
     }
-    auto& link = *m_pinned->link;
-    auto commands = commands_for(*order, link);
+    auto request = request_for(*order);
+    request.time_limit_ms =
+        static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(
+                                       m_transaction_class.statement_timeout + commit_slack)
+                                       .count());
+    request.queue_limit_ms = request.time_limit_ms;
+    request.keeps_link = true;
     m_has_written = m_has_written || order->is_write;
     auto const sent_at = m_kernel.now();
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto const member = m_pinned->member;
     group.note_sent(member);
-    link.send(std::move(commands), m_transaction_class.statement_timeout + commit_slack,
-              [self = shared_from_this(), &group, member, statement, tries,
-               sent_at](std::vector<member_answer> answers) {
-                  group.note_returned(member);
-                  auto& answer = answers.back();
-                  if (answer.is_ok()) {
-                      group.note_answer(member, self->m_kernel.now() - sent_at);
-                  }
-                  else {
-                      group.note_failure(member, *answer.error);
-                  }
-                  self->take_pinned_answer(statement, tries, sent_at, std::move(answer));
-              });
+    m_pinned->lease->send(std::move(request), [self = shared_from_this(), &group, member, statement, tries,
+                                               sent_at](member_reply reply) {
+        group.note_returned(member);
+        auto& answer = reply.answers.back();
+        if (answer.is_ok()) {
+            group.note_answer(member, self->m_kernel.now() - sent_at);
+        }
+        else {
+            group.note_failure(member, *answer.error);
+        }
+        self->take_pinned_answer(statement, tries, sent_at, std::move(answer));
+    });
 }
 
 void client_session::take_pinned_answer(session_statement statement, int tries, monotonic_time sent_at,
@@ -389,12 +392,10 @@
     }
     auto const is_commit = statement.kind == statement_kind::commit;
     m_served_by = m_pinned->member;
-    if (answer.error == member_error::unknown_prepared) {
-        m_pinned->link->forget_prepared();
-    }
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
-    if (may_repeat && answer.state == transaction_state::open && tries < most_busy_tries) {
+    if (may_repeat && (answer.state == transaction_state::open || answer.error == member_error::busy) &&
+        tries < most_busy_tries) {
         m_kernel.start_timer(busy_pause, [self = shared_from_this(), statement = std::move(statement), tries] {
             if (self->m_pinned) {
                 self->send_pinned(statement, tries + 1);
@@ -420,11 +421,7 @@
             }
         }
         m_state = transaction_state::idle;
-        auto const pinned = *std::exchange(m_pinned, std::nullopt);
-        if (!result.is_ok()) {
-            pinned.link->close();
-        }
-        pinned.pool->release(pinned.link);
+        drop_pinned();
         finish(statement, std::move(result));
         return;
     }
@@ -450,33 +447,13 @@
 void client_session::roll_back()
 {
     m_state = transaction_state::idle;
-    auto const pinned = std::exchange(m_pinned, std::nullopt);
-    if (!pinned) {
-        return;
-    }
-    std::vector<member_command> commands(1);
-    commands.front().kind = command_kind::rollback;
-    pinned->link->send(std::move(commands), rollback_timeout,
-                       [pinned = *pinned](std::vector<member_answer> const& answers) {
-                           if (!answers.front().is_ok()) {
-                               pinned.link->close();
-                           }
-                           pinned.pool->release(pinned.link);
-                       });
+    drop_pinned();
 }
 
 void client_session::drop_pinned()
 {
-    if (!m_pinned) {
-        return;
-    }
-    if (m_pinned->link->is_open() && m_pinned->link->is_quiet()) {
-        roll_back();
-        return;
-    }
-    auto const pinned = *std::exchange(m_pinned, std::nullopt);
-    pinned.link->close();
-    pinned.pool->release(pinned.link);
+    // A lease that goes rolls back what is open.
+    m_pinned.reset();
 }
 
 void client_session::answer_locally(session_statement const& statement)
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -93,7 +93,7 @@
     bool m_has_written = false;
     served_class m_transaction_class;
     std::string m_transaction_account;
-    std::optional<pinned_link> m_pinned;
+    std::optional<pinned_lease> m_pinned;
     std::optional<log_position> m_floor;
     std::deque<session_statement> m_queue;
     bool m_is_running = false;
--- a/libraries/sessions/member_run.cpp
+++ b/libraries/sessions/member_run.cpp
@@ -14,7 +14,12 @@
 constexpr duration evidence_poll = std::chrono::milliseconds(3);
 /// A question about the lead takes no slot, so its answer is a round trip away.
 constexpr duration evidence_patience = std::chrono::milliseconds(40);
-constexpr duration busy_pause = std::chrono::milliseconds(12);
+constexpr duration busy_pause = std::chrono::milliseconds(20);
+/// When a caller that met a long queue may come again: several queue lengths later.
+constexpr duration crowded_retry = std::chrono::milliseconds(250);
+/// Parts of the delay target for which a statement may wait for its turn, at the leader and elsewhere.
+constexpr int leader_queue_divisor = 2;
+constexpr int reader_queue_divisor = 4;
 constexpr duration unreachable_pause = std::chrono::milliseconds(30);
 /// An answer that is later than this makes us ask the member for a sign of life.
 constexpr duration overdue_time = std::chrono::milliseconds(220);
@@ -25,6 +30,11 @@
 /// Part of the delay target after which a read is also tried elsewhere.
 constexpr int hedge_divisor = 2;
 
+std::uint32_t whole_milliseconds(duration value)
+{
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(value).count());
+}
+
 } // namespace
 
 session_answer to_session_answer(member_answer answer)
@@ -72,35 +82,26 @@
     return result;
 }
 
-std::vector<member_command> commands_for(run_order const& order, member_link& link)
+member_request request_for(run_order const& order)
 {
-    auto commands = link.align_values(order.values);
+    member_request request;
+    request.client_account = order.client_account;
+    request.values = order.values;
+    request.prepared = order.prepared;
+    request.priority = order.work.priority;
     member_command command;
     command.id = order.statement.id;
-    if (!order.prepared) {
+    if (order.prepared) {
+        command.kind = command_kind::execute;
+        command.name = member_link::name_of(*order.prepared);
+        command.argument = order.statement.argument;
+    }
+    else {
         command.kind = command_kind::caller_statement;
         command.text = order.statement.text;
-        commands.push_back(std::move(command));
-        return commands;
-    }
-    for (auto& prepare : link.align_prepared(*order.prepared)) {
-        commands.push_back(std::move(prepare));
-    }
-    command.kind = command_kind::execute;
-    command.name = member_link::name_of(*order.prepared);
-    command.argument = order.statement.argument;
-    commands.push_back(std::move(command));
-    return commands;
-}
-
-void close_unless_aligned(member_link& link, std::vector<member_answer> const& answers, std::size_t count)
-{
-    for (std::size_t i = 0; i < count; ++i) {
-        if (!answers[i].is_ok()) {
-            link.close();
-            return;
-        }
     }
+    request.commands.push_back(std::move(command));
+    return request;
 }
 
 member_run::member_run(kernel& kernel, database_group& group, run_order order, run_mode mode,
@@ -144,7 +145,7 @@
     }
     if (needs_leader()) {
         if (auto* const leader = m_group.leader()) {
-            acquire(*leader);
+            try_at(leader->entry.id);
             return;
         }
         m_group.refresh_evidence(m_order.client_account);
@@ -168,7 +169,7 @@
         next_after(duration::zero());
         return;
     }
-    acquire(*member);
+    try_at(member->entry.id);
 }
 
 void member_run::wait_for_evidence()
@@ -187,118 +188,84 @@
 
 std::optional<log_position> member_run::required_floor() const
 {
-    auto floor = m_group.evidence().covering(m_kernel.now() - m_order.work.oldest_age + age_margin);
+    // The statement may wait for its turn, and the evidence must still hold when it is sent.
+    auto const latest_start = m_kernel.now() + queue_limit() + age_margin;
+    auto floor = m_group.evidence().covering(latest_start - m_order.work.oldest_age);
     if (floor && m_order.floor) {
         floor = std::max(*floor, *m_order.floor);
     }
     return floor;
 }
 
-void member_run::acquire(group_member& member)
+duration member_run::queue_limit() const
 {
-    auto const id = member.entry.id;
-    auto const pool = member.pool;
-    auto const mode = !needs_leader()                     ? m_mode
-                      : m_mode == run_mode::read          ? run_mode::proven_read
-                      : m_mode == run_mode::begin_read    ? run_mode::begin
-                                                          : m_mode;
-    auto const request = pool->acquire(
-        m_order.client_account, m_order.values,
-        [self = shared_from_this(), id, pool, mode](std::variant<link_pointer, member_error> result) {
-            if (auto const* const error = std::get_if<member_error>(&result)) {
-                self->try_elsewhere(id, *error);
-                return;
-            }
-            auto const& link = std::get<link_pointer>(result);
-            if (!self->m_done) {
-                pool->release(link);
-                return;
-            }
-            if (mode == run_mode::begin || mode == run_mode::begin_read) {
-                self->send_begin(link, pool, id, mode);
-                return;
-            }
-            self->send(link, pool, id, mode);
-        });
-    auto const patience = needs_leader() ? lead_time() : m_order.work.delay_target / hedge_divisor;
-    m_kernel.start_timer(patience, [self = shared_from_this(), request, id] {
-        if (!request->is_waiting() || !self->m_done) {
-            request->cancel();
-            return;
-        }
-        request->cancel();
-        if (self->needs_leader()) {
-            if (self->m_in_flight == 0) {
-                self->refuse(session_error::busy, "no connection to the leader became free",
-                             std::chrono::milliseconds(100));
-            }
-            return;
-        }
-        self->m_excluded.insert(id);
-        self->next();
-    });
+    auto const limit = needs_leader() ? m_order.work.delay_target / leader_queue_divisor
+                                      : m_order.work.delay_target / reader_queue_divisor;
+    return std::min<duration>(lead_time(), limit);
 }
 
-void member_run::send(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
-                      std::string const& member, run_mode mode)
+run_mode member_run::effective_mode() const
 {
-    auto const floor = mode == run_mode::read ? required_floor() : std::nullopt;
-    if (mode == run_mode::read && !floor) {
-        // The evidence grew too old while the statement waited for the link.
-        pool->release(link);
-        next_after(duration::zero());
-        return;
+    if (!needs_leader()) {
+        return m_mode;
+    }
+    if (m_mode == run_mode::read) {
+        return run_mode::proven_read;
+    }
+    return m_mode == run_mode::begin_read ? run_mode::begin : m_mode;
+}
+
+std::optional<member_request> member_run::make_request(attempt& attempt) const
+{
+    auto request = request_for(m_order);
+    auto const needs_floor = attempt.mode == run_mode::read || attempt.mode == run_mode::begin_read;
+    auto const floor = needs_floor ? required_floor() : std::nullopt;
+    if (needs_floor && !floor) {
+        return std::nullopt;
     }
-    std::vector<member_command> commands = commands_for(m_order, *link);
-    commands.back().floor = floor;
-    attempt sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
-    if (mode == run_mode::proven_read) {
-        member_command begin;
-        begin.kind = command_kind::begin;
-        commands.insert(commands.end() - 1, std::move(begin));
+    member_command begin;
+    begin.kind = attempt.mode == run_mode::begin_read ? command_kind::begin_read : command_kind::begin;
+    begin.floor = floor;
+    switch (attempt.mode) {
+    case run_mode::begin:
+    case run_mode::begin_read:
+        request.commands = {std::move(begin)};
+        request.prepared.reset();
+        request.needs_slot = false;
+        request.keeps_link = true;
+        break;
+    case run_mode::proven_read: {
         member_command rollback;
         rollback.kind = command_kind::rollback;
-        commands.push_back(std::move(rollback));
-        ++sent.offset;
+        request.commands.insert(request.commands.begin(), std::move(begin));
+        request.commands.push_back(std::move(rollback));
+        attempt.offset = 1;
+        break;
     }
-    ++m_in_flight;
-    m_group.note_sent(member);
-    link->send(std::move(commands), lead_time() + answer_slack,
-               [self = shared_from_this(), sent](std::vector<member_answer> answers) {
-                   self->take_answers(sent, std::move(answers));
-               });
-    watch_for_answer(member, mode);
+    case run_mode::read:
+    case run_mode::write:
+        request.commands.front().floor = floor;
+        break;
+    }
+    request.time_limit_ms = whole_milliseconds(lead_time() + answer_slack);
+    request.queue_limit_ms = whole_milliseconds(queue_limit());
+    return request;
 }
 
-void member_run::send_begin(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
-                            std::string const& member, run_mode mode)
+void member_run::try_at(std::string const& member)
 {
-    member_command begin;
-    begin.kind = mode == run_mode::begin ? command_kind::begin : command_kind::begin_read;
-    if (mode == run_mode::begin_read) {
-        begin.floor = required_floor();
-        if (!begin.floor) {
-            pool->release(link);
-            next_after(duration::zero());
-            return;
-        }
+    attempt sent{member, effective_mode(), m_kernel.now(), 0};
+    auto request = make_request(sent);
+    if (!request) {
+        next_after(evidence_poll);
+        return;
     }
-    auto commands = link->align_values(m_order.values);
-    commands.push_back(std::move(begin));
-    attempt const sent{link, pool, member, mode, m_kernel.now(), commands.size() - 1};
-    m_group.note_sent(member);
     ++m_in_flight;
-    link->send(std::move(commands), lead_time() + answer_slack,
-               [self = shared_from_this(), sent](std::vector<member_answer> answers) {
-                   --self->m_in_flight;
-                   self->m_group.note_returned(sent.member);
-                   if (auto const& position = answers[sent.offset].position) {
-                       self->m_group.note_position(sent.member, *position);
-                   }
-                   close_unless_aligned(*sent.link, answers, sent.offset);
-                   self->take_begin_answer(sent, std::move(answers[sent.offset]));
-               });
-    watch_for_answer(member, mode);
+    m_group.note_sent(member);
+    m_group.run(member, *std::move(request), [self = shared_from_this(), sent](member_reply reply) {
+        self->take_reply(sent, std::move(reply));
+    });
+    watch_for_answer(member, sent.mode);
 }
 
 void member_run::watch_for_answer(std::string const& member, run_mode mode)
@@ -326,13 +293,13 @@
     });
 }
 
-void member_run::take_answers(attempt const& sent, std::vector<member_answer> answers)
+void member_run::take_reply(attempt const& sent, member_reply reply)
 {
     --m_in_flight;
     m_group.note_returned(sent.member);
-    auto answer = std::move(answers[sent.offset]);
+    auto answer = std::move(reply.answers[sent.offset]);
     if (sent.mode == run_mode::proven_read) {
-        auto const& begun = answers[sent.offset - 1];
+        auto const& begun = reply.answers.front();
         if (begun.is_ok() && begun.position) {
             m_group.prove_leader(sent.member, *begun.position, sent.sent_at);
         }
@@ -340,17 +307,16 @@
             answer = begun;
         }
     }
-    close_unless_aligned(*sent.link, answers, sent.offset);
-    if (answer.error == member_error::unknown_prepared) {
-        sent.link->forget_prepared();
-    }
-    sent.pool->release(sent.link);
     if (answer.position) {
         m_group.note_position(sent.member, *answer.position);
     }
     if (answer.is_ok()) {
         m_group.note_answer(sent.member, m_kernel.now() - sent.sent_at);
     }
+    if (sent.mode == run_mode::begin || sent.mode == run_mode::begin_read) {
+        take_begin_answer(sent, std::move(answer), std::move(reply.lease));
+        return;
+    }
     take_statement_answer(sent, std::move(answer));
 }
 
@@ -395,23 +361,22 @@
     }
 }
 
-void member_run::take_begin_answer(attempt const& sent, member_answer answer)
+void member_run::take_begin_answer(attempt const& sent, member_answer answer, lease_pointer lease)
 {
     if (!m_done) {
-        // The caller was answered already; a transaction that nobody uses is closed.
-        sent.link->close();
-        sent.pool->release(sent.link);
+        // The caller was answered already; giving up the lease rolls the transaction back.
         return;
     }
-    if (answer.is_ok()) {
-        m_group.note_answer(sent.member, m_kernel.now() - sent.sent_at);
+    if (answer.is_ok() && lease) {
         if (sent.mode == run_mode::begin && answer.position) {
             m_group.prove_leader(sent.member, *answer.position, sent.sent_at);
         }
-        finish({to_session_answer(std::move(answer)), pinned_link{sent.link, sent.pool, sent.member}});
+        finish({to_session_answer(std::move(answer)), pinned_lease{std::move(lease), sent.member}});
         return;
     }
-    sent.pool->release(sent.link);
+    if (!answer.error) {
+        answer.error = member_error::connection_lost;
+    }
     auto const error = *answer.error;
     if (try_elsewhere(sent.member, error)) {
         return;
@@ -452,7 +417,14 @@
     case member_error::busy:
     case member_error::unknown_prepared:
         if (!needs_leader()) {
+            m_group.note_crowded(member);
             m_excluded.insert(member);
+            next_after(duration::zero());
+            return true;
+        }
+        if (m_in_flight == 0 && m_kernel.now() - m_order.arrived >= m_order.work.delay_target / 2) {
+            refuse(session_error::busy, "the leader's queue is too long", crowded_retry);
+            return true;
         }
         next_after(busy_pause);
         return true;
--- a/libraries/sessions/member_run.h
+++ b/libraries/sessions/member_run.h
@@ -27,15 +27,14 @@
 };
 
 /// Connection that an open transaction holds.
-struct pinned_link {
-    link_pointer link;
-    std::shared_ptr<link_pool> pool;
+struct pinned_lease {
+    lease_pointer lease;
     std::string member;
 };
 
 struct run_result {
     session_answer answer;
-    std::optional<pinned_link> pinned; ///< After a begin that succeeded.
+    std::optional<pinned_lease> pinned; ///< After a begin that succeeded.
 };
 
 /// How a statement reaches a member.
@@ -50,11 +49,8 @@
 /// Turns a member's answer into the session's.
 session_answer to_session_answer(member_answer answer);
 
-/// Commands that run the statement of `order` on `link`, with what has to come before it.
-std::vector<member_command> commands_for(run_order const& order, member_link& link);
-
-/// Closes a link on which one of the first `count` commands failed: what it holds is not known any more.
-void close_unless_aligned(member_link& link, std::vector<member_answer> const& answers, std::size_t count);
+/// Request that runs the statement of `order`, with what its connection has to hold.
+member_request request_for(run_order const& order);
 
 /// Runs one statement: chooses a member, waits for a link, sends, and tries again elsewhere where nothing was
 /// run or a read may be repeated. Calls back once.
@@ -67,32 +63,30 @@
 
 private:
     struct attempt {
-        link_pointer link;
-        std::shared_ptr<link_pool> pool;
         std::string member;
         run_mode mode = run_mode::read;
         monotonic_time sent_at;
-        std::size_t offset = 0; ///< Of the statement's own answer in the batch.
+        std::size_t offset = 0; ///< Of the statement's own answer in the reply.
     };
 
     bool needs_leader() const;
     void next();
     void next_after(duration delay);
     void wait_for_evidence();
-    void acquire(group_member& member);
-    void send(link_pointer const& link, std::shared_ptr<link_pool> const& pool, std::string const& member,
-              run_mode mode);
-    void send_begin(link_pointer const& link, std::shared_ptr<link_pool> const& pool,
-                    std::string const& member, run_mode mode);
+    run_mode effective_mode() const;
+    void try_at(std::string const& member);
+    /// Makes the request for an attempt; nothing when the evidence for a read has grown too old.
+    std::optional<member_request> make_request(attempt& attempt) const;
     void watch_for_answer(std::string const& member, run_mode mode);
-    void take_answers(attempt const& sent, std::vector<member_answer> answers);
+    void take_reply(attempt const& sent, member_reply reply);
     void take_statement_answer(attempt const& sent, member_answer answer);
-    void take_begin_answer(attempt const& sent, member_answer answer);
+    void take_begin_answer(attempt const& sent, member_answer answer, lease_pointer lease);
     /// Handles an error that says nothing was run; true when it was one.
     bool try_elsewhere(std::string const& member, member_error error);
     void log_attempt(std::string const& member, member_error error) const;
     std::optional<log_position> required_floor() const;
     duration lead_time() const;
+    duration queue_limit() const;
     void refuse(session_error error, std::string text, duration retry_after = {});
     void finish(run_result result);
 
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -125,7 +125,8 @@
         close_some_idle();
     }
     auto const is_over = elapsed >= m_settings.drain_limit;
-    if ((m_sessions.empty() && elapsed >= m_settings.arrival_limit) || is_over) {
+    auto const has_guests = m_has_guests && m_has_guests();
+    if ((m_sessions.empty() && !has_guests && elapsed >= m_settings.arrival_limit) || is_over) {
         if (auto const drained = std::exchange(m_drained, nullptr)) {
             drained();
         }
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -62,6 +62,9 @@
     /// Set by the fleet's reports: whether a peer could serve what this VM cannot.
     void set_has_better_peer(std::function<bool()> question) { m_has_better_peer = std::move(question); }
 
+    /// Set by the VM: whether peers' work is under way here, which a drain waits for.
+    void set_has_guests(std::function<bool()> question) { m_has_guests = std::move(question); }
+
     session_counters const& counters() const { return m_counters; }
     session_counters& counters() { return m_counters; }
     std::size_t size() const { return m_sessions.size(); }
@@ -86,6 +89,7 @@
     std::set<client_session*> m_sessions;
     session_counters m_counters;
     std::function<bool()> m_has_better_peer;
+    std::function<bool()> m_has_guests;
     std::optional<monotonic_time> m_drain_started;
     std::function<void()> m_drained;
 };
--- a/libraries/sessions/session_statement.h
+++ b/libraries/sessions/session_statement.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include <msgpack.hpp>
+
 #include "base/enum_names.h"
 
 namespace greengagehitch {
@@ -43,6 +45,7 @@
     std::string shape;
 
     auto operator<=>(prepared_shape const&) const = default;
+    MSGPACK_DEFINE(is_write, shape)
 };
 
 /// One statement of a session, with its text opaque. The front end that read it fills in what the engine
