--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -25,15 +25,17 @@
 
 client_session::client_session(session_engine& engine, std::string database, std::string key,
                                session_hooks hooks)
-    : m_engine(engine), m_kernel(engine.core()), m_database(std::move(database)), m_key(std::move(key)),
+    : m_engine(engine), m_kernel(engine.core()), m_kernel_lifetime(m_kernel.lifetime()), m_database(std::move(database)), m_key(std::move(key)),
       m_hooks(std::move(hooks)), m_last_active(m_kernel.now())
 {
 }
 
 client_session::~client_session()
 {
-    m_engine.forget(this);
-    drop_pinned();
+    // A session may live in a callback that outlasts the engine.
+    if (!m_kernel_lifetime.expired()) {
+        m_engine.forget(this);
+    }
 }
 
 void client_session::handle(session_statement statement)
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -83,6 +83,7 @@
 
     session_engine& m_engine;
     kernel& m_kernel;
+    std::weak_ptr<bool> m_kernel_lifetime;
     std::string m_database;
     std::string m_key;
     session_hooks m_hooks;
