failover: Wait for replicas that may be at work behind a partition

Also, a leader that had left the directory was never replaced (its clock was reset at each look), and a VM with an unknown address ended the process (Host not found). Change: every replica of the last 20 s is asked; one that does not run is left out after 1.3 s, a silent one after 6.5 s, and only if the successor holds the highest position that any VM saw committed.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -139,7 +139,7 @@
 endpoint broker_service::address_of(std::string const& vm) const
 {
     auto const found = m_membership->peers().find(vm);
-    if (found == m_membership->peers().end()) {
+    if (found == m_membership->peers().end() || found->second.address.port == 0) {
         return {};
     }
     // Channels are listened for on the port after the one for datagrams.
--- a/libraries/brokers/member_desk.cpp
+++ b/libraries/brokers/member_desk.cpp
@@ -154,6 +154,9 @@
         }
     }
     auto const aligned = commands.size();
+    if (aligned != 0 && started->link) {
+        link->set_changed_in_transaction();
+    }
     commands.insert(commands.end(), request.commands.begin(), request.commands.end());
     link->send(std::move(commands), std::chrono::milliseconds(request.time_limit_ms),
                [desk = shared_from_this(), started, link, aligned,
@@ -218,6 +221,7 @@
 
 void member_desk::give_back(link_pointer const& link)
 {
+    link->end_transaction();
     if (!link->is_open() || !link->is_quiet()) {
         link->close();
     }
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -16,9 +16,12 @@
 /// Members answer such questions without waiting for a slot; a second without one means out of reach.
 constexpr duration question_timeout = std::chrono::milliseconds(500);
 constexpr duration question_period = std::chrono::milliseconds(250);
-/// Time after which a choice may be made without hearing all replicas. By then each VM has reported the
-/// commits that it saw before the replicas were stopped.
-constexpr duration missing_replica_patience = std::chrono::milliseconds(900);
+/// Time after which a choice may be made without a replica that does not run. By then each VM has reported
+/// the commits that it saw before the others were stopped.
+constexpr duration dead_replica_patience = std::chrono::milliseconds(1'300);
+/// The same for one that is silent. VMs behind a partition with it have stopped serving keyed requests by
+/// then, since they cannot hear of withdrawn keys.
+constexpr duration silent_replica_patience = std::chrono::milliseconds(6'500);
 /// A takeover that did not get anywhere is given up, so that the group may go on as it was.
 constexpr duration longest_takeover = std::chrono::seconds(12);
 constexpr duration pause_after_end = std::chrono::milliseconds(1'500);
@@ -111,10 +114,8 @@
     }
     auto const cause = find_cause(group);
     if (!cause) {
-        m_cause_since.erase(group.name());
         return;
     }
-    m_cause_since.emplace(group.name(), now);
     auto const pause = m_not_before.find(group.name());
     if ((pause != m_not_before.end() && now < pause->second) || !is_my_turn(group)) {
         return;
@@ -129,15 +130,12 @@
     }
     auto* const leader = group.leader();
     if (leader == nullptr) {
-        auto const since = m_cause_since.find(group.name());
-        auto const is_lasting =
-            since != m_cause_since.end() && m_kernel.now() - since->second >= vanished_patience;
-        if (since == m_cause_since.end()) {
-            m_cause_since.emplace(group.name(), m_kernel.now());
-        }
+        auto const since = m_leaderless_since.emplace(group.name(), m_kernel.now()).first->second;
         group.refresh_evidence(control_account);
-        return is_lasting ? std::optional(takeover_cause::vanished) : std::nullopt;
+        return m_kernel.now() - since >= vanished_patience ? std::optional(takeover_cause::vanished)
+                                                           : std::nullopt;
     }
+    m_leaderless_since.erase(group.name());
     auto const opinion = m_reports->opinion_on(group);
     if (opinion.suspects * 2 > opinion.voters) {
         return takeover_cause::suspected;
@@ -183,9 +181,8 @@
     running->cause = cause;
     running->started = m_kernel.now();
     running->term = std::max(group.proven_term(), group.highest_seen().term) + 1;
-    if (auto const* const leader = group.leader()) {
-        running->old_leader = leader->entry.id;
-    }
+    auto const* const leader = group.leader();
+    running->old_leader = leader != nullptr ? leader->entry.id : group.last_leader();
     auto const name = group.name();
     m_running[name] = std::move(running);
     Json::Value fields(Json::objectValue);
@@ -201,7 +198,14 @@
     auto& group = m_groups->group(name);
     running->questions_at = m_kernel.now();
     running->expected.clear();
+    std::map<std::string, member_entry> asked;
     for (auto const& [id, member] : group.members()) {
+        asked[id] = member.entry;
+    }
+    for (auto const& [id, former] : group.former_members()) {
+        asked[id] = former.entry;
+    }
+    for (auto const& [id, entry] : asked) {
         member_command command;
         command.term = running->term;
         if (id == running->old_leader) {
@@ -210,31 +214,31 @@
             }
             // An old leader that can still be reached must not go on acknowledging.
             command.kind = command_kind::step_down;
-            ask(name, id, std::move(command));
+            ask(name, entry, std::move(command));
             continue;
         }
         running->expected.insert(id);
         if (!running->heard.contains(id)) {
             command.kind = command_kind::stop_receiving;
-            ask(name, id, std::move(command));
+            ask(name, entry, std::move(command));
         }
     }
 }
 
-void takeover_service::ask(std::string const& name, std::string const& member, member_command command)
+void takeover_service::ask(std::string const& name, member_entry const& member, member_command command)
 {
     auto* const running = find(name);
-    auto const* const known = m_groups->group(name).find_member(member);
-    if (running == nullptr || known == nullptr) {
+    if (running == nullptr) {
         return;
     }
-    auto& link = running->links[member];
+    auto const id = member.id;
+    auto& link = running->links[id];
     auto const number = running->number;
-    auto const send = [this, name, member, number, command = std::move(command)](link_pointer const& open) {
+    auto const send = [this, name, id, number, command = std::move(command)](link_pointer const& open) {
         open->send({command}, question_timeout,
-                   [this, name, member, number](std::vector<member_answer> const& answers) {
+                   [this, name, id, number](std::vector<member_answer> const& answers) {
                        if (find(name, number) != nullptr) {
-                           take_standing(name, member, answers.front());
+                           take_standing(name, id, answers.front());
                        }
                    });
     };
@@ -246,15 +250,36 @@
         return;
     }
     link = std::make_shared<member_link>(m_kernel, m_links,
-                                         link_target{known->entry.address, name, member, control_account});
-    link->open(question_timeout, [this, name, member, number, send](member_answer const& answer) {
+                                         link_target{member.address, name, id, control_account});
+    link->open(question_timeout, [this, name, id, number, send,
+                                  started = m_kernel.now()](member_answer const& answer) {
         auto* const current = find(name, number);
-        if (current != nullptr && answer.is_ok()) {
-            send(current->links[member]);
+        if (current == nullptr) {
+            return;
+        }
+        if (answer.is_ok()) {
+            send(current->links[id]);
+            return;
+        }
+        if (m_kernel.now() - started < question_timeout) {
+            note_unanswered(name, id, answer);
         }
     });
 }
 
+void takeover_service::note_unanswered(std::string const& name, std::string const& member,
+                                       member_answer const& answer)
+{
+    // A refusal at once comes from a machine on which the member does not run; silence may be a partition.
+    auto const is_dead = answer.error == member_error::refused || answer.error == member_error::wrong_member;
+    if (is_dead && find(name)->dead.insert(member).second) {
+        Json::Value fields(Json::objectValue);
+        fields["member"] = member;
+        log("member does not run", name, std::move(fields));
+        decide(name);
+    }
+}
+
 void takeover_service::take_standing(std::string const& name, std::string const& member,
                                      member_answer const& answer)
 {
@@ -308,34 +333,36 @@
 {
     std::optional<std::string> best;
     log_position furthest;
-    std::size_t heard = 0;
+    std::size_t unheard = 0;
+    std::size_t silent = 0;
     for (auto const& id : running.expected) {
         auto const found = running.heard.find(id);
         if (found == running.heard.end()) {
+            ++unheard;
+            silent += running.dead.contains(id) ? 0 : 1;
             continue;
         }
-        ++heard;
         furthest = std::max(furthest, found->second.received);
     }
     for (auto const& id : running.expected) {
         auto const found = running.heard.find(id);
-        if (found == running.heard.end() || found->second.received != furthest) {
-            continue;
-        }
-        auto const is_better = !best || (running.heard.at(*best).is_draining && !found->second.is_draining);
-        if (is_better) {
+        auto const is_fit = found != running.heard.end() && found->second.received == furthest &&
+                            group.members().contains(id);
+        if (is_fit && (!best || (running.heard.at(*best).is_draining && !found->second.is_draining))) {
             best = id;
         }
     }
-    if (!best || heard == running.expected.size()) {
+    if (!best || unheard == 0) {
         return best;
     }
-    // A replica was not heard. What it alone may hold must be ruled out before the other one leads.
-    if (m_kernel.now() - running.started < missing_replica_patience) {
+    // What a replica that was not heard may alone hold must be ruled out before another one leads. A silent
+    // one may be at work with the old leader behind a partition.
+    auto const elapsed = m_kernel.now() - running.started;
+    auto const patience = silent > 0 ? silent_replica_patience : dead_replica_patience;
+    if (elapsed < patience) {
         return std::nullopt;
     }
-    auto const opinion = m_reports->opinion_on(group);
-    return furthest >= opinion.highest ? best : std::nullopt;
+    return furthest >= m_reports->opinion_on(group).highest ? best : std::nullopt;
 }
 
 void takeover_service::claim_duty(std::string const& group, std::string const& member,
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -78,7 +78,8 @@
         std::string fenced_member; ///< Member for which the fence was taken.
         std::map<std::string, link_pointer> links;
         std::map<std::string, heard_member> heard;
-        std::set<std::string> expected;
+        std::set<std::string> expected; ///< Replicas that may hold commits.
+        std::set<std::string> dead;     ///< Of these, those that surely do not run.
         bool is_old_leader_stopped = false;
         bool is_ordering = false;
         int orders = 0;
@@ -96,7 +97,8 @@
     void put_claim(std::string const& group, std::string const& member, std::uint64_t row_version,
                    claim claim, std::function<void()> claimed);
     void stop_replicas(std::string const& group);
-    void ask(std::string const& group, std::string const& member, member_command command);
+    void ask(std::string const& group, member_entry const& member, member_command command);
+    void note_unanswered(std::string const& group, std::string const& member, member_answer const& answer);
     void take_standing(std::string const& group, std::string const& member, member_answer const& answer);
     void decide(std::string const& group);
     std::optional<std::string> choose(database_group& group, takeover const& running) const;
@@ -117,7 +119,7 @@
     fleet_state* m_fleet = nullptr;
     std::map<std::string, std::unique_ptr<takeover>> m_running;
     std::map<std::string, monotonic_time> m_held;           ///< Groups whose duty this VM holds.
-    std::map<std::string, monotonic_time> m_cause_since;    ///< Groups that need a takeover.
+    std::map<std::string, monotonic_time> m_leaderless_since; ///< Groups without a known leader.
     std::map<std::string, monotonic_time> m_not_before;     ///< Pause after an attempt.
     std::uint64_t m_next_number = 1;
 };
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -13,6 +13,8 @@
 constexpr duration position_period = std::chrono::milliseconds(200);
 /// A member whose queue was too long has served part of it by then.
 constexpr duration crowded_time = std::chrono::milliseconds(30);
+/// A member that is missing for longer than this is not asked in a takeover any more.
+constexpr duration former_memory = std::chrono::seconds(20);
 constexpr duration search_period = std::chrono::milliseconds(80);
 constexpr std::uint32_t question_timeout_ms = 300;
 /// Silence after which a member that owes answers is suspected.
@@ -72,6 +74,9 @@
         forget_member(each->second);
         each = m_members.erase(each);
     }
+    std::erase_if(m_former, [this](auto const& each) {
+        return m_members.contains(each.first) || m_kernel.now() - each.second.left_at > former_memory;
+    });
     release_waiting();
 }
 
@@ -82,6 +87,7 @@
     fields["member"] = member.entry.id;
     m_kernel.log(log_level::info, "groups", "member is gone from the directory", std::move(fields));
     m_dependencies.member_gone(member.entry);
+    m_former[member.entry.id] = {member.entry, m_kernel.now()};
 }
 
 group_member* database_group::find_member(std::string const& id)
@@ -120,8 +126,8 @@
     }
     m_evidence.add(position, asked_at);
     m_highest = std::max(m_highest, position);
-    if (m_leader_logged != id) {
-        m_leader_logged = id;
+    if (m_last_leader != id) {
+        m_last_leader = id;
         Json::Value fields(Json::objectValue);
         fields["group"] = m_name;
         fields["leader"] = id;
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -57,6 +57,9 @@
     /// Member that leads as far as this VM knows; null when none is known.
     group_member* leader();
 
+    /// Member that was last proven to lead; empty when none was.
+    std::string const& last_leader() const { return m_last_leader; }
+
     /// Takes in that a member led when it answered a question sent at `asked_at`.
     void prove_leader(std::string const& member, log_position position, monotonic_time asked_at);
     void deny_leader(std::string const& member);
@@ -96,6 +99,13 @@
     /// Takes in the position that a member showed.
     void note_position(std::string const& member, log_position position);
 
+    /// Members that left the directory lately. They may still run, and hold commits.
+    struct former_member {
+        member_entry entry;
+        monotonic_time left_at;
+    };
+    std::map<std::string, former_member> const& former_members() const { return m_former; }
+
     position_evidence const& evidence() const { return m_evidence; }
     log_position highest_seen() const { return m_highest; }
 
@@ -128,7 +138,8 @@
     std::map<std::string, group_member> m_members;
     position_evidence m_evidence;
     log_position m_highest;
-    std::string m_leader_logged;
+    std::string m_last_leader;
+    std::map<std::string, former_member> m_former;
     std::map<std::uint64_t, leader_wait> m_waiting;
     std::uint64_t m_next_wait = 1;
     bool m_is_searching = false;
--- a/libraries/members/member_link.cpp
+++ b/libraries/members/member_link.cpp
@@ -1,5 +1,6 @@
 #include "members/member_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace greengagehitch {
@@ -81,18 +82,17 @@
 std::vector<member_command> member_link::align_values(values_map const& values)
 {
     std::vector<member_command> commands;
-    if (m_values == values) {
+    if (has_values(values)) {
         return commands;
     }
-    for (auto const& [name, value] : m_values) {
-        if (!values.contains(name)) {
-            member_command reset;
-            reset.kind = command_kind::reset;
-            commands.push_back(std::move(reset));
-            m_values.clear();
-            m_prepared.clear();
-            break;
-        }
+    auto const is_superfluous = [&values](auto const& each) { return !values.contains(each.first); };
+    if (!m_are_values_known || std::any_of(m_values.begin(), m_values.end(), is_superfluous)) {
+        member_command reset;
+        reset.kind = command_kind::reset;
+        commands.push_back(std::move(reset));
+        m_values.clear();
+        m_prepared.clear();
+        m_are_values_known = true;
     }
     for (auto const& [name, value] : values) {
         auto const held = m_values.find(name);
--- a/libraries/members/member_link.h
+++ b/libraries/members/member_link.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "kernel/kernel.h"
@@ -46,12 +47,23 @@
 
     /// Commands that give the connection exactly `values`; notes that it will hold them.
     std::vector<member_command> align_values(values_map const& values);
-    bool has_values(values_map const& values) const { return m_values == values; }
+    bool has_values(values_map const& values) const { return m_are_values_known && m_values == values; }
 
     /// Commands that make the shape known under `name_of(shape)`; none when it is already.
     std::vector<member_command> align_prepared(prepared_shape const& shape);
     static std::string name_of(prepared_shape const& shape);
 
+    /// Notes that values or names were set inside a transaction. They may go when it is rolled back, so that
+    /// what the member holds is not known once the transaction has ended.
+    void set_changed_in_transaction() { m_is_changed_in_transaction = true; }
+    /// Takes in that the transaction has ended: values are then reset before the next ones are set.
+    void end_transaction()
+    {
+        if (std::exchange(m_is_changed_in_transaction, false)) {
+            m_are_values_known = false;
+        }
+    }
+
     /// Forgets what is prepared, after the member said that it does not know a name.
     void forget_prepared() { m_prepared.clear(); }
 
@@ -82,6 +94,8 @@
     timer_id m_open_timer = timer_id::none;
     std::deque<std::shared_ptr<batch_state>> m_batches;
     values_map m_values;
+    bool m_are_values_known = true;
+    bool m_is_changed_in_transaction = false;
     std::set<prepared_shape> m_prepared;
 };
 
--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -3,6 +3,7 @@
 #include <cerrno>
 #include <utility>
 
+#include <Poco/Net/IPAddress.h>
 #include <Poco/Net/SocketAddress.h>
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -52,7 +53,11 @@
 
 std::shared_ptr<tcp_stream> tcp_stream::try_connect(reactor& reactor, endpoint const& target)
 {
-    Poco::Net::SocketAddress const address(target.host, target.port);
+    Poco::Net::IPAddress host;
+    if (!Poco::Net::IPAddress::tryParse(target.host, host) || target.port == 0) {
+        return nullptr;
+    }
+    Poco::Net::SocketAddress const address(host, target.port);
     file_descriptor socket(
         ::socket(address.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!socket.is_valid()) {
--- /dev/null
+++ b/standins/session_fleet/session_fleet.cpp
@@ -0,0 +1,433 @@
+#include "session_fleet.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace greengagehitch::standin {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t peer_port = 7000;
+constexpr duration publish_period = 300ms;
+constexpr duration longest_answer = 20s;
+
+std::string next_id()
+{
+    static std::uint64_t number = 0;
+    return fmt::format("id-{}", ++number);
+}
+
+} // namespace
+
+std::string session_fleet::database_of(std::size_t group, read_consistency consistency)
+{
+    return fmt::format("db-{}-{}", group, find_name(read_consistency_names, consistency));
+}
+
+session_fleet::session_fleet(session_fleet_shape shape, std::uint64_t seed)
+    : m_shape(std::move(shape)), m_clock(seed)
+{
+    m_configuration.version = 1;
+    for (std::size_t i = 0; i < m_shape.groups; ++i) {
+        std::vector<std::string> ids;
+        for (auto const* const letter : {"a", "b", "c"}) {
+            ids.push_back(fmt::format("m-{}-{}", i, letter));
+        }
+        auto const name = fmt::format("group-{}", i);
+        m_groups.push_back(std::make_unique<log_group>(m_clock, name, ids, m_shape.group));
+        for (auto const& id : ids) {
+            m_group_of_member[id] = m_groups.back().get();
+        }
+        m_configuration.groups[name] = {m_shape.group.max_connections, 1};
+        for (auto const consistency :
+             {read_consistency::every_commit, read_consistency::bounded_age, read_consistency::own_writes}) {
+            served_class work;
+            work.database = database_of(i, consistency);
+            work.name = work.database;
+            work.group = name;
+            work.consistency = consistency;
+            work.oldest_age = consistency == read_consistency::every_commit ? 0ms : 1500ms;
+            work.statement_timeout = 1000ms;
+            work.delay_target = 300ms;
+            work.priority = 1;
+            m_configuration.classes[work.database] = work;
+        }
+    }
+    for (std::size_t i = 0; i < m_shape.accounts; ++i) {
+        m_configuration.account_of_key[key_of(i)] = account_name(i);
+        m_configuration.limits[account_name(i)] = {m_shape.rate, m_shape.rate};
+    }
+    for (std::size_t i = 0; i < m_shape.zones.size(); ++i) {
+        auto added = std::make_unique<running_vm>();
+        added->name = fmt::format("vm-{}", i);
+        added->zone = m_shape.zones[i];
+        added->address = {fmt::format("10.0.0.{}", i + 1), peer_port};
+        m_vms.push_back(std::move(added));
+    }
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        start_vm(i);
+    }
+    publish();
+}
+
+session_fleet::~session_fleet()
+{
+    m_alive.reset();
+    for (auto const& each : m_vms) {
+        each->vm.reset();
+    }
+}
+
+void session_fleet::start_vm(std::size_t index)
+{
+    auto& starting = *m_vms[index];
+    ++starting.incarnation;
+    session_vm_settings settings;
+    settings.name = starting.name;
+    settings.availability_zone = starting.zone;
+    settings.peer_endpoint = starting.address;
+    settings.fleet_secret = "secret of the virtual fleet";
+    starting.vm = std::make_unique<session_vm>(settings, make_hooks(index));
+    starting.vm->start();
+    starting.vm->fleet().set_configuration(m_configuration);
+    starting.vm->fleet().set_members(make_directory());
+    starting.vm->fleet().confirm_configuration(m_clock.now());
+}
+
+void session_fleet::kill_vm(std::size_t index)
+{
+    m_vms[index]->vm.reset();
+    std::vector<std::uint64_t> lost;
+    for (auto const& [number, ends] : m_channels) {
+        if (ends.first == index || ends.second == index) {
+            lost.push_back(number);
+        }
+    }
+    for (auto const number : lost) {
+        auto const ends = m_channels.at(number);
+        m_channels.erase(number);
+        m_channel_of.erase(ends);
+        after_latency(ends.first, [name = m_vms[ends.second]->name](session_vm& vm) {
+            vm.brokers().lose_vm(name, true);
+        });
+        after_latency(ends.second, [number](session_vm& vm) { vm.brokers().lose_channel(channel_id{number}); });
+    }
+}
+
+void session_fleet::change_configuration(std::function<void(served_configuration&)> const& change)
+{
+    change(m_configuration);
+    ++m_configuration.version;
+}
+
+void session_fleet::drain_member(std::string const& id)
+{
+    m_draining.insert(id);
+}
+
+member_directory session_fleet::make_directory() const
+{
+    member_directory directory;
+    for (auto const& group : m_groups) {
+        std::size_t index = 0;
+        for (auto const& id : group->ids()) {
+            member_entry entry;
+            entry.id = id;
+            entry.group = group->name();
+            entry.address = {"10.1.0.1", 80};
+            entry.availability_zone = std::string(1, static_cast<char>('a' + index++));
+            entry.slots = m_shape.group.slots;
+            entry.is_draining = m_draining.contains(id);
+            entry.claims_primary = group->leader() == id;
+            entry.change = group->term();
+            if (!group->faults(id).is_dark) {
+                directory[id] = std::move(entry);
+            }
+        }
+    }
+    return directory;
+}
+
+void session_fleet::publish()
+{
+    for (auto const& each : m_vms) {
+        if (each->vm && each->has_store) {
+            each->vm->fleet().set_configuration(m_configuration);
+            each->vm->fleet().set_members(make_directory());
+            each->vm->fleet().confirm_configuration(m_clock.now() - m_shape.latency);
+        }
+    }
+    m_clock.start_timer(publish_period, [this, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            publish();
+        }
+    });
+}
+
+void session_fleet::after_latency(std::size_t index, std::function<void(session_vm&)> callback)
+{
+    auto const incarnation = m_vms[index]->incarnation;
+    m_clock.start_timer(m_shape.latency, [this, index, incarnation, callback = std::move(callback)] {
+        auto& vm = *m_vms[index];
+        if (vm.vm && vm.incarnation == incarnation) {
+            callback(*vm.vm);
+        }
+    });
+}
+
+session_fleet::running_vm* session_fleet::find_vm(std::string const& name)
+{
+    for (auto const& each : m_vms) {
+        if (each->name == name) {
+            return each.get();
+        }
+    }
+    return nullptr;
+}
+
+session_fleet::running_vm* session_fleet::find_vm(endpoint const& address)
+{
+    for (auto const& each : m_vms) {
+        if (each->address == address) {
+            return each.get();
+        }
+    }
+    return nullptr;
+}
+
+session_vm_hooks session_fleet::make_hooks(std::size_t index)
+{
+    session_vm_hooks hooks;
+    auto* const self = m_vms[index].get();
+    hooks.kernel.now = [this] { return m_clock.now(); };
+    hooks.kernel.random = [this] { return m_clock.random()(); };
+    hooks.kernel.start_timer = [this](duration delay, std::function<void()> callback) {
+        return m_clock.start_timer(delay, std::move(callback));
+    };
+    hooks.kernel.cancel_timer = [this](timer_id timer) { m_clock.cancel_timer(timer); };
+    hooks.kernel.log = [](log_record const&) {};
+    hooks.send_datagram = [this, self](endpoint const& target, std::string const& datagram) {
+        auto* const to = find_vm(target);
+        if (to == nullptr || !hears(*self, *to)) {
+            return;
+        }
+        auto const number = static_cast<std::size_t>(to->address.host.back() - '1');
+        after_latency(number, [datagram](session_vm& vm) { vm.handle_datagram(datagram); });
+    };
+    hooks.links = {[this](link_target const& target, link_events events) {
+                       auto const number = m_next_link++;
+                       open_link(number, target, std::move(events));
+                       return link_id{number};
+                   },
+                   [this](link_id id, std::vector<member_command> const& commands) {
+                       auto const number = static_cast<std::uint64_t>(id);
+                       if (auto const found = m_group_of_link.find(number); found != m_group_of_link.end()) {
+                           found->second->send(number, commands);
+                       }
+                   },
+                   [this](link_id id) {
+                       auto const number = static_cast<std::uint64_t>(id);
+                       if (auto const found = m_group_of_link.find(number); found != m_group_of_link.end()) {
+                           found->second->close(number);
+                           m_group_of_link.erase(found);
+                       }
+                   }};
+    hooks.channels = {[this, index](std::string const& vm, endpoint const&, std::string const& message) {
+                          send_message(index, vm, message);
+                      },
+                      [this, index](std::string const& vm) {
+                          auto* const to = find_vm(vm);
+                          auto const server = static_cast<std::size_t>(to->address.host.back() - '1');
+                          auto const found = m_channel_of.find({index, server});
+                          if (found != m_channel_of.end()) {
+                              m_channels.erase(found->second);
+                              m_channel_of.erase(found);
+                          }
+                      },
+                      [this, index](channel_id to, std::string const& message) { reply(index, to, message); }};
+    hooks.platform.read_row = [this, self](std::string const& key, auto done) {
+        m_clock.start_timer(m_shape.latency, [this, self, key, done = std::move(done)] {
+            if (!self->has_store) {
+                done(absl::UnavailableError("cut"));
+                return;
+            }
+            auto const& entry = m_store[key];
+            done(std::optional(table_row{
+                key, entry.value, entry.version,
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count()}));
+        });
+    };
+    hooks.platform.put_row = [this, self](std::string const& key, std::uint64_t expected,
+                                          std::string const& value, auto done) {
+        m_clock.start_timer(m_shape.latency, [this, self, key, expected, value, done = std::move(done)] {
+            auto& entry = m_store[key];
+            if (!self->has_store) {
+                done(absl::UnavailableError("cut"));
+            }
+            else if (entry.version != expected) {
+                done(absl::AbortedError("row has another version"));
+            }
+            else {
+                entry = {value, m_store_version++};
+                done(entry.version);
+            }
+        });
+    };
+    hooks.platform.list_vms = [this](auto done) {
+        std::vector<vm_record> records;
+        for (auto const& each : m_vms) {
+            records.push_back({each->name, each->zone, each->address.host, each->address.port, vm_state::live});
+        }
+        m_clock.start_timer(m_shape.latency, [records, done = std::move(done)] { done(records); });
+    };
+    hooks.promote = [this](promotion_order const& order, std::function<void(absl::Status)> done) {
+        order_promotion(order, std::move(done));
+    };
+    return hooks;
+}
+
+void session_fleet::open_link(std::uint64_t number, link_target const& target, link_events events)
+{
+    auto* const group = m_group_of_member.at(target.member);
+    m_group_of_link[number] = group;
+    group->open(number, target, std::move(events));
+}
+
+void session_fleet::send_message(std::size_t from, std::string const& to, std::string const& message)
+{
+    auto* const target = find_vm(to);
+    auto const server = static_cast<std::size_t>(target->address.host.back() - '1');
+    if (!target->vm) {
+        after_latency(from, [to](session_vm& vm) { vm.brokers().lose_vm(to, false); });
+        return;
+    }
+    auto& number = m_channel_of[{from, server}];
+    if (number == 0) {
+        number = m_next_channel++;
+        m_channels[number] = {from, server};
+    }
+    if (hears(*m_vms[from], *target)) {
+        after_latency(server, [number, message](session_vm& vm) {
+            vm.brokers().take_request(channel_id{number}, message);
+        });
+    }
+}
+
+void session_fleet::reply(std::size_t from, channel_id to, std::string const& message)
+{
+    auto const found = m_channels.find(static_cast<std::uint64_t>(to));
+    if (found == m_channels.end() || !hears(*m_vms[from], *m_vms[found->second.first])) {
+        return;
+    }
+    after_latency(found->second.first, [name = m_vms[from]->name, message](session_vm& vm) {
+        vm.brokers().take_reply(name, message);
+    });
+}
+
+void session_fleet::order_promotion(promotion_order const& order, std::function<void(absl::Status)> done)
+{
+    m_clock.start_timer(m_shape.latency, [this, order, done = std::move(done)] {
+        auto& fence = m_fences[order.group];
+        auto* const group = m_group_of_member.at(order.member);
+        if (order.fence < fence || group->faults(order.member).is_dark) {
+            m_stale_orders += order.fence < fence ? 1 : 0;
+            done(absl::FailedPreconditionError("refused"));
+            return;
+        }
+        fence = order.fence;
+        m_promotions += group->leader() == order.member ? 0 : 1;
+        group->promote(order.member);
+        done(absl::OkStatus());
+    });
+}
+
+session_caller::session_caller(session_fleet& fleet, std::size_t vm, std::string const& database,
+                               std::string const& key)
+    : m_fleet(fleet)
+{
+    session_hooks hooks;
+    hooks.answer = [answers = m_answers](session_answer answer) { answers->push_back(std::move(answer)); };
+    hooks.close = [was_closed = m_was_closed] { *was_closed = true; };
+    auto opened = fleet.vm(vm).sessions().open(database, key, std::move(hooks));
+    if (auto const* const error = std::get_if<session_error>(&opened)) {
+        m_open_error = *error;
+        return;
+    }
+    m_session = std::get<std::shared_ptr<client_session>>(std::move(opened));
+}
+
+void session_caller::send(session_statement statement)
+{
+    m_session->handle(std::move(statement));
+}
+
+session_answer session_caller::ask(session_statement statement)
+{
+    auto const before = m_answers->size();
+    send(std::move(statement));
+    auto const end = m_fleet.clock().now() + longest_answer;
+    while (m_answers->size() == before && m_fleet.clock().now() < end) {
+        m_fleet.clock().run_for(1ms);
+    }
+    if (m_answers->size() != before) {
+        return m_answers->back();
+    }
+    session_answer none;
+    none.error = session_error::timed_out;
+    none.error_text = "no answer at all";
+    return none;
+}
+
+void session_caller::leave()
+{
+    m_session->leave();
+    m_session.reset();
+}
+
+session_statement session_caller::plain(statement_kind kind, std::string const& text)
+{
+    session_statement statement;
+    statement.kind = kind;
+    statement.id = next_id();
+    statement.text = text;
+    return statement;
+}
+
+session_statement session_caller::read(std::string const& item)
+{
+    return plain(statement_kind::read, "READ " + item);
+}
+
+session_statement session_caller::write(std::string const& item)
+{
+    return plain(statement_kind::write, "WRITE " + item + " data");
+}
+
+session_statement session_caller::set(std::string const& name, std::string const& value)
+{
+    auto statement = plain(statement_kind::set_value, "SET");
+    statement.name = name;
+    statement.argument = value;
+    return statement;
+}
+
+session_statement session_caller::prepare(std::string const& name, bool is_write, std::string const& shape)
+{
+    auto statement = plain(statement_kind::prepare, "PREPARE");
+    statement.name = name;
+    statement.prepared = {is_write, shape};
+    return statement;
+}
+
+session_statement session_caller::execute(std::string const& name, std::string const& arguments)
+{
+    auto statement = plain(statement_kind::execute, "EXECUTE");
+    statement.name = name;
+    statement.argument = arguments;
+    return statement;
+}
+
+} // namespace greengagehitch::standin
--- /dev/null
+++ b/tests/sessions/session_soak_tests.cpp
@@ -0,0 +1,202 @@
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include "session_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+/// Callers at random VMs under random faults. After each answer it is checked what every caller may rely on.
+class session_soak {
+public:
+    explicit session_soak(std::uint64_t seed) : m_fleet(shape(), seed), m_clock(m_fleet.clock())
+    {
+        m_clock.run_for(4s);
+    }
+
+    void run(duration length)
+    {
+        auto const end = m_clock.now() + length;
+        while (m_clock.now() < end) {
+            maybe_fault();
+            start_operation();
+            m_clock.run_for(m_clock.random_interval(15ms));
+            check_answers();
+        }
+        mend_all();
+        m_clock.run_for(5s);
+        check_answers();
+        cr_assert(m_fleet.group().holds_all_acknowledged(), "an acknowledged commit was lost");
+        for (auto const& [id, is_acknowledged] : m_writes) {
+            auto const count = m_fleet.group().count_in_log(id);
+            cr_assert(count <= 1, "write %s took effect twice", id.c_str());
+            cr_assert(count == 1 || !is_acknowledged, "acknowledged write %s is missing", id.c_str());
+        }
+        for (auto const& id : m_promised) {
+            cr_assert(m_fleet.group().count_in_log(id) == 0, "write %s ran after a promise", id.c_str());
+        }
+        cr_assert(m_fleet.stale_orders() == 0);
+        cr_assert(m_served > 100, "only %zu operations were served", m_served);
+    }
+
+private:
+    struct operation {
+        std::unique_ptr<session_caller> caller;
+        session_statement statement;
+        read_consistency consistency = read_consistency::every_commit;
+        monotonic_time sent_at;
+        bool is_write = false;
+    };
+
+    static session_fleet_shape shape()
+    {
+        session_fleet_shape shape;
+        shape.group.work = 5ms;
+        return shape;
+    }
+
+    void start_operation()
+    {
+        auto const vm = m_clock.random_below(m_fleet.vms());
+        if (!m_fleet.is_running(vm)) {
+            return;
+        }
+        operation added;
+        added.consistency = static_cast<read_consistency>(m_clock.random_below(3));
+        added.caller = std::make_unique<session_caller>(
+            m_fleet, vm, session_fleet::database_of(0, added.consistency),
+            session_fleet::key_of(m_clock.random_below(2)));
+        if (!added.caller->is_open()) {
+            return;
+        }
+        added.is_write = m_clock.random_below(3) == 0;
+        added.statement = added.is_write ? session_caller::write("x") : session_caller::read("x");
+        added.sent_at = m_clock.now();
+        added.caller->send(added.statement);
+        m_running.push_back(std::move(added));
+    }
+
+    void check_answers()
+    {
+        std::erase_if(m_running, [this](operation const& each) {
+            if (each.caller->answers().empty()) {
+                return m_clock.now() - each.sent_at > 10s;
+            }
+            check(each, each.caller->answers().front());
+            return true;
+        });
+    }
+
+    void check(operation const& each, session_answer const& answer)
+    {
+        if (each.is_write) {
+            m_writes[each.statement.id] = answer.is_ok();
+            if (answer.error && is_promise(*answer.error)) {
+                m_promised.push_back(each.statement.id);
+            }
+            m_served += answer.is_ok() ? 1 : 0;
+            return;
+        }
+        if (!answer.is_ok()) {
+            return;
+        }
+        ++m_served;
+        auto const limit = each.consistency == read_consistency::every_commit ? each.sent_at
+                                                                             : each.sent_at - 1500ms;
+        auto const required = m_fleet.group().acknowledged_before(limit);
+        cr_assert(answer.position.value_or(log_position{}).position >= required.position,
+                  "read of %s lacks a commit", each.statement.id.c_str());
+    }
+
+    void maybe_fault()
+    {
+        if (m_clock.random_below(60) != 0) {
+            return;
+        }
+        auto& group = m_fleet.group();
+        auto const vm = m_clock.random_below(m_fleet.vms());
+        auto const& id = group.ids()[m_clock.random_below(3)];
+        auto const length = m_clock.random_interval(2s);
+        switch (m_clock.random_below(7)) {
+        case 0:
+            if (m_fleet.is_running(vm)) {
+                forget_callers();
+                m_fleet.kill_vm(vm);
+                m_clock.start_timer(length, [this, vm] {
+                    if (!m_fleet.is_running(vm)) {
+                        m_fleet.start_vm(vm);
+                    }
+                });
+            }
+            return;
+        case 1:
+            m_fleet.set_store_cut(vm, true);
+            m_clock.start_timer(length, [this, vm] { m_fleet.set_store_cut(vm, false); });
+            return;
+        case 2:
+            m_fleet.set_peer_cut(vm, true);
+            m_clock.start_timer(length, [this, vm] { m_fleet.set_peer_cut(vm, false); });
+            return;
+        case 3:
+            if (m_dark == 0) {
+                ++m_dark;
+                group.faults(id).is_dark = true;
+                m_clock.start_timer(3s + length, [this, id] {
+                    --m_dark;
+                    m_fleet.group().restart(id);
+                });
+            }
+            return;
+        case 4:
+            if (m_dark == 0) {
+                group.faults(id).is_deaf = true;
+                m_clock.start_timer(length, [this, id] { m_fleet.group().faults(id).is_deaf = false; });
+            }
+            return;
+        case 5:
+            group.faults(id).lost_answers = 0.2;
+            m_clock.start_timer(length, [this, id] { m_fleet.group().faults(id).lost_answers = 0; });
+            return;
+        default:
+            group.faults(id).lag = 2s;
+            m_clock.start_timer(length, [this, id] { m_fleet.group().faults(id).lag = 20ms; });
+            return;
+        }
+    }
+
+    /// Callers of a VM that is killed get no answer; what they wrote may or may not have run.
+    void forget_callers()
+    {
+        check_answers();
+        m_running.clear();
+    }
+
+    void mend_all()
+    {
+        for (std::size_t i = 0; i < m_fleet.vms(); ++i) {
+            m_fleet.set_peer_cut(i, false);
+            m_fleet.set_store_cut(i, false);
+        }
+    }
+
+    session_fleet m_fleet;
+    virtual_clock& m_clock;
+    std::vector<operation> m_running;
+    std::map<std::string, bool> m_writes; ///< Whether each write was acknowledged.
+    std::vector<std::string> m_promised;
+    std::size_t m_served = 0;
+    int m_dark = 0;
+};
+
+} // namespace
+
+Test(session_soak, promises_hold_under_random_faults_for_fixed_seeds)
+{
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        session_soak(seed).run(30s);
+    }
+}
--- /dev/null
+++ b/tests/sessions/takeover_tests.cpp
@@ -0,0 +1,122 @@
+#include <criterion/criterion.h>
+
+#include "session_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+struct takeover_fixture {
+    explicit takeover_fixture(std::uint64_t seed = 1) : fleet({}, seed) { fleet.clock().run_for(4s); }
+
+    session_caller caller(std::size_t vm)
+    {
+        return {fleet, vm, session_fleet::database_of(0, read_consistency::every_commit),
+                session_fleet::key_of(0)};
+    }
+
+    /// Lets a caller at each VM write until `end`; returns the longest time between two successes.
+    duration write_for(duration length)
+    {
+        auto const end = fleet.clock().now() + length;
+        auto last = fleet.clock().now();
+        duration longest{};
+        std::vector<session_caller> callers;
+        for (std::size_t i = 0; i < fleet.vms(); ++i) {
+            callers.push_back(caller(i));
+        }
+        while (fleet.clock().now() < end) {
+            for (auto& each : callers) {
+                if (each.ask(session_caller::write("x")).is_ok()) {
+                    longest = std::max(longest, fleet.clock().now() - last);
+                    last = fleet.clock().now();
+                }
+            }
+            fleet.clock().run_for(10ms);
+        }
+        return longest;
+    }
+
+    session_fleet fleet;
+};
+
+} // namespace
+
+Test(takeover, dark_leader_is_replaced_and_no_acknowledged_commit_is_lost)
+{
+    takeover_fixture fixture;
+    fixture.write_for(1s);
+    auto const old = fixture.fleet.group().leader();
+    fixture.fleet.group().faults(old).is_dark = true;
+    fixture.write_for(6s);
+    cr_assert(fixture.fleet.group().leader() != old);
+    cr_assert(fixture.fleet.promotions() == 1);
+    cr_assert(fixture.fleet.group().holds_all_acknowledged());
+}
+
+Test(takeover, replica_that_received_most_is_chosen)
+{
+    takeover_fixture fixture;
+    auto& group = fixture.fleet.group();
+    auto const deaf = group.ids()[1];
+    group.faults(deaf).is_deaf = true;
+    fixture.write_for(1s);
+    group.faults(group.leader()).is_dark = true;
+    fixture.write_for(6s);
+    cr_assert(group.leader() == group.ids()[2]);
+    cr_assert(group.holds_all_acknowledged());
+}
+
+Test(takeover, quiet_group_is_never_promoted)
+{
+    takeover_fixture fixture;
+    for (auto const& id : fixture.fleet.group().ids()) {
+        fixture.fleet.group().faults(id).lag = 3s;
+    }
+    fixture.write_for(10s);
+    cr_assert(fixture.fleet.promotions() == 0);
+}
+
+Test(takeover, draining_leader_hands_over_before_it_leaves)
+{
+    takeover_fixture fixture;
+    auto const old = fixture.fleet.group().leader();
+    fixture.fleet.drain_member(old);
+    auto const gap = fixture.write_for(5s);
+    cr_assert(fixture.fleet.group().leader() != old);
+    cr_assert(gap < 2s);
+    cr_assert(fixture.fleet.group().holds_all_acknowledged());
+}
+
+Test(takeover, leader_is_not_replaced_while_the_only_up_to_date_replica_is_missing)
+{
+    takeover_fixture fixture;
+    auto& group = fixture.fleet.group();
+    group.faults(group.ids()[1]).is_deaf = true;
+    fixture.write_for(2s);
+    // The replica that alone holds the newest commits goes dark together with the leader.
+    group.faults(group.ids()[2]).is_dark = true;
+    group.faults(group.ids()[0]).is_dark = true;
+    fixture.fleet.clock().run_for(6s);
+    cr_assert(fixture.fleet.promotions() == 0);
+    group.restart(group.ids()[2]);
+    fixture.fleet.clock().run_for(8s);
+    cr_assert(group.leader() == group.ids()[2]);
+    cr_assert(group.holds_all_acknowledged());
+}
+
+Test(takeover, two_vms_never_act_in_turn_while_a_claim_lasts)
+{
+    takeover_fixture fixture;
+    for (int round = 0; round < 3; ++round) {
+        auto const old = fixture.fleet.group().leader();
+        fixture.fleet.group().faults(old).is_dark = true;
+        fixture.write_for(5s);
+        fixture.fleet.group().restart(old);
+        fixture.write_for(2s);
+    }
+    cr_assert(fixture.fleet.stale_orders() == 0);
+    cr_assert(fixture.fleet.group().holds_all_acknowledged());
+}
