limits: Give out what a window allows evenly

Change: the lasting rate is 0.97 x (rate + burst / window), the stock at most 0.7 of the tolerance that the settings give. Also, a request that never left a broker's queue is no sign of life of the member, and a broker that went silent is passed over until it is heard again.

--- a/libraries/adapters/peer_channels.cpp
+++ b/libraries/adapters/peer_channels.cpp
@@ -133,7 +133,8 @@
     auto const dropped = found->second;
     m_outgoing.erase(found);
     dropped->is_ended = true;
-    dropped->stream->close();
+    // Requests that a partition holds up must not reach the broker after they were given up.
+    dropped->stream->abort();
 }
 
 void peer_channels::reply(channel_id to, std::string const& message)
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -15,9 +15,9 @@
 /// A broker that owes an answer for this long is asked for a sign of life.
 constexpr duration ping_after = std::chrono::milliseconds(120);
 /// A broker that is silent for this long, with an answer owing, is taken as dead.
-constexpr duration silence_limit = std::chrono::milliseconds(420);
+constexpr duration silence_limit = std::chrono::milliseconds(350);
 /// Time for which a dead VM, or one that cannot reach a member, is passed over.
-constexpr duration down_time = std::chrono::milliseconds(1'200);
+constexpr duration down_time = std::chrono::milliseconds(600);
 constexpr duration avoid_time = std::chrono::milliseconds(1'500);
 /// Time for the way to the broker and back, beyond what the request itself may take.
 constexpr duration relay_slack = std::chrono::milliseconds(60);
@@ -93,9 +93,7 @@
         add(self.name, self.availability_zone);
     }
     for (auto const& [name, peer] : m_membership->peers()) {
-        auto const health = m_health.find(name);
-        auto const is_down = health != m_health.end() && health->second.down_before > now;
-        if (!peer.is_leaving && !is_down && m_membership->is_reachable(peer)) {
+        if (!peer.is_leaving && !is_down(name, peer) && m_membership->is_reachable(peer)) {
             add(name, peer.availability_zone);
         }
     }
@@ -105,6 +103,17 @@
     return chosen.vm;
 }
 
+bool broker_service::is_down(std::string const& vm, peer_state const& peer) const
+{
+    auto const health = m_health.find(vm);
+    if (health == m_health.end() || health->second.lost_at == monotonic_time{}) {
+        return false;
+    }
+    // It is back once it was heard again, and not only by what was on its way.
+    auto const back_after = health->second.lost_at + down_time;
+    return m_kernel.now() < back_after || !peer.last_heard || *peer.last_heard < back_after;
+}
+
 void broker_service::run(member_entry const& member, member_request request, reply_callback done)
 {
     auto const vm = choose(member.id, member.availability_zone);
@@ -315,7 +324,7 @@
 
 void broker_service::lose_vm(std::string const& vm, bool was_connected)
 {
-    m_health[vm].down_before = m_kernel.now() + down_time;
+    m_health[vm].lost_at = m_kernel.now();
     m_choices.clear();
     std::vector<pending_request> lost;
     for (auto each = m_pending.begin(); each != m_pending.end();) {
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -81,7 +81,7 @@
     struct vm_health {
         monotonic_time heard_at;
         monotonic_time pinged_at;
-        monotonic_time down_before;
+        monotonic_time lost_at; ///< When it was last taken as dead.
     };
 
     struct choice {
@@ -98,6 +98,7 @@
                              std::uint64_t lease);
     void watch();
     void avoid_route(std::string const& member, std::string const& vm);
+    bool is_down(std::string const& vm, peer_state const& peer) const;
     endpoint address_of(std::string const& vm) const;
 
     kernel& m_kernel;
--- a/libraries/brokers/member_desk.cpp
+++ b/libraries/brokers/member_desk.cpp
@@ -58,7 +58,7 @@
     auto const priority = added->link ? transaction_priority : added->request.priority;
     auto const limit = std::chrono::milliseconds(added->request.queue_limit_ms);
     if (expected_wait(priority) > limit) {
-        refuse(added, member_error::busy, "queue is too long");
+        refuse(added, member_error::not_started, "queue is too long");
         return;
     }
     m_waiting[priority].push(added->request.client_account, 1, added);
@@ -68,7 +68,7 @@
         auto const late = waiting.lock();
         if (desk && late && !late->is_started) {
             late->is_started = true;
-            desk->refuse(late, member_error::busy, "waited too long");
+            desk->refuse(late, member_error::not_started, "waited too long");
         }
     });
     pump();
@@ -140,7 +140,9 @@
                              }
                              request->cancel();
                              free_slot(*started);
-                             refuse(started, member_error::busy, "no connection became free");
+                             refuse(started,
+                                    m_pool->is_unreachable() ? member_error::refused : member_error::not_started,
+                                    "no connection became free");
                          });
 }
 
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -10,6 +10,10 @@
 
 /// Part of the rate that is divided equally, so that a VM without demand can serve a first operation.
 constexpr double equal_part = 0.25;
+/// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
+constexpr double lasting_share = 0.97;
+/// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
+constexpr double used_tolerance = 0.7;
 /// Remembers about four seconds, so that single operations do not move the parts.
 constexpr double demand_smoothing = 0.12;
 constexpr double smallest_demand = 0.05;
@@ -120,10 +124,22 @@
     return found->second;
 }
 
-void rate_shares::refill(bucket& bucket, account_limit const& limit, monotonic_time now)
+double rate_shares::lasting_rate(account_limit const& limit) const
 {
-    auto const room = std::max(1.0, limit.burst * bucket.part);
-    auto const added = limit.rate * bucket.part * seconds(now - bucket.updated);
+    return lasting_share * (limit.rate + limit.burst / seconds(m_counting.window));
+}
+
+double rate_shares::most_stock(account_limit const& limit) const
+{
+    auto const allowed = limit.rate * seconds(m_counting.window) + limit.burst;
+    auto const tolerated = m_counting.tolerated_share * allowed + m_counting.tolerated_operations;
+    return std::min(limit.burst, used_tolerance * tolerated);
+}
+
+void rate_shares::refill(bucket& bucket, account_limit const& limit, monotonic_time now) const
+{
+    auto const room = std::max(1.0, most_stock(limit) * bucket.part);
+    auto const added = lasting_rate(limit) * bucket.part * seconds(now - bucket.updated);
     bucket.tokens = std::min(room, bucket.tokens + added);
     bucket.updated = now;
 }
@@ -164,7 +180,7 @@
 {
     auto const& limits = m_fleet->configuration()->limits;
     auto const limit = limits.find(client_account);
-    auto const rate = limit == limits.end() ? 0 : limit->second.rate * bucket.part;
+    auto const rate = limit == limits.end() ? 0 : lasting_rate(limit->second) * bucket.part;
     auto const missing = static_cast<double>(std::max<std::size_t>(1, bucket.waiting.size())) - bucket.tokens;
     auto const wait = rate > 0 ? std::min(longest_estimate, missing / rate) : longest_estimate;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::max(0.0, wait)));
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -37,6 +37,14 @@
     std::map<short_name, double> m_total;
 };
 
+/// How operations are counted: over any span of `window`, an account may have rate x window + burst of them,
+/// and so much more that counting at many places may miss.
+struct rate_counting {
+    duration window = std::chrono::seconds(5);
+    double tolerated_share = 0.1;     ///< Of what the window allows.
+    double tolerated_operations = 20; ///< In a window, besides.
+};
+
 /// Called with nothing when an operation is admitted, otherwise with the time after which a token is expected.
 using admission_callback = std::function<void(std::optional<duration>)>;
 
@@ -47,7 +55,7 @@
 public:
     static constexpr std::string_view service_name = "rate_shares";
 
-    explicit rate_shares(kernel& kernel) : m_kernel(kernel) {}
+    rate_shares(kernel& kernel, rate_counting counting) : m_kernel(kernel), m_counting(counting) {}
 
     std::string_view name() const override { return service_name; }
     void start() override;
@@ -91,7 +99,11 @@
     };
 
     bucket& bucket_of(std::string const& client_account);
-    static void refill(bucket& bucket, account_limit const& limit, monotonic_time now);
+    /// Operations in a second that an account may keep up, over the fleet.
+    double lasting_rate(account_limit const& limit) const;
+    /// Operations that an account may have at once beyond its lasting rate, over the fleet.
+    double most_stock(account_limit const& limit) const;
+    void refill(bucket& bucket, account_limit const& limit, monotonic_time now) const;
     void divide();
     bool ask_peers(std::string const& client_account, bucket& bucket);
     void answer_request(std::string const& peer, token_request const& request);
@@ -101,6 +113,7 @@
     duration time_to_token(std::string const& client_account, bucket const& bucket) const;
 
     kernel& m_kernel;
+    rate_counting m_counting;
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
     std::map<std::string, bucket> m_buckets;
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -400,7 +400,7 @@
 void database_group::note_failure(std::string const& id, member_error error)
 {
     auto* const member = find_member(id);
-    if (member == nullptr || is_answer(error)) {
+    if (member == nullptr || is_answer(error) || error == member_error::not_started) {
         return;
     }
     auto const now = m_kernel.now();
--- a/libraries/members/link_pool.cpp
+++ b/libraries/members/link_pool.cpp
@@ -13,6 +13,8 @@
 constexpr duration pause_when_full = std::chrono::milliseconds(60);
 /// Pause after a member could not be reached.
 constexpr duration pause_when_unreachable = std::chrono::milliseconds(150);
+/// A handshake that takes longer than this, while no connection stands, makes the member look unreachable.
+constexpr duration usual_open_time = std::chrono::milliseconds(150);
 /// Handshakes under way at once, so that they leave slots to statements.
 constexpr std::size_t most_opening = 3;
 } // namespace
@@ -52,6 +54,12 @@
     }
 }
 
+bool link_pool::is_unreachable() const
+{
+    return m_idle.empty() && m_leased == 0 && m_unanswered_since &&
+           m_kernel.now() - *m_unanswered_since > usual_open_time;
+}
+
 void link_pool::trim(duration limit)
 {
     auto const now = m_kernel.now();
@@ -172,6 +180,7 @@
     ++m_opening;
     ++m_opening_for[client_account];
     m_opening_links.push_back(link);
+    m_unanswered_since = m_unanswered_since.value_or(m_kernel.now());
     link->open(open_timeout, [weak = weak_from_this(), raw = link.get()](member_answer const& answer) {
         auto const pool = weak.lock();
         if (!pool) {
@@ -191,6 +200,7 @@
     --m_opening;
     --m_opening_for[link->target().client_account];
     if (answer.is_ok()) {
+        m_unanswered_since.reset();
         m_idle.push_back(link);
         if (m_options.on_opened) {
             m_options.on_opened(answer);
--- a/libraries/members/link_pool.h
+++ b/libraries/members/link_pool.h
@@ -50,6 +50,9 @@
     /// Takes back a link. One that is not clean is closed.
     void release(link_pointer const& link);
 
+    /// True when no connection stands and the member has not taken a new one for a while.
+    bool is_unreachable() const;
+
     std::size_t links() const { return m_idle.size() + m_leased + m_opening; }
     std::size_t leased() const { return m_leased; }
     std::size_t waiting() const { return m_waiting.size(); }
@@ -81,6 +84,7 @@
     std::list<link_pointer> m_opening_links;
     std::list<link_request_pointer> m_waiting;
     monotonic_time m_no_opening_before;
+    std::optional<monotonic_time> m_unanswered_since; ///< First attempt to open since the last success.
     bool m_has_serve_timer = false;
     bool m_is_shut_down = false;
 };
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -57,6 +57,7 @@
     wrong_member,
     too_many_connections,
     unknown_prepared,
+    not_started, ///< Given up before it was sent, since the queue before the member was too long.
     failed,
     timed_out,
     malformed,
@@ -71,6 +72,7 @@
     enum_name<member_error>{member_error::wrong_member, "wrong_member"},
     enum_name<member_error>{member_error::too_many_connections, "too_many_connections"},
     enum_name<member_error>{member_error::unknown_prepared, "unknown_prepared"},
+    enum_name<member_error>{member_error::not_started, "not_started"},
     enum_name<member_error>{member_error::failed, "failed"},
     enum_name<member_error>{member_error::timed_out, "timed_out"},
     enum_name<member_error>{member_error::malformed, "malformed"},
@@ -89,14 +91,14 @@
 /// True when the member said that it did not run the command.
 constexpr bool is_not_run(member_error error)
 {
-    return error <= member_error::unknown_prepared || error == member_error::refused;
+    return error <= member_error::not_started || error == member_error::refused;
 }
 
 /// True when the member itself said so, rather than the way to it.
 constexpr bool is_answer(member_error error)
 {
     return error != member_error::connection_lost && error != member_error::timed_out &&
-           error != member_error::refused;
+           error != member_error::refused && error != member_error::not_started;
 }
 
 /// What a member says of its place in the group's log.
--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -188,6 +188,15 @@
     }
 }
 
+void tcp_stream::abort()
+{
+    if (is_open()) {
+        linger const at_once{1, 0};
+        static_cast<void>(::setsockopt(m_socket.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once)));
+    }
+    close();
+}
+
 void tcp_stream::close_after_sending()
 {
     m_is_closing = true;
--- a/libraries/reactor/tcp_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -39,6 +39,9 @@
     /// Closes now. Nothing calls back afterwards.
     void close();
 
+    /// Resets the connection: what was not delivered yet never will be.
+    void abort();
+
     /// Closes once everything was sent.
     void close_after_sending();
 
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -25,7 +25,7 @@
         peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram,
         membership_pace{heartbeat_period, peer_suspicion_time}));
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
-    m_kernel.add(std::make_unique<rate_shares>(m_kernel));
+    m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
     m_kernel.add(std::make_unique<group_registry>(m_kernel, m_hooks.links));
     m_kernel.add(std::make_unique<report_service>(m_kernel));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -31,6 +31,7 @@
     endpoint peer_endpoint;
     std::string fleet_secret;
     session_engine_settings sessions;
+    rate_counting rates;
 };
 
 /// A whole VM that serves sessions, as one object without I/O, threads or a clock of its own.
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -212,6 +212,7 @@
         refuse(statement, session_error::unknown_key, "key is unknown or was withdrawn");
         return std::nullopt;
     }
+    m_account = found->second;
     return found->second;
 }
 
@@ -394,10 +395,10 @@
     }
     auto const is_commit = statement.kind == statement_kind::commit;
     m_served_by = m_pinned->member;
+    auto const is_unsent = answer.error == member_error::not_started;
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
-    if (may_repeat && (answer.state == transaction_state::open || answer.error == member_error::busy) &&
-        tries < most_busy_tries) {
+    if ((is_unsent || (may_repeat && answer.state == transaction_state::open)) && tries < most_busy_tries) {
         m_kernel.start_timer(busy_pause, [self = shared_from_this(), statement = std::move(statement), tries] {
             if (self->m_pinned) {
                 self->send_pinned(statement, tries + 1);
@@ -515,6 +516,7 @@
     fields["error"] = std::string(find_name(session_error_names, *answer.error));
     fields["reason"] = answer.error_text;
     fields["after_ms"] = to_milliseconds(m_kernel.now() - m_arrived);
+    fields["client_account"] = m_account;
     if (answer.retry_after > duration::zero()) {
         fields["retry_after_ms"] = to_milliseconds(answer.retry_after);
     }
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -102,6 +102,7 @@
     monotonic_time m_arrived;
     monotonic_time m_last_active;
     std::string m_served_by;
+    std::string m_account; ///< Of the statement that was authorized last.
 };
 
 } // namespace greengagehitch
--- a/libraries/sessions/member_run.cpp
+++ b/libraries/sessions/member_run.cpp
@@ -50,6 +50,7 @@
     }
     switch (*answer.error) {
     case member_error::busy:
+    case member_error::not_started:
     case member_error::refused:
         result.error = session_error::busy;
         break;
@@ -415,6 +416,7 @@
         next_after(duration::zero());
         return true;
     case member_error::busy:
+    case member_error::not_started:
     case member_error::unknown_prepared:
         if (!needs_leader()) {
             m_group.note_crowded(member);
