failover: Bound a successor by acknowledged commits alone

Change: only acknowledged commits count; a handover that finds no successor within 2 s lets the leader go on.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -24,6 +24,8 @@
 constexpr duration silent_replica_patience = std::chrono::milliseconds(6'500);
 /// A takeover that did not get anywhere is given up, so that the group may go on as it was.
 constexpr duration longest_takeover = std::chrono::seconds(12);
+/// A leader that is about to leave still serves, but cannot commit while its replicas are stopped.
+constexpr duration longest_handover = std::chrono::milliseconds(2'000);
 constexpr duration pause_after_end = std::chrono::milliseconds(1'500);
 constexpr duration order_retry = std::chrono::milliseconds(300);
 constexpr int most_orders = 25;
@@ -103,7 +105,10 @@
 {
     auto const now = m_kernel.now();
     if (auto* const running = find(group.name())) {
-        if (now - running->started > longest_takeover) {
+        auto const limit = running->cause == takeover_cause::draining && !running->is_ordering
+                               ? longest_handover
+                               : longest_takeover;
+        if (now - running->started > limit) {
             end(group.name(), "given up", true);
         }
         else if (!running->is_ordering && now - running->questions_at >= question_period) {
@@ -180,7 +185,10 @@
     running->number = m_next_number++;
     running->cause = cause;
     running->started = m_kernel.now();
-    running->term = std::max(group.proven_term(), group.highest_seen().term) + 1;
+    auto const newest = group.evidence().newest();
+    running->term = std::max({group.proven_term(), group.highest_acknowledged().term,
+                              newest ? newest->position.term : 0}) +
+                    1;
     auto const* const leader = group.leader();
     running->old_leader = leader != nullptr ? leader->entry.id : group.last_leader();
     auto const name = group.name();
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -99,8 +99,8 @@
             entry.member = leader->entry.id;
             entry.term = leader->proven_term;
         }
-        entry.highest_term = group->highest_seen().term;
-        entry.highest_position = group->highest_seen().position;
+        entry.highest_term = group->highest_acknowledged().term;
+        entry.highest_position = group->highest_acknowledged().position;
         entry.is_suspected = group->suspects_leader();
         entry.holds_duty = m_holds_duty && m_holds_duty(name);
         report.leaders.push_back(std::move(entry));
@@ -198,7 +198,7 @@
     group_opinion opinion;
     opinion.voters = 1;
     opinion.suspects = group.suspects_leader() ? 1 : 0;
-    opinion.highest = group.highest_seen();
+    opinion.highest = group.highest_acknowledged();
     for (auto const& [name, entry] : m_reports) {
         if (!is_fresh(entry)) {
             continue;
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -125,7 +125,6 @@
         }
     }
     m_evidence.add(position, asked_at);
-    m_highest = std::max(m_highest, position);
     if (m_last_leader != id) {
         m_last_leader = id;
         Json::Value fields(Json::objectValue);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -107,7 +107,8 @@
     std::map<std::string, former_member> const& former_members() const { return m_former; }
 
     position_evidence const& evidence() const { return m_evidence; }
-    log_position highest_seen() const { return m_highest; }
+    /// Highest position of a commit that was acknowledged to a caller here.
+    log_position highest_acknowledged() const { return m_highest; }
 
     /// True when this VM finds the leader unreachable or unable to commit.
     bool suspects_leader() const;
