--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -134,11 +134,14 @@
     m_rates->take_report(peer.name, report);
     compare(peer, report);
     for (auto const& entry : report.leaders) {
-        if (entry.term == 0 || entry.is_suspected) {
-            continue;
-        }
         for (auto const& [name, group] : m_groups->groups()) {
-            if (to_short_name(name) == entry.group) {
+            if (to_short_name(name) != entry.group) {
+                continue;
+            }
+            if (entry.is_suspected) {
+                group->hear_of_suspicion();
+            }
+            else if (entry.term != 0) {
                 group->hear_of_leader(entry.member, entry.term);
             }
         }
@@ -188,6 +191,11 @@
     return !age || *age > evidence_patience || is_first(false);
 }
 
+bool report_service::is_recent(received_report const& entry) const
+{
+    return m_kernel.now() - entry.heard_at <= report_period * 5 / 2;
+}
+
 bool report_service::is_fresh(received_report const& entry) const
 {
     return m_kernel.now() - entry.heard_at <= report_lifetime;
@@ -207,7 +215,8 @@
             if (each.group != to_short_name(group.name())) {
                 continue;
             }
-            ++opinion.voters;
+            // A VM that was not heard lately may be behind the same partition as the leader.
+            opinion.voters += each.is_suspected || is_recent(entry) ? 1 : 0;
             opinion.suspects += each.is_suspected ? 1 : 0;
             opinion.highest =
                 std::max(opinion.highest, log_position{each.highest_term, each.highest_position});
@@ -223,7 +232,7 @@
 {
     std::vector<std::string> names;
     for (auto const& [name, entry] : m_reports) {
-        if (is_fresh(entry) && entry.report.store_age_ms <= store_contact_ms) {
+        if (is_recent(entry) && entry.report.store_age_ms <= store_contact_ms) {
             names.push_back(name);
         }
     }
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -71,6 +71,7 @@
     bool is_first(bool of_zone) const;
     void take_report(peer_state const& peer, vm_report const& report);
     bool is_fresh(received_report const& entry) const;
+    bool is_recent(received_report const& entry) const;
 
     kernel& m_kernel;
     fleet_state* m_fleet = nullptr;
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 /// A member that failed is left alone for this long, unless nothing else is left.
-constexpr duration avoid_time = std::chrono::milliseconds(400);
+constexpr duration avoid_time = std::chrono::milliseconds(250);
+constexpr duration longest_avoid_time = std::chrono::milliseconds(1'500);
+constexpr std::size_t failures_before_question = 2;
 /// A replica that is too far behind is asked again for its position after this time.
 constexpr duration position_period = std::chrono::milliseconds(200);
 /// A member whose queue was too long has served part of it by then.
@@ -18,7 +20,7 @@
 constexpr duration search_period = std::chrono::milliseconds(80);
 constexpr std::uint32_t question_timeout_ms = 300;
 /// Silence after which a member that owes answers is suspected.
-constexpr duration suspicion_time = std::chrono::milliseconds(400);
+constexpr duration suspicion_time = std::chrono::milliseconds(300);
 constexpr std::size_t suspicion_failures = 2;
 /// Time for which commits at the leader may stay without an answer.
 constexpr duration stuck_commit_time = std::chrono::milliseconds(1'500);
@@ -31,6 +33,9 @@
 constexpr duration usual_latency = std::chrono::milliseconds(30);
 constexpr int smoothing_divisor = 6;
 
+/// For questions that no account asks.
+constexpr auto no_account = "-";
+
 } // namespace
 
 database_group::database_group(std::string name, dependencies dependencies)
@@ -96,10 +101,10 @@
     return found == m_members.end() ? nullptr : &found->second;
 }
 
-group_member* database_group::leader()
+group_member const* database_group::leader() const
 {
-    group_member* best = nullptr;
-    for (auto& [id, member] : m_members) {
+    group_member const* best = nullptr;
+    for (auto const& [id, member] : m_members) {
         if (member.is_denied || (member.proven_term == 0 && !member.entry.claims_primary)) {
             continue;
         }
@@ -111,6 +116,12 @@
     return best;
 }
 
+group_member* database_group::leader()
+{
+    auto const* const found = std::as_const(*this).leader();
+    return found == nullptr ? nullptr : find_member(found->entry.id);
+}
+
 void database_group::prove_leader(std::string const& id, log_position position, monotonic_time asked_at)
 {
     auto* const member = find_member(id);
@@ -309,6 +320,11 @@
         if (member.entry.is_draining || excluded.contains(id) || member.avoid_before > now) {
             continue;
         }
+        if (member.failures >= failures_before_question) {
+            // A question finds out whether the member is back, so that no read has to.
+            ask_position(member, client_account);
+            continue;
+        }
         if (!is_expected_to_hold(member, floor)) {
             if (now - member.observed_at > position_period) {
                 ask_position(member, client_account);
@@ -403,8 +419,9 @@
         return;
     }
     auto const now = m_kernel.now();
-    member->avoid_before = now + avoid_time;
     ++member->failures;
+    member->avoid_before = now + std::min<duration>(longest_avoid_time,
+                                                    avoid_time * static_cast<duration::rep>(member->failures));
     member->failing_since = member->failing_since.value_or(now);
 }
 
@@ -438,20 +455,24 @@
 
 bool database_group::suspects_leader() const
 {
+    auto const* const member = leader();
+    if (member == nullptr) {
+        return false;
+    }
     auto const now = m_kernel.now();
-    for (auto const& [id, member] : m_members) {
-        if (member.proven_term == 0 && !member.entry.claims_primary) {
-            continue;
-        }
-        if (member.failing_since && member.failures >= suspicion_failures &&
-            now - *member.failing_since > suspicion_time) {
-            return true;
-        }
-        if (member.commits_stuck_since && now - *member.commits_stuck_since > stuck_commit_time) {
-            return true;
-        }
+    if (member->failing_since && member->failures >= suspicion_failures &&
+        now - *member->failing_since > suspicion_time) {
+        return true;
+    }
+    return member->commits_stuck_since && now - *member->commits_stuck_since > stuck_commit_time;
+}
+
+void database_group::hear_of_suspicion()
+{
+    auto* const member = leader();
+    if (member != nullptr && !suspects_leader()) {
+        ask_whether_leads(*member, m_search_account.empty() ? no_account : m_search_account);
     }
-    return false;
 }
 
 Json::Value database_group::dump() const
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -56,6 +56,7 @@
 
     /// Member that leads as far as this VM knows; null when none is known.
     group_member* leader();
+    group_member const* leader() const;
 
     /// Member that was last proven to lead; empty when none was.
     std::string const& last_leader() const { return m_last_leader; }
@@ -113,6 +114,9 @@
     /// True when this VM finds the leader unreachable or unable to commit.
     bool suspects_leader() const;
 
+    /// A peer suspects the leader; this VM asks for itself.
+    void hear_of_suspicion();
+
     Json::Value dump() const;
 
 private:
