--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -44,32 +44,32 @@
     hooks.read_row = [this](std::string key, auto done) {
         auto const path = "/table/" + escape_uri(key);
         call("GET", path, "", "", [key = std::move(key), done = std::move(done)](row_answer answer) {
-                     if (answer.status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
-                         done(std::optional<table_row>());
-                         return;
-                     }
-                     auto status = status_of(answer);
-                     if (!status.ok()) {
-                         done(std::move(status));
-                         return;
-                     }
-                     done(std::optional(table_row{key, std::move(answer.body), answer.row_version}));
-                 });
+            if (answer.status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
+                done(std::optional<table_row>());
+                return;
+            }
+            auto status = status_of(answer);
+            if (!status.ok()) {
+                done(std::move(status));
+                return;
+            }
+            done(std::optional(table_row{key, std::move(answer.body), answer.row_version}));
+        });
     };
     hooks.put_row = [this](std::string const& key, std::uint64_t expected, std::string value, auto done) {
         call("PUT", "/table/" + escape_uri(key), std::move(value), fmt::to_string(expected),
-                 [done = std::move(done)](row_answer const& answer) {
-                     auto status = status_of(answer);
-                     if (!status.ok()) {
-                         done(std::move(status));
-                         return;
-                     }
-                     done(answer.row_version);
-                 });
+             [done = std::move(done)](row_answer const& answer) {
+                 auto status = status_of(answer);
+                 if (!status.ok()) {
+                     done(std::move(status));
+                     return;
+                 }
+                 done(answer.row_version);
+             });
     };
     hooks.scan_rows = [this](std::string const& prefix, auto done) {
-        call(
-            "GET", "/scan/" + escape_uri(prefix), "", "", [done = std::move(done)](row_answer const& answer) {
+        call("GET", "/scan/" + escape_uri(prefix), "", "",
+             [done = std::move(done)](row_answer const& answer) {
                  auto status = status_of(answer);
                  auto root = status.ok() ? try_parse_json(answer.body) : absl::StatusOr<Json::Value>(status);
                  if (!root.ok()) {
@@ -86,35 +86,34 @@
     };
     hooks.put_object = [this](std::string const& name, std::string body, auto done) {
         call("PUT", "/objects/" + escape_uri(name), std::move(body), "",
-                 [done = std::move(done)](row_answer const& answer) { done(status_of(answer)); });
+             [done = std::move(done)](row_answer const& answer) { done(status_of(answer)); });
     };
     hooks.get_object = [this](std::string const& name, auto done) {
         call("GET", "/objects/" + escape_uri(name), "", "", [done = std::move(done)](row_answer answer) {
-                     auto status = status_of(answer);
-                     if (!status.ok()) {
-                         done(std::move(status));
-                         return;
-                     }
-                     done(std::move(answer.body));
-                 });
+            auto status = status_of(answer);
+            if (!status.ok()) {
+                done(std::move(status));
+                return;
+            }
+            done(std::move(answer.body));
+        });
     };
     hooks.list_vms = [this](auto done) {
         call("GET", "/vms", "", "", [done = std::move(done)](row_answer const& answer) {
-                     auto status = status_of(answer);
-                     auto root =
-                         status.ok() ? try_parse_json(answer.body) : absl::StatusOr<Json::Value>(status);
-                     if (!root.ok()) {
-                         done(root.status());
-                         return;
-                     }
-                     std::vector<vm_record> records;
-                     for (auto const& entry : *root) {
-                         if (auto record = parse_vm(entry)) {
-                             records.push_back(*std::move(record));
-                         }
-                     }
-                     done(std::move(records));
-                 });
+            auto status = status_of(answer);
+            auto root = status.ok() ? try_parse_json(answer.body) : absl::StatusOr<Json::Value>(status);
+            if (!root.ok()) {
+                done(root.status());
+                return;
+            }
+            std::vector<vm_record> records;
+            for (auto const& entry : *root) {
+                if (auto record = parse_vm(entry)) {
+                    records.push_back(*std::move(record));
+                }
+            }
+            done(std::move(records));
+        });
     };
     return hooks;
 }
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -130,13 +130,13 @@
         return;
     }
     // Unreachable for this VM does not mean unreachable for the next one in rank.
-    found->second.desk->run(std::move(request), [this, id = member.id, vm, done = std::move(done)](
-                                                    member_reply reply) {
-        if (reply.answers.back().error == member_error::refused) {
-            avoid_route(id, vm);
-        }
-        done(std::move(reply));
-    });
+    found->second.desk->run(std::move(request),
+                            [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
+                                if (reply.answers.back().error == member_error::refused) {
+                                    avoid_route(id, vm);
+                                }
+                                done(std::move(reply));
+                            });
 }
 
 void broker_service::avoid_route(std::string const& member, std::string const& vm)
@@ -337,8 +337,8 @@
     }
     for (auto const& each : lost) {
         m_kernel.cancel_timer(each.timer);
-        each.done(make_failed_reply(
-            each.commands, was_connected ? member_error::connection_lost : member_error::refused));
+        each.done(make_failed_reply(each.commands,
+                                    was_connected ? member_error::connection_lost : member_error::refused));
     }
 }
 
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -104,8 +104,8 @@
     kernel& m_kernel;
     channel_hooks m_channels;
     membership_service* m_membership = nullptr;
-    std::map<std::string, known_desk> m_desks; ///< By member.
-    std::map<std::string, choice> m_choices;   ///< By member.
+    std::map<std::string, known_desk> m_desks;                              ///< By member.
+    std::map<std::string, choice> m_choices;                                ///< By member.
     std::map<std::string, std::map<std::string, monotonic_time>> m_avoided; ///< VMs by member, with the end.
     std::map<std::uint64_t, pending_request> m_pending;
     std::map<std::string, vm_health> m_health;
--- a/libraries/brokers/member_desk.cpp
+++ b/libraries/brokers/member_desk.cpp
@@ -123,27 +123,26 @@
         return;
     }
     auto const keep_alive = shared_from_this();
-    auto const request = m_pool->acquire(
-        started->request.client_account, started->request.values,
-        [this, keep_alive, started](std::variant<link_pointer, member_error> result) {
-            if (auto const* const error = std::get_if<member_error>(&result)) {
-                free_slot(*started);
-                refuse(started, *error, "no connection");
+    auto const request =
+        m_pool->acquire(started->request.client_account, started->request.values,
+                        [this, keep_alive, started](std::variant<link_pointer, member_error> result) {
+                            if (auto const* const error = std::get_if<member_error>(&result)) {
+                                free_slot(*started);
+                                refuse(started, *error, "no connection");
+                                return;
+                            }
+                            send(started, std::get<link_pointer>(result));
+                        });
+    m_kernel.start_timer(
+        std::chrono::milliseconds(started->request.queue_limit_ms), [this, keep_alive, started, request] {
+            if (!request->is_waiting()) {
                 return;
             }
-            send(started, std::get<link_pointer>(result));
+            request->cancel();
+            free_slot(*started);
+            refuse(started, m_pool->is_unreachable() ? member_error::refused : member_error::not_started,
+                   "no connection became free");
         });
-    m_kernel.start_timer(std::chrono::milliseconds(started->request.queue_limit_ms),
-                         [this, keep_alive, started, request] {
-                             if (!request->is_waiting()) {
-                                 return;
-                             }
-                             request->cancel();
-                             free_slot(*started);
-                             refuse(started,
-                                    m_pool->is_unreachable() ? member_error::refused : member_error::not_started,
-                                    "no connection became free");
-                         });
 }
 
 void member_desk::send(entry_pointer const& started, link_pointer const& link)
@@ -188,8 +187,8 @@
     }
     free_slot(*started);
     member_reply reply;
-    auto const is_kept = started->request.keeps_link && link->is_open() &&
-                         link->state() != transaction_state::idle;
+    auto const is_kept =
+        started->request.keeps_link && link->is_open() && link->state() != transaction_state::idle;
     reply.answers = std::move(answers);
     if (!started->link) {
         if (is_kept) {
@@ -204,21 +203,21 @@
 
 lease_pointer member_desk::make_lease(link_pointer const& link)
 {
-    return std::make_shared<member_lease>(member_lease::hooks{
-        [desk = shared_from_this(), link](member_request request, reply_callback done) {
-            auto const added = std::make_shared<entry>();
-            added->request = std::move(request);
-            added->done = std::move(done);
-            added->link = link;
-            added->since = desk->m_kernel.now();
-            desk->enqueue(added);
-        },
-        [weak = weak_from_this(), lifetime = m_kernel.lifetime(), link] {
-            auto const desk = weak.lock();
-            if (desk && !lifetime.expired()) {
-                desk->give_back(link);
-            }
-        }});
+    return std::make_shared<member_lease>(
+        member_lease::hooks{[desk = shared_from_this(), link](member_request request, reply_callback done) {
+                                auto const added = std::make_shared<entry>();
+                                added->request = std::move(request);
+                                added->done = std::move(done);
+                                added->link = link;
+                                added->since = desk->m_kernel.now();
+                                desk->enqueue(added);
+                            },
+                            [weak = weak_from_this(), lifetime = m_kernel.lifetime(), link] {
+                                auto const desk = weak.lock();
+                                if (desk && !lifetime.expired()) {
+                                    desk->give_back(link);
+                                }
+                            }});
 }
 
 void member_desk::give_back(link_pointer const& link)
--- a/libraries/brokers/member_desk.h
+++ b/libraries/brokers/member_desk.h
@@ -65,7 +65,7 @@
     std::shared_ptr<link_pool> m_pool;
     std::map<int, fair_queue<entry_pointer>> m_waiting; ///< By priority.
     std::size_t m_waiting_count = 0;
-    std::size_t m_running = 0;                              ///< Requests that hold a slot.
+    std::size_t m_running = 0;                               ///< Requests that hold a slot.
     duration m_service_time = std::chrono::milliseconds(25); ///< Smoothed time for which they do.
 };
 
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -259,20 +259,20 @@
     }
     link = std::make_shared<member_link>(m_kernel, m_links,
                                          link_target{member.address, name, id, control_account});
-    link->open(question_timeout, [this, name, id, number, send,
-                                  started = m_kernel.now()](member_answer const& answer) {
-        auto* const current = find(name, number);
-        if (current == nullptr) {
-            return;
-        }
-        if (answer.is_ok()) {
-            send(current->links[id]);
-            return;
-        }
-        if (m_kernel.now() - started < question_timeout) {
-            note_unanswered(name, id, answer);
-        }
-    });
+    link->open(question_timeout,
+               [this, name, id, number, send, started = m_kernel.now()](member_answer const& answer) {
+                   auto* const current = find(name, number);
+                   if (current == nullptr) {
+                       return;
+                   }
+                   if (answer.is_ok()) {
+                       send(current->links[id]);
+                       return;
+                   }
+                   if (m_kernel.now() - started < question_timeout) {
+                       note_unanswered(name, id, answer);
+                   }
+               });
 }
 
 void takeover_service::note_unanswered(std::string const& name, std::string const& member,
@@ -380,8 +380,8 @@
     auto const number = running->number;
     running->claimed_at = m_kernel.now();
     m_platform.read_row(row_key(group), m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(
-                                            [this, group, member, number, claimed](
-                                                absl::StatusOr<std::optional<table_row>> const& row) {
+                                            [this, group, member, number,
+                                             claimed](absl::StatusOr<std::optional<table_row>> const& row) {
                                                 if (find(group, number) == nullptr) {
                                                     return;
                                                 }
@@ -416,26 +416,27 @@
     row["member"] = member;
     row["fence"] = Json::UInt64(claim.fence);
     row["claimed_at_ms"] = Json::Int64(claim.made_at_ms);
-    m_platform.put_row(row_key(group), row_version, to_json_line(row),
-                       m_kernel.guard<absl::StatusOr<std::uint64_t>>(
-                           [this, group, member, number, claim, claimed](absl::StatusOr<std::uint64_t> const& put) {
-                               auto* const running = find(group, number);
-                               if (running == nullptr) {
-                                   return;
-                               }
-                               if (!put.ok()) {
-                                   end(group, absl::IsAborted(put.status()) ? "another VM holds the duty"
-                                                                            : "store did not answer",
-                                       true);
-                                   return;
-                               }
-                               running->fence = claim.fence;
-
-                               running->fenced_member = member;
-                               m_held[group] = m_kernel.now();
-                               m_reports->send_now();
-                               claimed();
-                           }));
+    m_platform.put_row(
+        row_key(group), row_version, to_json_line(row),
+        m_kernel.guard<absl::StatusOr<std::uint64_t>>(
+            [this, group, member, number, claim, claimed](absl::StatusOr<std::uint64_t> const& put) {
+                auto* const running = find(group, number);
+                if (running == nullptr) {
+                    return;
+                }
+                if (!put.ok()) {
+                    end(group,
+                        absl::IsAborted(put.status()) ? "another VM holds the duty" : "store did not answer",
+                        true);
+                    return;
+                }
+                running->fence = claim.fence;
+
+                running->fenced_member = member;
+                m_held[group] = m_kernel.now();
+                m_reports->send_now();
+                claimed();
+            }));
 }
 
 void takeover_service::give_order(std::string const& group, std::string const& member)
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -118,9 +118,9 @@
     report_service* m_reports = nullptr;
     fleet_state* m_fleet = nullptr;
     std::map<std::string, std::unique_ptr<takeover>> m_running;
-    std::map<std::string, monotonic_time> m_held;           ///< Groups whose duty this VM holds.
+    std::map<std::string, monotonic_time> m_held;             ///< Groups whose duty this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Groups without a known leader.
-    std::map<std::string, monotonic_time> m_not_before;     ///< Pause after an attempt.
+    std::map<std::string, monotonic_time> m_not_before;       ///< Pause after an attempt.
     std::uint64_t m_next_number = 1;
 };
 
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -55,7 +55,8 @@
         known = is_suspected;
     }
     auto const fleet = std::max<std::size_t>(usual_fleet, m_membership->fleet_size());
-    auto const period = report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
+    auto const period =
+        report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
     auto const configuration = m_fleet->configuration();
     auto const version = configuration ? configuration->version : 0;
     has_news = has_news || std::exchange(m_told_version, version) != version ||
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -7,8 +7,8 @@
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
 #include "limits/rate_shares.h"
-#include "membership/membership_service.h"
 #include "members/group_registry.h"
+#include "membership/membership_service.h"
 
 namespace greengagehitch {
 
@@ -27,7 +27,7 @@
     void send_now();
 
     struct group_opinion {
-        std::size_t voters = 0;  ///< VMs that use the group, this one included.
+        std::size_t voters = 0; ///< VMs that use the group, this one included.
         std::size_t suspects = 0;
         log_position highest;    ///< Highest position that any of them saw committed.
         std::string duty_holder; ///< Peer that orders promotions for the group; empty for none.
--- a/libraries/fleet/served_configuration.h
+++ b/libraries/fleet/served_configuration.h
@@ -13,9 +13,9 @@
 
 /// Which commits a read of a class must see.
 enum class read_consistency {
-    every_commit,     ///< All that were acknowledged before it.
-    bounded_age,      ///< Those acknowledged longer ago than the class's age.
-    own_writes,       ///< As bounded_age, and all of its own session.
+    every_commit, ///< All that were acknowledged before it.
+    bounded_age,  ///< Those acknowledged longer ago than the class's age.
+    own_writes,   ///< As bounded_age, and all of its own session.
 };
 
 inline constexpr std::array read_consistency_names{
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -21,7 +21,8 @@
 constexpr duration report_lifetime = std::chrono::milliseconds(3'000);
 constexpr double hundredths = 100;
 
-/// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or more.
+/// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or
+/// more.
 constexpr duration longest_wait = std::chrono::milliseconds(40);
 /// Longest time that a refusal tells, in seconds.
 constexpr double longest_estimate = 5;
@@ -29,7 +30,8 @@
 /// A borrower asks for what it needs for this time, a lender keeps what it needs for this time itself.
 constexpr double wanted_seconds = 0.2;
 constexpr double reserve_seconds = 0.2;
-/// Pause after peers had nothing to give, so that a flood beyond the rate does not become a flood of questions.
+/// Pause after peers had nothing to give, so that a flood beyond the rate does not become a flood of
+/// questions.
 constexpr duration fruitless_pause = std::chrono::milliseconds(100);
 
 double seconds(duration value)
@@ -86,8 +88,9 @@
                 refuse_waiting(account, bucket);
             }
         }
-        std::erase_if(m_buckets,
-                      [&configuration](auto const& each) { return !configuration.limits.contains(each.first); });
+        std::erase_if(m_buckets, [&configuration](auto const& each) {
+            return !configuration.limits.contains(each.first);
+        });
         for (auto const& [account, limit] : configuration.limits) {
             bucket_of(account);
         }
@@ -296,7 +299,8 @@
     }
     divide();
     for (auto const& [account, bucket] : m_buckets) {
-        demands.push_back({to_short_name(account), static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths)),
+        demands.push_back({to_short_name(account),
+                           static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths)),
                            static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
     }
     return demands;
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -45,7 +45,8 @@
     double tolerated_operations = 20; ///< In a window, besides.
 };
 
-/// Called with nothing when an operation is admitted, otherwise with the time after which a token is expected.
+/// Called with nothing when an operation is admitted, otherwise with the time after which a token is
+/// expected.
 using admission_callback = std::function<void(std::optional<duration>)>;
 
 /// Admits operations within the rate and burst of their client account over the whole fleet. Each VM holds a
@@ -85,7 +86,7 @@
         std::size_t arrivals = 0; ///< Since the last publication.
         double demand = 0;        ///< Operations in a second, smoothed.
         double published = 0;
-        double part = 0;          ///< Of the account's rate.
+        double part = 0; ///< Of the account's rate.
         std::deque<waiting_operation> waiting;
         std::map<std::uint64_t, std::string> requests; ///< Peers that were asked and have not answered.
         monotonic_time no_request_before;              ///< After a round that brought nothing.
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -420,8 +420,9 @@
     }
     auto const now = m_kernel.now();
     ++member->failures;
-    member->avoid_before = now + std::min<duration>(longest_avoid_time,
-                                                    avoid_time * static_cast<duration::rep>(member->failures));
+    member->avoid_before =
+        now +
+        std::min<duration>(longest_avoid_time, avoid_time * static_cast<duration::rep>(member->failures));
     member->failing_since = member->failing_since.value_or(now);
 }
 
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -27,10 +27,11 @@
     duration lag{};                                   ///< Of its readable log behind the leader's, then.
     std::uint64_t proven_term = 0;                    ///< Term that it was last proven to lead; 0 for none.
     bool is_denied = false;                           ///< Said that it does not lead.
-    std::uint64_t claim_change = 0;                   ///< Directory change at which it began to claim the lead.
-    std::optional<monotonic_time> failing_since;      ///< First failure since its last answer.
-    std::size_t failures = 0;                         ///< Since its last answer.
-    std::optional<monotonic_time> commits_stuck_since; ///< First commit without an answer since the last one with.
+    std::uint64_t claim_change = 0;              ///< Directory change at which it began to claim the lead.
+    std::optional<monotonic_time> failing_since; ///< First failure since its last answer.
+    std::size_t failures = 0;                    ///< Since its last answer.
+    std::optional<monotonic_time>
+        commits_stuck_since; ///< First commit without an answer since the last one with.
 };
 
 /// One database group as this VM sees it: its members, who leads, and how far its log reached when.
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -44,8 +44,7 @@
     auto& entry = m_groups[name];
     if (!entry) {
         database_group::dependencies dependencies{
-            m_kernel,
-            m_membership->identity().availability_zone,
+            m_kernel, m_membership->identity().availability_zone,
             [this](member_entry const& member, member_request request, reply_callback done) {
                 m_brokers->run(member, std::move(request), std::move(done));
             },
@@ -85,8 +84,8 @@
 std::size_t group_registry::max_links(std::string const& name, std::string const& member) const
 {
     auto const& configuration = m_fleet->configuration();
-    auto const limits =
-        configuration ? configuration->groups.find(name) : std::map<std::string, group_limits>::const_iterator{};
+    auto const limits = configuration ? configuration->groups.find(name)
+                                      : std::map<std::string, group_limits>::const_iterator{};
     if (!configuration || limits == configuration->groups.end() || limits->second.max_connections == 0) {
         return default_max_links;
     }
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -4,17 +4,17 @@
 #include <memory>
 #include <string>
 
-#include "fleet/fleet_state.h"
 #include "brokers/broker_service.h"
+#include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
-#include "membership/membership_service.h"
 #include "members/database_group.h"
+#include "membership/membership_service.h"
 
 namespace greengagehitch {
 
-/// All database groups that the directory names, with this VM's desks for their members. The VM that brokers a
-/// member holds most of the connections that it takes; the others keep a few, for the time in which a broker
-/// is lost.
+/// All database groups that the directory names, with this VM's desks for their members. The VM that brokers
+/// a member holds most of the connections that it takes; the others keep a few, for the time in which a
+/// broker is lost.
 class group_registry : public service {
 public:
     static constexpr std::string_view service_name = "groups";
--- a/libraries/members/link_pool.cpp
+++ b/libraries/members/link_pool.cpp
@@ -108,7 +108,8 @@
     }
     std::erase_if(m_waiting, [](auto const& request) { return !request->is_waiting(); });
     if (!m_waiting.empty()) {
-        schedule_serve(std::max<duration>(std::chrono::milliseconds(5), m_no_opening_before - m_kernel.now()));
+        schedule_serve(
+            std::max<duration>(std::chrono::milliseconds(5), m_no_opening_before - m_kernel.now()));
     }
 }
 
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -26,9 +26,9 @@
     set_value,
     reset,
     status,
-    stop_receiving,   ///< A replica takes nothing more of terms below the one given.
+    stop_receiving, ///< A replica takes nothing more of terms below the one given.
     resume_receiving,
-    step_down,        ///< A primary of a lower term than the one given becomes a replica.
+    step_down, ///< A primary of a lower term than the one given becomes a replica.
 };
 
 } // namespace greengagehitch
@@ -117,7 +117,7 @@
     std::vector<std::string> rows;
     std::string proof;
     transaction_state state = transaction_state::idle;
-    std::optional<log_position> position; ///< Of the member's readable log.
+    std::optional<log_position> position;    ///< Of the member's readable log.
     std::optional<member_standing> standing; ///< With answers to commands about the group.
 
     bool is_ok() const { return !error.has_value(); }
--- a/libraries/members/member_link.cpp
+++ b/libraries/members/member_link.cpp
@@ -52,9 +52,8 @@
         for (auto& answer : answers) {
             answer.error = member_error::refused;
         }
-        m_kernel.start_timer(duration::zero(), [answers = std::move(answers), answered = std::move(answered)] {
-            answered(answers);
-        });
+        m_kernel.start_timer(duration::zero(), [answers = std::move(answers),
+                                                answered = std::move(answered)] { answered(answers); });
         return;
     }
     auto const added = std::make_shared<batch_state>();
--- a/libraries/members/position_evidence.h
+++ b/libraries/members/position_evidence.h
@@ -24,8 +24,8 @@
     /// lowest one lets most replicas answer.
     std::optional<log_position> covering(monotonic_time time) const;
 
-    /// Time up to which a log that ends at `position` holds what was acknowledged; empty when it is at the end
-    /// of what is known, or before it.
+    /// Time up to which a log that ends at `position` holds what was acknowledged; empty when it is at the
+    /// end of what is known, or before it.
     std::optional<monotonic_time> covered_at(log_position position) const;
 
     /// Time by which the leader's log is known to have held `position`; empty when it is beyond all samples.
--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -58,8 +58,7 @@
         return nullptr;
     }
     Poco::Net::SocketAddress const address(host, target.port);
-    file_descriptor socket(
-        ::socket(address.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    file_descriptor socket(::socket(address.af(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!socket.is_valid()) {
         return nullptr;
     }
--- a/libraries/reactor/tcp_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -20,7 +20,7 @@
     struct events {
         std::function<void()> connected;
         std::function<void(std::string_view)> bytes;
-        std::function<void()> ended;    ///< The other end is gone, or the connection failed.
+        std::function<void()> ended; ///< The other end is gone, or the connection failed.
     };
 
     tcp_stream(reactor& reactor, file_descriptor socket, bool is_connected);
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -25,8 +25,9 @@
 
 client_session::client_session(session_engine& engine, std::string database, std::string key,
                                session_hooks hooks)
-    : m_engine(engine), m_kernel(engine.core()), m_kernel_lifetime(m_kernel.lifetime()), m_database(std::move(database)), m_key(std::move(key)),
-      m_hooks(std::move(hooks)), m_last_active(m_kernel.now())
+    : m_engine(engine), m_kernel(engine.core()), m_kernel_lifetime(m_kernel.lifetime()),
+      m_database(std::move(database)), m_key(std::move(key)), m_hooks(std::move(hooks)),
+      m_last_active(m_kernel.now())
 {
 }
 
@@ -285,9 +286,9 @@
 void client_session::run_admitted(run_order order)
 {
     auto const statement = order.statement;
-    auto const mode = order.is_write                                              ? run_mode::write
+    auto const mode = order.is_write                                             ? run_mode::write
                       : order.work.consistency == read_consistency::every_commit ? run_mode::proven_read
-                                                                                   : run_mode::read;
+                                                                                 : run_mode::read;
     auto& group = m_engine.groups().group(order.work.group);
     std::make_shared<member_run>(
         m_kernel, group, std::move(order), mode,
@@ -360,10 +361,9 @@
         return;
     }
     auto request = request_for(*order);
-    request.time_limit_ms =
-        static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(
-                                       m_transaction_class.statement_timeout + commit_slack)
-                                       .count());
+    request.time_limit_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(m_transaction_class.statement_timeout + commit_slack)
+            .count());
     request.queue_limit_ms = request.time_limit_ms;
     request.keeps_link = true;
     m_has_written = m_has_written || order->is_write;
@@ -399,11 +399,12 @@
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
     if ((is_unsent || (may_repeat && answer.state == transaction_state::open)) && tries < most_busy_tries) {
-        m_kernel.start_timer(busy_pause, [self = shared_from_this(), statement = std::move(statement), tries] {
-            if (self->m_pinned) {
-                self->send_pinned(statement, tries + 1);
-            }
-        });
+        m_kernel.start_timer(busy_pause,
+                             [self = shared_from_this(), statement = std::move(statement), tries] {
+                                 if (self->m_pinned) {
+                                     self->send_pinned(statement, tries + 1);
+                                 }
+                             });
         return;
     }
     auto const error = answer.error;
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -36,10 +36,7 @@
     void leave();
 
     /// True between operations: nothing outstanding and no transaction open.
-    bool is_idle() const
-    {
-        return m_state == transaction_state::idle && !m_is_running && m_queue.empty();
-    }
+    bool is_idle() const { return m_state == transaction_state::idle && !m_is_running && m_queue.empty(); }
     bool is_in_transaction() const { return m_state != transaction_state::idle; }
 
     /// Ends the session if it is idle; false otherwise.
--- a/libraries/sessions/member_run.cpp
+++ b/libraries/sessions/member_run.cpp
@@ -272,9 +272,8 @@
 void member_run::watch_for_answer(std::string const& member, run_mode mode)
 {
     auto const may_go_anywhere = mode == run_mode::read || mode == run_mode::begin_read;
-    auto const delay = may_go_anywhere
-                           ? std::max(overdue_time, m_order.work.delay_target / hedge_divisor)
-                           : overdue_time;
+    auto const delay =
+        may_go_anywhere ? std::max(overdue_time, m_order.work.delay_target / hedge_divisor) : overdue_time;
     m_kernel.start_timer(delay, [self = shared_from_this(), member, mode, may_go_anywhere] {
         if (!self->m_done) {
             return;
--- a/libraries/sessions/member_run.h
+++ b/libraries/sessions/member_run.h
@@ -39,11 +39,11 @@
 
 /// How a statement reaches a member.
 enum class run_mode {
-    read,          ///< At any member that holds a position which bounds the age.
-    proven_read,   ///< At the leader, inside a transaction of our own that only a leader accepts.
-    write,         ///< At the leader, once.
-    begin,         ///< Starts a transaction at the leader.
-    begin_read,    ///< Starts a read transaction at any member that holds the position.
+    read,        ///< At any member that holds a position which bounds the age.
+    proven_read, ///< At the leader, inside a transaction of our own that only a leader accepts.
+    write,       ///< At the leader, once.
+    begin,       ///< Starts a transaction at the leader.
+    begin_read,  ///< Starts a read transaction at any member that holds the position.
 };
 
 /// Turns a member's answer into the session's.
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -176,8 +176,7 @@
 
 using peer_message =
     std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
-                 primary_suspicion, share_transfer, share_request, vm_report, token_request,
-                 token_grant>;
+                 primary_suspicion, share_transfer, share_request, vm_report, token_request, token_grant>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- a/standins/session_fleet/log_group.cpp
+++ b/standins/session_fleet/log_group.cpp
@@ -8,7 +8,8 @@
 namespace greengagehitch::standin {
 
 log_group::log_group(virtual_clock& clock, std::string name, std::vector<std::string> ids, options options)
-    : m_clock(clock), m_name(std::move(name)), m_ids(std::move(ids)), m_options(options), m_leader(m_ids.front())
+    : m_clock(clock), m_name(std::move(name)), m_ids(std::move(ids)), m_options(options),
+      m_leader(m_ids.front())
 {
     for (auto const& id : m_ids) {
         m_members[id];
@@ -99,22 +100,23 @@
     added->events = std::move(events);
     m_connections[link] = added;
     ++m_members.at(target.member).connections;
-    m_clock.start_timer(m_options.handshake + 2 * m_options.latency, [this, link, added, group = target.group] {
-        auto const& member = m_members.at(added->member);
-        if (!m_connections.contains(link) || member.faults.is_dark) {
-            return;
-        }
-        member_answer answer;
-        if (group != m_name) {
-            answer.error = member_error::wrong_member;
-        }
-        else if (member.connections > m_options.max_connections) {
-            answer.error = member_error::too_many_connections;
-        }
-        ++m_opened;
-        answer.position = readable(member);
-        added->events.opened(std::move(answer));
-    });
+    m_clock.start_timer(m_options.handshake + 2 * m_options.latency,
+                        [this, link, added, group = target.group] {
+                            auto const& member = m_members.at(added->member);
+                            if (!m_connections.contains(link) || member.faults.is_dark) {
+                                return;
+                            }
+                            member_answer answer;
+                            if (group != m_name) {
+                                answer.error = member_error::wrong_member;
+                            }
+                            else if (member.connections > m_options.max_connections) {
+                                answer.error = member_error::too_many_connections;
+                            }
+                            ++m_opened;
+                            answer.position = readable(member);
+                            added->events.opened(std::move(answer));
+                        });
 }
 
 void log_group::send(std::uint64_t link, std::vector<member_command> const& commands)
@@ -354,9 +356,8 @@
         }
         auto answer = make_answer(of);
         auto const received = member.log.empty() ? log_position{} : member.log.back().position;
-        answer.standing =
-            member_standing{leads(of.member) ? member_role::primary : member_role::replica, m_term, received,
-                            member.stopped_at_term};
+        answer.standing = member_standing{leads(of.member) ? member_role::primary : member_role::replica,
+                                          m_term, received, member.stopped_at_term};
         return answer;
     }
     case command_kind::caller_statement:
@@ -383,8 +384,8 @@
     if (command.floor && readable(member) < *command.floor) {
         return fail(of, member_error::lagging);
     }
-    auto const lost_lead = of.state == transaction_state::open && of.may_write &&
-                           (!leads(of.member) || of.term != m_term);
+    auto const lost_lead =
+        of.state == transaction_state::open && of.may_write && (!leads(of.member) || of.term != m_term);
     if (lost_lead || (is_write && !leads(of.member))) {
         return fail(of, member_error::read_only);
     }
@@ -400,8 +401,8 @@
     for (auto const& [name, value] : of.values) {
         values += fmt::format("{}={};", name, value);
     }
-    answer.rows = {fmt::format("{}.{} {} {} {}", position.term, position.position, of.member, of.client_account,
-                               values)};
+    answer.rows = {fmt::format("{}.{} {} {} {}", position.term, position.position, of.member,
+                               of.client_account, values)};
     return answer;
 }
 
--- a/standins/session_fleet/log_group.h
+++ b/standins/session_fleet/log_group.h
@@ -20,9 +20,9 @@
 
 /// What may go wrong at one member.
 struct member_faults {
-    bool is_dark = false;          ///< Answers nothing and receives nothing.
-    bool is_deaf = false;          ///< Receives nothing from the leader.
-    double lost_answers = 0;       ///< Share of statements that run without an answer.
+    bool is_dark = false;                         ///< Answers nothing and receives nothing.
+    bool is_deaf = false;                         ///< Receives nothing from the leader.
+    double lost_answers = 0;                      ///< Share of statements that run without an answer.
     duration lag = std::chrono::milliseconds(20); ///< From receiving a commit to its being readable.
 };
 
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -113,7 +113,8 @@
         after_latency(ends.first, [name = m_vms[ends.second]->name](session_vm& vm) {
             vm.brokers().lose_vm(name, true);
         });
-        after_latency(ends.second, [number](session_vm& vm) { vm.brokers().lose_channel(channel_id{number}); });
+        after_latency(ends.second,
+                      [number](session_vm& vm) { vm.brokers().lose_channel(channel_id{number}); });
     }
 }
 
@@ -235,19 +236,20 @@
                            m_group_of_link.erase(found);
                        }
                    }};
-    hooks.channels = {[this, index](std::string const& vm, endpoint const&, std::string const& message) {
-                          send_message(index, vm, message);
-                      },
-                      [this, index](std::string const& vm) {
-                          auto* const to = find_vm(vm);
-                          auto const server = static_cast<std::size_t>(to->address.host.back() - '1');
-                          auto const found = m_channel_of.find({index, server});
-                          if (found != m_channel_of.end()) {
-                              m_channels.erase(found->second);
-                              m_channel_of.erase(found);
-                          }
-                      },
-                      [this, index](channel_id to, std::string const& message) { reply(index, to, message); }};
+    hooks.channels = {
+        [this, index](std::string const& vm, endpoint const&, std::string const& message) {
+            send_message(index, vm, message);
+        },
+        [this, index](std::string const& vm) {
+            auto* const to = find_vm(vm);
+            auto const server = static_cast<std::size_t>(to->address.host.back() - '1');
+            auto const found = m_channel_of.find({index, server});
+            if (found != m_channel_of.end()) {
+                m_channels.erase(found->second);
+                m_channel_of.erase(found);
+            }
+        },
+        [this, index](channel_id to, std::string const& message) { reply(index, to, message); }};
     hooks.platform.read_row = [this, self](std::string const& key, auto done) {
         m_clock.start_timer(m_shape.latency, [this, self, key, done = std::move(done)] {
             if (!self->has_store) {
@@ -257,7 +259,8 @@
             auto const& entry = m_store[key];
             done(std::optional(table_row{
                 key, entry.value, entry.version,
-                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count()}));
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch())
+                    .count()}));
         });
     };
     hooks.platform.put_row = [this, self](std::string const& key, std::uint64_t expected,
@@ -279,7 +282,8 @@
     hooks.platform.list_vms = [this](auto done) {
         std::vector<vm_record> records;
         for (auto const& each : m_vms) {
-            records.push_back({each->name, each->zone, each->address.host, each->address.port, vm_state::live});
+            records.push_back(
+                {each->name, each->zone, each->address.host, each->address.port, vm_state::live});
         }
         m_clock.start_timer(m_shape.latency, [records, done = std::move(done)] { done(records); });
     };
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -33,10 +33,22 @@
     return words.at(index);
 }
 
-session_statement begin() { return session_caller::plain(statement_kind::begin, "BEGIN"); }
-session_statement begin_read() { return session_caller::plain(statement_kind::begin_read, "BEGIN READ"); }
-session_statement commit() { return session_caller::plain(statement_kind::commit, "COMMIT"); }
-session_statement rollback() { return session_caller::plain(statement_kind::rollback, "ROLLBACK"); }
+session_statement begin()
+{
+    return session_caller::plain(statement_kind::begin, "BEGIN");
+}
+session_statement begin_read()
+{
+    return session_caller::plain(statement_kind::begin_read, "BEGIN READ");
+}
+session_statement commit()
+{
+    return session_caller::plain(statement_kind::commit, "COMMIT");
+}
+session_statement rollback()
+{
+    return session_caller::plain(statement_kind::rollback, "ROLLBACK");
+}
 
 } // namespace
 
@@ -273,8 +285,8 @@
     fleet_with_callers all;
     session_caller const stranger(all.fleet, 0, "nothing", session_fleet::key_of(0));
     cr_assert(stranger.open_error() == session_error::unknown_database);
-    session_caller const unkeyed(all.fleet, 0,
-                                 session_fleet::database_of(0, read_consistency::every_commit), "none");
+    session_caller const unkeyed(all.fleet, 0, session_fleet::database_of(0, read_consistency::every_commit),
+                                 "none");
     cr_assert(unkeyed.open_error() == session_error::unknown_key);
 }
 
--- a/tests/sessions/session_soak_tests.cpp
+++ b/tests/sessions/session_soak_tests.cpp
@@ -67,9 +67,9 @@
         }
         operation added;
         added.consistency = static_cast<read_consistency>(m_clock.random_below(3));
-        added.caller = std::make_unique<session_caller>(
-            m_fleet, vm, session_fleet::database_of(0, added.consistency),
-            session_fleet::key_of(m_clock.random_below(2)));
+        added.caller =
+            std::make_unique<session_caller>(m_fleet, vm, session_fleet::database_of(0, added.consistency),
+                                             session_fleet::key_of(m_clock.random_below(2)));
         if (!added.caller->is_open()) {
             return;
         }
@@ -105,8 +105,8 @@
             return;
         }
         ++m_served;
-        auto const limit = each.consistency == read_consistency::every_commit ? each.sent_at
-                                                                             : each.sent_at - 1500ms;
+        auto const limit =
+            each.consistency == read_consistency::every_commit ? each.sent_at : each.sent_at - 1500ms;
         auto const required = m_fleet.group().acknowledged_before(limit);
         cr_assert(answer.position.value_or(log_position{}).position >= required.position,
                   "read of %s lacks a commit", each.statement.id.c_str());
