--- a/libraries/adapters/http_caller.cpp
+++ b/libraries/adapters/http_caller.cpp
@@ -128,11 +128,18 @@
     }
 }
 
-std::string escape_uri(std::string const& text)
+std::string escape_query(std::string const& text)
 {
     std::string escaped;
     Poco::URI::encode(text, "?#&+/=", escaped);
     return escaped;
 }
 
+std::string escape_path(std::string const& text)
+{
+    std::string escaped;
+    Poco::URI::encode(text, "?#&+", escaped);
+    return escaped;
+}
+
 } // namespace greengagehitch
--- a/libraries/adapters/http_caller.h
+++ b/libraries/adapters/http_caller.h
@@ -65,7 +65,10 @@
     std::vector<std::thread> m_threads;
 };
 
-/// Escapes a text for one part of a path or one value of a query.
-std::string escape_uri(std::string const& text);
+/// Escapes a text for one value of a query.
+std::string escape_query(std::string const& text);
+
+/// Escapes a text for a path; its slashes stay.
+std::string escape_path(std::string const& text);
 
 } // namespace greengagehitch
--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -42,7 +42,7 @@
 {
     platform_hooks hooks;
     hooks.read_row = [this](std::string key, auto done) {
-        auto const path = "/table/" + escape_uri(key);
+        auto const path = "/table/" + escape_path(key);
         call("GET", path, "", "", [key = std::move(key), done = std::move(done)](row_answer answer) {
             if (answer.status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND) {
                 done(std::optional<table_row>());
@@ -57,7 +57,7 @@
         });
     };
     hooks.put_row = [this](std::string const& key, std::uint64_t expected, std::string value, auto done) {
-        call("PUT", "/table/" + escape_uri(key), std::move(value), fmt::to_string(expected),
+        call("PUT", "/table/" + escape_path(key), std::move(value), fmt::to_string(expected),
              [done = std::move(done)](row_answer const& answer) {
                  auto status = status_of(answer);
                  if (!status.ok()) {
@@ -68,7 +68,7 @@
              });
     };
     hooks.scan_rows = [this](std::string const& prefix, auto done) {
-        call("GET", "/scan/" + escape_uri(prefix), "", "",
+        call("GET", "/scan/" + escape_path(prefix), "", "",
              [done = std::move(done)](row_answer const& answer) {
                  auto status = status_of(answer);
                  auto root = status.ok() ? try_parse_json(answer.body) : absl::StatusOr<Json::Value>(status);
@@ -85,11 +85,11 @@
              });
     };
     hooks.put_object = [this](std::string const& name, std::string body, auto done) {
-        call("PUT", "/objects/" + escape_uri(name), std::move(body), "",
+        call("PUT", "/objects/" + escape_path(name), std::move(body), "",
              [done = std::move(done)](row_answer const& answer) { done(status_of(answer)); });
     };
     hooks.get_object = [this](std::string const& name, auto done) {
-        call("GET", "/objects/" + escape_uri(name), "", "", [done = std::move(done)](row_answer answer) {
+        call("GET", "/objects/" + escape_path(name), "", "", [done = std::move(done)](row_answer answer) {
             auto status = status_of(answer);
             if (!status.ok()) {
                 done(std::move(status));
--- a/meta/local_fleet.py
+++ b/meta/local_fleet.py
@@ -45,9 +45,10 @@
             file.write(text)
         return path
 
-    def _start(self, arguments, log):
-        process = subprocess.Popen([str(each) for each in arguments], stdout=subprocess.PIPE,
-                                   stderr=open(os.path.join(self.folder, log), "w"), text=True)
+    def _start(self, arguments, log, logs_on_output=False):
+        with open(os.path.join(self.folder, log), "w") as file:
+            process = subprocess.Popen([str(each) for each in arguments],
+                                       stdout=file if logs_on_output else subprocess.PIPE, stderr=file, text=True)
         self.processes.append(process)
         return process
 
@@ -91,7 +92,8 @@
   tls_mode: disable
 """ % (vm["name"], vm["availability_zone"], tls, self.folder, vm["peer_port"], self.folder, self.platform_url))
         log = vm["name"] + ".log"
-        process = self._start([os.path.join(self.build, "services", "greengagehitchd"), "--settings", settings], log)
+        process = self._start([os.path.join(self.build, "services", "greengagehitchd"), "--settings", settings], log,
+                              logs_on_output=True)
         serving = self._wait_for_log(os.path.join(self.folder, log), "serving", process)
         return {"name": vm["name"], "process": process, "settings": settings,
                 "callers": ("https://" if self.tls else "http://") + serving["callers"],
