failover: Keep the old leader a candidate for its own succession

As the cut healed, the replica had left, and the takeover took the others' word before it had heard the old leader. Change: an old leader that steps down and answers may lead again; while it is silent, missing replicas are waited for. Test: old_leader_that_comes_back_from_a_partition_leads_again_with_what_it_acknowledged.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -21,9 +21,9 @@
 constexpr duration dead_replica_patience = std::chrono::milliseconds(1'300);
 /// The same for one that is silent. VMs behind a partition with it have stopped serving keyed requests by
 /// then, since they cannot hear of withdrawn keys.
-constexpr duration silent_replica_patience = std::chrono::milliseconds(6'500);
+constexpr duration silent_replica_patience = std::chrono::seconds(11);
 /// A takeover that did not get anywhere is given up, so that the group may go on as it was.
-constexpr duration longest_takeover = std::chrono::seconds(12);
+constexpr duration longest_takeover = std::chrono::seconds(14);
 /// A leader that is about to leave still serves, but cannot commit while its replicas are stopped.
 constexpr duration longest_handover = std::chrono::milliseconds(2'000);
 constexpr duration pause_after_end = std::chrono::milliseconds(1'500);
@@ -339,11 +339,17 @@
 
 std::optional<std::string> takeover_service::choose(database_group& group, takeover const& running) const
 {
-    std::optional<std::string> best;
+    // An old leader that stepped down holds everything that was acknowledged.
+    auto const old_leader = running.heard.find(running.old_leader);
+    auto const has_old_leader = old_leader != running.heard.end();
+    auto candidates = running.expected;
+    if (has_old_leader) {
+        candidates.insert(running.old_leader);
+    }
     log_position furthest;
     std::size_t unheard = 0;
     std::size_t silent = 0;
-    for (auto const& id : running.expected) {
+    for (auto const& id : candidates) {
         auto const found = running.heard.find(id);
         if (found == running.heard.end()) {
             ++unheard;
@@ -352,7 +358,8 @@
         }
         furthest = std::max(furthest, found->second.received);
     }
-    for (auto const& id : running.expected) {
+    std::optional<std::string> best;
+    for (auto const& id : candidates) {
         auto const found = running.heard.find(id);
         auto const is_fit = found != running.heard.end() && found->second.received == furthest &&
                             group.members().contains(id);
@@ -360,13 +367,15 @@
             best = id;
         }
     }
-    if (!best || unheard == 0) {
+    if (!best || unheard == 0 || has_old_leader) {
         return best;
     }
-    // What a replica that was not heard may alone hold must be ruled out before another one leads. A silent
-    // one may be at work with the old leader behind a partition.
+    // What a replica that was not heard may alone hold must be ruled out before another one leads. While it or
+    // the old leader is silent, both may be at work behind a partition.
+    auto const is_leader_silent =
+        running.cause != takeover_cause::draining && !running.dead.contains(running.old_leader);
     auto const elapsed = m_kernel.now() - running.started;
-    auto const patience = silent > 0 ? silent_replica_patience : dead_replica_patience;
+    auto const patience = silent > 0 || is_leader_silent ? silent_replica_patience : dead_replica_patience;
     if (elapsed < patience) {
         return std::nullopt;
     }
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -120,3 +120,21 @@
     cr_assert(fixture.fleet.stale_orders() == 0);
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
+
+Test(takeover, old_leader_that_comes_back_from_a_partition_leads_again_with_what_it_acknowledged)
+{
+    takeover_fixture fixture;
+    auto& group = fixture.fleet.group();
+    // Only the second replica receives, and it goes together with the leader; then it is lost for good.
+    group.faults(group.ids()[1]).is_deaf = true;
+    fixture.write_for(2s);
+    auto const acknowledged = group.acknowledged();
+    group.faults(group.ids()[0]).is_dark = true;
+    group.faults(group.ids()[2]).is_dark = true;
+    fixture.fleet.clock().run_for(5s);
+    cr_assert(fixture.fleet.promotions() == 0);
+    group.restart(group.ids()[0]);
+    fixture.write_for(6s);
+    cr_assert(group.holds_all_acknowledged());
+    cr_assert(group.acknowledged() >= acknowledged);
+}
