limits: Give out no rate before the list of VMs was read

Cause: a test with partitions and restarts of all VMs admitted 349 operations in a window that holds 284: a VM that starts takes itself for the whole fleet until it has read the list, and used the whole rate. Change: its part is 0 until then.

--- a/libraries/adapters/peer_channels.cpp
+++ b/libraries/adapters/peer_channels.cpp
@@ -202,9 +202,9 @@
     from.is_proven = true;
 }
 
-void peer_channels::end(std::shared_ptr<channel> const& ended)
+void peer_channels::end(
+    std::shared_ptr<channel> ended) // NOLINT(performance-unnecessary-value-param): outlives the map's entry
 {
-    auto const keep_alive = ended;
     if (std::exchange(ended->is_ended, true)) {
         return;
     }
--- a/libraries/adapters/peer_channels.h
+++ b/libraries/adapters/peer_channels.h
@@ -43,7 +43,7 @@
     void connect(std::string const& vm, endpoint const& address);
     void take_bytes(std::shared_ptr<channel> const& from, std::string_view bytes);
     void take_message(channel& from, std::string const& message);
-    void end(std::shared_ptr<channel> const& ended);
+    void end(std::shared_ptr<channel> ended);
 
     reactor& m_reactor;
     std::string m_proof; ///< First message of each connection.
--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -56,8 +56,9 @@
             done(std::optional(table_row{key, std::move(answer.body), answer.row_version}));
         });
     };
-    hooks.put_row = [this](std::string const& key, std::uint64_t expected, std::string value, auto done) {
-        call("PUT", "/table/" + escape_path(key), std::move(value), fmt::to_string(expected),
+    hooks.put_row = [this](std::string const& key, std::uint64_t expected, std::string const& value,
+                           auto done) {
+        call("PUT", "/table/" + escape_path(key), value, fmt::to_string(expected),
              [done = std::move(done)](row_answer const& answer) {
                  auto status = status_of(answer);
                  if (!status.ok()) {
@@ -84,8 +85,8 @@
                  done(std::move(rows));
              });
     };
-    hooks.put_object = [this](std::string const& name, std::string body, auto done) {
-        call("PUT", "/objects/" + escape_path(name), std::move(body), "",
+    hooks.put_object = [this](std::string const& name, std::string const& body, auto done) {
+        call("PUT", "/objects/" + escape_path(name), body, "",
              [done = std::move(done)](row_answer const& answer) { done(status_of(answer)); });
     };
     hooks.get_object = [this](std::string const& name, auto done) {
--- a/libraries/brokers/member_desk.cpp
+++ b/libraries/brokers/member_desk.cpp
@@ -159,7 +159,7 @@
         link->set_changed_in_transaction();
     }
     commands.insert(commands.end(), request.commands.begin(), request.commands.end());
-    link->send(std::move(commands), std::chrono::milliseconds(request.time_limit_ms),
+    link->send(commands, std::chrono::milliseconds(request.time_limit_ms),
                [desk = shared_from_this(), started, link, aligned,
                 sent_at = m_kernel.now()](std::vector<member_answer> answers) {
                    desk->take_answers(started, link, aligned, sent_at, std::move(answers));
@@ -232,7 +232,7 @@
     }
     std::vector<member_command> commands(1);
     commands.front().kind = command_kind::rollback;
-    link->send(std::move(commands), rollback_timeout,
+    link->send(commands, rollback_timeout,
                [desk = shared_from_this(), link](std::vector<member_answer> const& answers) {
                    if (!answers.front().is_ok()) {
                        link->close();
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -370,8 +370,8 @@
     if (!best || unheard == 0 || has_old_leader) {
         return best;
     }
-    // What a replica that was not heard may alone hold must be ruled out before another one leads. While it or
-    // the old leader is silent, both may be at work behind a partition.
+    // What a replica that was not heard may alone hold must be ruled out before another one leads. While it
+    // or the old leader is silent, both may be at work behind a partition.
     auto const is_leader_silent =
         running.cause != takeover_cause::draining && !running.dead.contains(running.old_leader);
     auto const elapsed = m_kernel.now() - running.started;
@@ -383,7 +383,7 @@
 }
 
 void takeover_service::claim_duty(std::string const& group, std::string const& member,
-                                  std::function<void()> claimed)
+                                  std::function<void()> const& claimed)
 {
     auto* const running = find(group);
     auto const number = running->number;
@@ -403,7 +403,8 @@
 }
 
 void takeover_service::take_claim_row(std::string const& group, std::string const& member,
-                                      std::optional<table_row> const& row, std::function<void()> claimed)
+                                      std::optional<table_row> const& row,
+                                      std::function<void()> const& claimed)
 {
     auto const known = parse_row(row);
     auto const now_ms = row ? row->read_at_ms : 0;
@@ -413,11 +414,11 @@
         return;
     }
     auto const fence = is_mine && known.member == member ? known.fence : known.fence + 1;
-    put_claim(group, member, row ? row->version : 0, {fence, now_ms}, std::move(claimed));
+    put_claim(group, member, row ? row->version : 0, {fence, now_ms}, claimed);
 }
 
 void takeover_service::put_claim(std::string const& group, std::string const& member,
-                                 std::uint64_t row_version, claim claim, std::function<void()> claimed)
+                                 std::uint64_t row_version, claim claim, std::function<void()> const& claimed)
 {
     auto const number = find(group)->number;
     Json::Value row(Json::objectValue);
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -91,11 +91,12 @@
     std::optional<takeover_cause> find_cause(database_group& group);
     bool is_my_turn(database_group const& group) const;
     void begin(database_group& group, takeover_cause cause);
-    void claim_duty(std::string const& group, std::string const& member, std::function<void()> claimed);
+    void claim_duty(std::string const& group, std::string const& member,
+                    std::function<void()> const& claimed);
     void take_claim_row(std::string const& group, std::string const& member,
-                        std::optional<table_row> const& row, std::function<void()> claimed);
+                        std::optional<table_row> const& row, std::function<void()> const& claimed);
     void put_claim(std::string const& group, std::string const& member, std::uint64_t row_version,
-                   claim claim, std::function<void()> claimed);
+                   claim claim, std::function<void()> const& claimed);
     void stop_replicas(std::string const& group);
     void ask(std::string const& group, member_entry const& member, member_command command);
     void note_unanswered(std::string const& group, std::string const& member, member_answer const& answer);
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -116,13 +116,19 @@
     return state;
 }
 
+double rate_shares::part_of(std::string const& client_account) const
+{
+    // Before the list of VMs was read, nobody can tell how many share the rate.
+    return m_membership->has_list() ? m_division.part_of(client_account) : 0;
+}
+
 rate_shares::bucket& rate_shares::bucket_of(std::string const& client_account)
 {
     auto const [found, is_new] = m_buckets.try_emplace(client_account);
     if (is_new) {
         // The part has filled since this process started; what an earlier one left is not counted on.
         found->second.updated = m_started_at;
-        found->second.part = m_division.part_of(client_account);
+        found->second.part = part_of(client_account);
     }
     return found->second;
 }
@@ -341,7 +347,7 @@
             refill(bucket, configuration->limits.at(account), now);
         }
         bucket.updated = now;
-        bucket.part = m_division.part_of(account);
+        bucket.part = part_of(account);
     }
 }
 
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -99,6 +99,7 @@
         monotonic_time heard_at;
     };
 
+    double part_of(std::string const& client_account) const;
     bucket& bucket_of(std::string const& client_account);
     /// Operations in a second that an account may keep up, over the fleet.
     double lasting_rate(account_limit const& limit) const;
--- a/libraries/members/member_link.cpp
+++ b/libraries/members/member_link.cpp
@@ -23,21 +23,22 @@
 {
     m_opened = std::move(opened);
     auto const weak = weak_from_this();
-    m_id = m_hooks.open(m_target, link_events{m_kernel.guard<member_answer>([weak](member_answer answer) {
-                                                  if (auto const link = weak.lock()) {
-                                                      link->take_opened(answer);
-                                                  }
-                                              }),
-                                              m_kernel.guard<member_answer>([weak](member_answer answer) {
-                                                  if (auto const link = weak.lock()) {
-                                                      link->take_answer(std::move(answer));
-                                                  }
-                                              }),
-                                              m_kernel.guard<member_error>([weak](member_error error) {
-                                                  if (auto const link = weak.lock()) {
-                                                      link->fail_all(error);
-                                                  }
-                                              })});
+    m_id =
+        m_hooks.open(m_target, link_events{m_kernel.guard<member_answer>([weak](member_answer const& answer) {
+                                               if (auto const link = weak.lock()) {
+                                                   link->take_opened(answer);
+                                               }
+                                           }),
+                                           m_kernel.guard<member_answer>([weak](member_answer answer) {
+                                               if (auto const link = weak.lock()) {
+                                                   link->take_answer(std::move(answer));
+                                               }
+                                           }),
+                                           m_kernel.guard<member_error>([weak](member_error error) {
+                                               if (auto const link = weak.lock()) {
+                                                   link->fail_all(error);
+                                               }
+                                           })});
     m_open_timer = m_kernel.start_timer(timeout, [weak] {
         if (auto const link = weak.lock(); link && !link->m_is_open) {
             link->fail_all(member_error::refused);
@@ -45,7 +46,8 @@
     });
 }
 
-void member_link::send(std::vector<member_command> commands, duration timeout, answers_callback answered)
+void member_link::send(std::vector<member_command> const& commands, duration timeout,
+                       answers_callback answered)
 {
     if (m_is_closed || !m_is_open) {
         std::vector<member_answer> answers(commands.size());
--- a/libraries/members/member_link.h
+++ b/libraries/members/member_link.h
@@ -35,7 +35,7 @@
     void open(duration timeout, std::function<void(member_answer)> opened);
 
     /// Sends a batch. When it is not answered within `timeout`, the link closes: late answers are dropped.
-    void send(std::vector<member_command> commands, duration timeout, answers_callback answered);
+    void send(std::vector<member_command> const& commands, duration timeout, answers_callback answered);
 
     void close();
 
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -95,10 +95,10 @@
     m_last_active = m_arrived;
     m_served_by.clear();
     ++m_engine.counters().statements;
-    process(std::move(statement));
+    process(statement);
 }
 
-void client_session::process(session_statement statement)
+void client_session::process(session_statement const& statement)
 {
     if (statement.kind == statement_kind::unknown) {
         refuse(statement, session_error::malformed, "statement is not understood");
@@ -123,13 +123,13 @@
         return;
     }
     if (m_state == transaction_state::open) {
-        process_in_transaction(std::move(statement));
+        process_in_transaction(statement);
         return;
     }
-    process_outside(std::move(statement));
+    process_outside(statement);
 }
 
-void client_session::process_in_transaction(session_statement statement)
+void client_session::process_in_transaction(session_statement const& statement)
 {
     switch (statement.kind) {
     case statement_kind::begin:
@@ -141,15 +141,15 @@
         answer_locally(statement);
         return;
     case statement_kind::commit:
-        commit(std::move(statement));
+        commit(statement);
         return;
     default:
-        run_in_transaction(std::move(statement));
+        run_in_transaction(statement);
         return;
     }
 }
 
-void client_session::process_outside(session_statement statement)
+void client_session::process_outside(session_statement const& statement)
 {
     switch (statement.kind) {
     case statement_kind::begin:
@@ -161,7 +161,7 @@
         refuse(statement, session_error::malformed, "no transaction is open");
         return;
     default:
-        run_single(std::move(statement));
+        run_single(statement);
         return;
     }
 }
@@ -268,7 +268,7 @@
     });
 }
 
-void client_session::run_single(session_statement statement)
+void client_session::run_single(session_statement const& statement)
 {
     auto const account = authorize(statement);
     if (!account) {
@@ -301,20 +301,20 @@
         ->start();
 }
 
-void client_session::run_in_transaction(session_statement statement)
+void client_session::run_in_transaction(session_statement const& statement)
 {
     auto const account = authorize(statement);
     if (!account) {
         return;
     }
     if (m_pinned) {
-        send_pinned(std::move(statement), 0);
+        send_pinned(statement, 0);
         return;
     }
-    open_and_run(std::move(statement));
+    open_and_run(statement);
 }
 
-void client_session::open_and_run(session_statement statement)
+void client_session::open_and_run(session_statement const& statement)
 {
     auto order = make_order(statement, m_transaction_account);
     if (!order) {
@@ -342,19 +342,19 @@
         ->start();
 }
 
-void client_session::commit(session_statement statement)
+void client_session::commit(session_statement const& statement)
 {
     if (!authorize(statement)) {
         return;
     }
     if (!m_pinned) {
-        open_and_run(std::move(statement));
+        open_and_run(statement);
         return;
     }
-    send_pinned(std::move(statement), 0);
+    send_pinned(statement, 0);
 }
 
-void client_session::send_pinned(session_statement statement, int tries)
+void client_session::send_pinned(session_statement const& statement, int tries)
 {
     auto order = make_order(statement, m_transaction_account);
     if (!order) {
@@ -385,7 +385,7 @@
     });
 }
 
-void client_session::take_pinned_answer(session_statement statement, int tries, monotonic_time sent_at,
+void client_session::take_pinned_answer(session_statement const& statement, int tries, monotonic_time sent_at,
                                         member_answer answer)
 {
     if (!m_pinned || m_is_closed) {
@@ -399,12 +399,11 @@
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
     if ((is_unsent || (may_repeat && answer.state == transaction_state::open)) && tries < most_busy_tries) {
-        m_kernel.start_timer(busy_pause,
-                             [self = shared_from_this(), statement = std::move(statement), tries] {
-                                 if (self->m_pinned) {
-                                     self->send_pinned(statement, tries + 1);
-                                 }
-                             });
+        m_kernel.start_timer(busy_pause, [self = shared_from_this(), statement, tries] {
+            if (self->m_pinned) {
+                self->send_pinned(statement, tries + 1);
+            }
+        });
         return;
     }
     auto const error = answer.error;
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -49,17 +49,17 @@
 
 private:
     void run_next();
-    void process(session_statement statement);
-    void process_in_transaction(session_statement statement);
-    void process_outside(session_statement statement);
+    void process(session_statement const& statement);
+    void process_in_transaction(session_statement const& statement);
+    void process_outside(session_statement const& statement);
     void begin(session_statement const& statement);
-    void commit(session_statement statement);
+    void commit(session_statement const& statement);
     void roll_back();
-    void run_single(session_statement statement);
-    void run_in_transaction(session_statement statement);
-    void open_and_run(session_statement statement);
-    void send_pinned(session_statement statement, int tries);
-    void take_pinned_answer(session_statement statement, int tries, monotonic_time sent_at,
+    void run_single(session_statement const& statement);
+    void run_in_transaction(session_statement const& statement);
+    void open_and_run(session_statement const& statement);
+    void send_pinned(session_statement const& statement, int tries);
+    void take_pinned_answer(session_statement const& statement, int tries, monotonic_time sent_at,
                             member_answer answer);
     void change_locally(session_statement const& statement);
 
--- /dev/null
+++ b/tests/limits/rate_division_tests.cpp
@@ -0,0 +1,153 @@
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include "session_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+constexpr double tolerance = 1e-9;
+
+session_fleet_shape shape_with_rate(double rate)
+{
+    session_fleet_shape shape;
+    shape.rate = rate;
+    return shape;
+}
+
+/// Operations of one account that a fleet admits, counted in sliding windows.
+class admission_count {
+public:
+    explicit admission_count(virtual_clock& clock) : m_clock(clock) {}
+
+    void note() { m_times.push_back(m_clock.now()); }
+
+    std::size_t most_in(duration window) const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t i = 0; i < m_times.size(); ++i) {
+            while (m_times[i] - m_times[first] >= window) {
+                ++first;
+            }
+            most = std::max(most, i - first + 1);
+        }
+        return most;
+    }
+
+    std::size_t total() const { return m_times.size(); }
+
+private:
+    virtual_clock& m_clock;
+    std::vector<monotonic_time> m_times;
+};
+
+/// Asks random VMs of those given for tokens, `per_second` times a second.
+void demand(session_fleet& fleet, std::vector<std::size_t> const& vms, double per_second, duration length,
+            admission_count& admitted, std::size_t& refused)
+{
+    auto& clock = fleet.clock();
+    auto const end = clock.now() + length;
+    auto const mean = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / per_second));
+    while (clock.now() < end) {
+        auto const vm = vms[clock.random_below(vms.size())];
+        fleet.vm(vm).sessions().rates().take(session_fleet::account_name(0),
+                                             [&admitted, &refused](std::optional<duration> wait) {
+                                                 if (wait) {
+                                                     ++refused;
+                                                 }
+                                                 else {
+                                                     admitted.note();
+                                                 }
+                                             });
+        clock.run_for(clock.random_interval(mean));
+    }
+    clock.run_for(100ms);
+}
+
+/// What a window of five seconds may hold by the settings' defaults.
+double bound(double rate)
+{
+    return (5 * rate + rate) * 1.1 + 20;
+}
+
+} // namespace
+
+Test(rate_division, parts_of_vms_that_hear_each_other_make_a_whole)
+{
+    std::vector<std::map<short_name, double>> const demands{
+        {{to_short_name("t"), 10}}, {{to_short_name("t"), 0}}, {{to_short_name("t"), 30}}};
+    double sum = 0;
+    for (std::size_t own = 0; own < demands.size(); ++own) {
+        rate_division division;
+        division.reset(demands.size());
+        division.add_own(demands[own]);
+        for (std::size_t other = 0; other < demands.size(); ++other) {
+            if (other != own) {
+                division.add_peer(demands[other]);
+            }
+        }
+        sum += division.part_of("t");
+    }
+    cr_assert(std::abs(sum - 1) < tolerance);
+}
+
+Test(rate_division, vm_that_hears_nobody_takes_an_equal_part)
+{
+    rate_division division;
+    division.reset(8);
+    division.add_own({{to_short_name("t"), 100}});
+    cr_assert(std::abs(division.part_of("t") - 1.0 / 8) < tolerance);
+}
+
+Test(rate_shares, demand_at_one_vm_gets_most_of_the_rate)
+{
+    session_fleet fleet(shape_with_rate(40), 1);
+    fleet.clock().run_for(5s);
+    admission_count admitted(fleet.clock());
+    std::size_t refused = 0;
+    demand(fleet, {0}, 32, 30s, admitted, refused);
+    cr_assert(refused <= admitted.total() / 100, "%zu of %zu were refused", refused, admitted.total());
+}
+
+Test(rate_shares, flood_at_all_vms_stays_within_each_window)
+{
+    for (auto const rate : {5.0, 40.0, 150.0}) {
+        session_fleet fleet(shape_with_rate(rate), 2);
+        fleet.clock().run_for(5s);
+        admission_count admitted(fleet.clock());
+        std::size_t refused = 0;
+        demand(fleet, {0, 1, 2, 3, 4}, 6 * rate, 20s, admitted, refused);
+        auto const most = static_cast<double>(admitted.most_in(5s));
+        cr_assert(most <= bound(rate), "%f in a window at rate %f", most, rate);
+        cr_assert(most >= 5 * rate * 0.9);
+    }
+}
+
+Test(rate_shares, partition_and_restarts_of_all_vms_stay_within_each_window)
+{
+    session_fleet fleet(shape_with_rate(40), 3);
+    fleet.clock().run_for(5s);
+    admission_count admitted(fleet.clock());
+    std::size_t refused = 0;
+    demand(fleet, {0, 1, 2, 3, 4}, 200, 6s, admitted, refused);
+    fleet.set_peer_cut(0, true);
+    fleet.set_peer_cut(1, true);
+    demand(fleet, {0, 1, 2, 3, 4}, 200, 8s, admitted, refused);
+    fleet.set_peer_cut(0, false);
+    fleet.set_peer_cut(1, false);
+    demand(fleet, {0, 1, 2, 3, 4}, 200, 4s, admitted, refused);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        fleet.kill_vm(i);
+    }
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        fleet.start_vm(i);
+    }
+    demand(fleet, {0, 1, 2, 3, 4}, 200, 8s, admitted, refused);
+    auto const most = static_cast<double>(admitted.most_in(5s));
+    cr_assert(most <= bound(40), "%f in a window", most);
+}
--- /dev/null
+++ b/tests/platform/document_decoder_tests.cpp
@@ -0,0 +1,83 @@
+#include <criterion/criterion.h>
+
+#include <fmt/format.h>
+
+#include "platform/document_decoder.h"
+#include "platform/platform_settings.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::document_decoder;
+
+namespace {
+
+constexpr auto member =
+    R"({"service":"g","address":"10.1.0.9:8080","zone":"a","version":"v1","capacity":5,"state":"ready",)"
+    R"("cold-remaining-ms":0,"db-role":"replica","sequence":4,"born":17})";
+
+std::string replaced(std::string text, std::string const& from, std::string const& to)
+{
+    auto const at = text.find(from);
+    cr_assert(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+Test(member_entry, whole_entry_is_read)
+{
+    auto const entry = try_decode_member("i-1", member, 8);
+    cr_assert(entry.ok());
+    cr_assert(entry->group == "g");
+    cr_assert((entry->address == endpoint{"10.1.0.9", 8080}));
+    cr_assert(entry->slots == 5);
+    cr_assert(entry->started_at == 17);
+    cr_assert(not(entry->claims_primary));
+    cr_assert(not(entry->is_draining));
+}
+
+Test(member_entry, entry_of_another_writer_names_no_member)
+{
+    for (auto const& text :
+         {replaced(member, R"("service":"g",)", ""), replaced(member, R"("capacity":5)", R"("capacity":"5")"),
+          replaced(member, R"("state":"ready")", R"("state":"asleep")"),
+          replaced(member, R"("replica")", R"("witness")"), replaced(member, "10.1.0.9:8080", "somewhere"),
+          std::string("\xff\xfe"), std::string("[]"), std::string()}) {
+        cr_assert(not(try_decode_member("i-1", text, 8).ok()), "%s", text.c_str());
+    }
+}
+
+Test(configuration, classes_keys_and_limits_are_read)
+{
+    auto const decoded = try_decode_configuration(
+        R"({"version":7,"routes":[{"name":"r","database":"d","prefix":"/","type":"read_your_writes",)"
+        R"("timeout-ms":1000,"target-latency-ms":400,"priority":2,"service":"g","max-attempts":2,)"
+        R"("max-staleness-ms":2500,"public":false}],"services":[{"name":"g","max-connections":34,)"
+        R"("sync-replicas":1}],"limits":{"tx-idle-ms":3000},)"
+        R"("tenants":[{"name":"t","api-keys":["k1","k2"],"rate-per-s":12.5,"burst":9}]})");
+    cr_assert(decoded.ok());
+    auto const& work = decoded->classes.at("d");
+    cr_assert(work.consistency == read_consistency::own_writes);
+    cr_assert(work.oldest_age == 2500ms);
+    cr_assert(work.delay_target == 400ms);
+    cr_assert(decoded->account_of_key.at("k2") == "t");
+    cr_assert(decoded->limits.at("t").rate == 12.5);
+    cr_assert(decoded->groups.at("g").max_connections == 34);
+}
+
+Test(configuration, unknown_kind_of_class_is_refused_whole)
+{
+    cr_assert(not(try_decode_configuration(
+                      R"({"version":7,"routes":[{"name":"r","database":"d","type":"new","timeout-ms":1,)"
+                      R"("service":"g"}]})")
+                      .ok()));
+}
+
+Test(platform_settings, missing_and_unknown_fields_are_named_with_their_line)
+{
+    auto const parsed = try_parse_platform_settings("vm:\n  name: a\n  colour: red\n", "boot.yaml");
+    cr_assert(not(parsed.ok()));
+    auto const text = std::string(parsed.status().message());
+    cr_assert(text.find("boot.yaml:3") != std::string::npos, "%s", text.c_str());
+    cr_assert(text.find("availability_zone") != std::string::npos, "%s", text.c_str());
+}
--- /dev/null
+++ b/tests/platform/line_protocol_tests.cpp
@@ -0,0 +1,191 @@
+#include <criterion/criterion.h>
+
+#include "platform/line_protocol.h"
+
+using namespace greengagehitch;
+using namespace greengagehitch::line_protocol;
+
+namespace {
+
+session_statement parse_query(std::string_view line)
+{
+    auto message = parse_caller_message(line);
+    auto const* const statement = std::get_if<session_statement>(&message);
+    cr_assert(statement != nullptr);
+    return *statement;
+}
+
+std::vector<std::string> lines_of(line_reader& reader)
+{
+    std::vector<std::string> lines;
+    while (auto line = reader.next()) {
+        lines.push_back(*std::move(line));
+    }
+    return lines;
+}
+
+} // namespace
+
+Test(line_reader, message_in_many_packets_is_one_line)
+{
+    line_reader reader;
+    for (auto const* const part : {"QUE", "RY 1 RE", "AD x\r", "\n"}) {
+        reader.append(part);
+    }
+    cr_assert((lines_of(reader) == std::vector<std::string>{"QUERY 1 READ x"}));
+}
+
+Test(line_reader, many_messages_in_one_packet_are_many_lines)
+{
+    line_reader reader;
+    reader.append("START db key\r\nQUERY 1 BEGIN\r\nBYE\r\nrest");
+    cr_assert((lines_of(reader) == std::vector<std::string>{"START db key", "QUERY 1 BEGIN", "BYE"}));
+    cr_assert(not(reader.is_too_long()));
+}
+
+Test(line_reader, line_without_an_end_grows_too_long)
+{
+    line_reader reader;
+    reader.append(std::string(longest_message, 'x'));
+    cr_assert(not(reader.next()));
+    cr_assert(not(reader.is_too_long()));
+    reader.append("xx");
+    cr_assert(not(reader.next()));
+    cr_assert(reader.is_too_long());
+}
+
+Test(caller_message, start_carries_database_and_key)
+{
+    auto const message = parse_caller_message("START lepu270 u3f1");
+    auto const& opened = std::get<open_message>(message);
+    cr_assert(opened.database == "lepu270");
+    cr_assert(opened.key == "u3f1");
+}
+
+Test(caller_message, each_kind_of_statement_is_told_by_its_words)
+{
+    cr_assert(parse_query("QUERY 1 READ 1a4").kind == statement_kind::read);
+    cr_assert(parse_query("QUERY 1 WRITE 1a4 some data").kind == statement_kind::write);
+    cr_assert(parse_query("QUERY 1 BEGIN").kind == statement_kind::begin);
+    cr_assert(parse_query("QUERY 1 BEGIN READ").kind == statement_kind::begin_read);
+    cr_assert(parse_query("QUERY 1 COMMIT").kind == statement_kind::commit);
+    cr_assert(parse_query("QUERY 1 ROLLBACK").kind == statement_kind::rollback);
+    auto const set = parse_query("QUERY 1 SET lang ki nya");
+    cr_assert(set.kind == statement_kind::set_value);
+    cr_assert(set.name == "lang");
+    cr_assert(set.argument == "ki nya");
+    auto const prepare = parse_query("QUERY 1 PREPARE s1 WRITE q2c");
+    cr_assert(prepare.kind == statement_kind::prepare);
+    cr_assert((prepare.prepared == prepared_shape{true, "q2c"}));
+    auto const execute = parse_query("QUERY 1 EXECUTE s1 1a4 xkq pwn");
+    cr_assert(execute.kind == statement_kind::execute);
+    cr_assert(execute.argument == "1a4 xkq pwn");
+    auto const forget = parse_query("QUERY 1 DEALLOC s1");
+    cr_assert(forget.kind == statement_kind::deallocate);
+    cr_assert(forget.name == "s1");
+}
+
+Test(caller_message, text_is_kept_as_it_came)
+{
+    cr_assert(parse_query("QUERY 1 WRITE 1a4  two  blanks ").text == "WRITE 1a4  two  blanks ");
+}
+
+Test(caller_message, statement_of_an_unknown_verb_or_without_its_parts_is_unknown)
+{
+    for (auto const* const line :
+         {"QUERY 1 AFTER 3.1 READ x", "QUERY 1 STATUS", "QUERY 1 PAUSE 9", "QUERY 1 READ", "QUERY 1 WRITE",
+          "QUERY 1 BEGIN WRITE", "QUERY 1 COMMIT now", "QUERY 1 PREPARE s1", "QUERY 1 PREPARE s1 BOTH q",
+          "QUERY 1 SET", "QUERY 1 EXECUTE", "QUERY 1 DEALLOC", "QUERY 1 read x"}) {
+        cr_assert(parse_query(line).kind == statement_kind::unknown, "%s", line);
+    }
+}
+
+Test(caller_message, line_that_fits_no_message_is_bad)
+{
+    for (auto const line : {std::string_view(""), std::string_view("QUERY"), std::string_view("QUERY 1"),
+                            std::string_view("START"), std::string_view("HELLO there"),
+                            std::string_view(" START db key"), std::string_view("START d\tb"),
+                            std::string_view("QUERY 1 READ \x01"), std::string_view("START d\0b", 9)}) {
+        auto const message = parse_caller_message(line);
+        cr_assert(std::holds_alternative<bad_message>(message));
+    }
+}
+
+Test(answer, rows_proof_state_and_position_are_written_in_order)
+{
+    session_answer answer;
+    answer.rows = {"qhzk"};
+    answer.proof = "7.1f3";
+    answer.state = transaction_state::open;
+    answer.position = log_position{3, 1209};
+    cr_assert(encode_answer(answer) == "ROW qhzk\r\nDONE 7.1f3\r\nREADY T 3.1209\r\n");
+}
+
+Test(answer, refusal_carries_no_row_and_tells_when_to_return)
+{
+    session_answer answer;
+    answer.error = session_error::busy;
+    answer.error_text = "queue is too long";
+    answer.rows = {"x"};
+    answer.retry_after = std::chrono::milliseconds(250);
+    cr_assert(encode_answer(answer) == "ERROR BUSY queue is too long; retry after 250 ms\r\nREADY I -\r\n");
+}
+
+Test(command, own_commands_carry_no_id_and_callers_text_is_unchanged)
+{
+    member_command begin;
+    begin.kind = command_kind::begin_read;
+    begin.floor = log_position{3, 7};
+    cr_assert(encode_command(begin) == "QUERY - AFTER 3.7 BEGIN READ\r\n");
+    member_command read;
+    read.id = "5c0e";
+    read.text = "READ 1a4";
+    cr_assert(encode_command(read) == "QUERY 5c0e READ 1a4\r\n");
+    member_command execute;
+    execute.kind = command_kind::execute;
+    execute.id = "5c0f";
+    execute.name = "w_q2c";
+    execute.argument = "1a4 data";
+    cr_assert(encode_command(execute) == "QUERY 5c0f EXECUTE w_q2c 1a4 data\r\n");
+}
+
+Test(answer_reader, lines_of_a_member_make_one_answer)
+{
+    answer_reader reader;
+    cr_assert(not(reader.take("ROW replica 3 3.1209 0 12 2 17")));
+    cr_assert(not(reader.take("DONE -")));
+    auto const answer = reader.take("READY I 3.1204");
+    cr_assert(answer && answer->is_ok());
+    cr_assert(answer->proof.empty());
+    cr_assert((answer->standing->received == log_position{3, 1209}));
+    cr_assert((answer->position == log_position{3, 1204}));
+}
+
+Test(answer_reader, each_error_code_is_known)
+{
+    for (auto const& [word, error] :
+         {std::pair{"BUSY", member_error::busy}, std::pair{"LAGGING", member_error::lagging},
+          std::pair{"READONLY", member_error::read_only}, std::pair{"WRONGNODE", member_error::wrong_member},
+          std::pair{"TOOMANY", member_error::too_many_connections},
+          std::pair{"NOSTMT", member_error::unknown_prepared}, std::pair{"FAILED", member_error::failed},
+          std::pair{"TIMEOUT", member_error::timed_out}, std::pair{"MALFORMED", member_error::malformed},
+          std::pair{"NEWCODE", member_error::failed}}) {
+        answer_reader reader;
+        cr_assert(not(reader.take("ROW half")));
+        cr_assert(not(reader.take(std::string("ERROR ") + word + " text")));
+        auto const answer = reader.take("READY E -");
+        cr_assert(answer && answer->error == error);
+        cr_assert(answer->rows.empty());
+        cr_assert(answer->state == transaction_state::failed);
+    }
+}
+
+Test(answer_reader, line_out_of_place_breaks_the_connection)
+{
+    for (auto const* const line : {"HELLO", "READY", "READY X -", "", "DONE"}) {
+        answer_reader reader;
+        reader.take("DONE 1");
+        cr_assert(not(reader.take(line)));
+        cr_assert(reader.is_broken(), "%s", line);
+    }
+}
