limits: Lend from an account's home, and ask the zone's follower for its word

Cause: on the grown site (66 VMs) 21,660 refusals above the rate, most of accounts below it: tokens lay at VMs without demand, and reports that tell of stocks are seconds apart there. Evidence of the configuration came with reports too, so that each VM followed the store itself (4,230 calls), and peers counted as lost between two reports. Change: the account's home by rendezvous hashing holds 0.35 of the rate and lends it; VMs ask their zone's follower every 0.7 s; lifetimes follow the period of reports.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -78,15 +78,15 @@
         auto const until = avoided->second.find(vm);
         return until != avoided->second.end() && until->second > now;
     };
-    std::vector<watcher_candidate> near;
-    std::vector<watcher_candidate> all;
+    std::vector<std::string> near;
+    std::vector<std::string> all;
     auto const add = [&](std::string const& vm, std::string const& its_zone) {
         if (is_avoided(vm)) {
             return;
         }
-        all.push_back({vm, {}});
+        all.push_back(vm);
         if (its_zone == zone) {
-            near.push_back({vm, {}});
+            near.push_back(vm);
         }
     };
     if (!m_membership->is_leaving()) {
@@ -97,8 +97,8 @@
             add(name, peer.availability_zone);
         }
     }
-    auto& candidates = near.empty() ? all : near;
-    chosen.vm = candidates.empty() ? self.name : choose_watchers(member, std::move(candidates), 1).front();
+    auto const& candidates = near.empty() ? all : near;
+    chosen.vm = candidates.empty() ? self.name : choose_first(member, candidates);
     chosen.made_at = now;
     return chosen.vm;
 }
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -172,11 +172,9 @@
     if (holder_is_fit) {
         return false;
     }
-    std::vector<watcher_candidate> candidates{{m_membership->identity().name, {}}};
-    for (auto const& name : with_store) {
-        candidates.push_back({name, {}});
-    }
-    return choose_watchers(group.name(), std::move(candidates), 1).front() == m_membership->identity().name;
+    auto candidates = with_store;
+    candidates.push_back(m_membership->identity().name);
+    return choose_first(group.name(), candidates) == m_membership->identity().name;
 }
 
 void takeover_service::begin(database_group& group, takeover_cause cause)
--- a/libraries/failover/watcher_choice.cpp
+++ b/libraries/failover/watcher_choice.cpp
@@ -5,6 +5,8 @@
 
 #include <xxhash.h>
 
+#include "base/verify.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -17,6 +19,16 @@
 
 } // namespace
 
+std::string choose_first(std::string const& key, std::vector<std::string> const& vms)
+{
+    VERIFY(!vms.empty());
+    return *std::max_element(vms.begin(), vms.end(), [&key](auto const& left, auto const& right) {
+        auto const left_score = score(key, left);
+        auto const right_score = score(key, right);
+        return left_score != right_score ? left_score < right_score : left > right;
+    });
+}
+
 std::vector<std::string> choose_watchers(std::string const& database,
                                          std::vector<watcher_candidate> candidates, std::size_t count)
 {
--- a/libraries/failover/watcher_choice.h
+++ b/libraries/failover/watcher_choice.h
@@ -17,4 +17,7 @@
 std::vector<std::string> choose_watchers(std::string const& database,
                                          std::vector<watcher_candidate> candidates, std::size_t count);
 
+/// First of `vms` in the rank that rendezvous hashing gives them for `key`; `vms` must not be empty.
+std::string choose_first(std::string const& key, std::vector<std::string> const& vms);
+
 } // namespace greengagehitch
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -15,13 +15,15 @@
 /// `usual_fleet` VMs, and more seldom in larger ones.
 constexpr duration report_period = std::chrono::milliseconds(600);
 constexpr std::size_t usual_fleet = 16;
-constexpr duration report_lifetime = std::chrono::milliseconds(3'000);
+constexpr duration report_lifetime = std::chrono::milliseconds(2'700);
 /// A peer that knew the newest configuration this lately reaches the store.
 constexpr std::uint32_t store_contact_ms = 2'500;
 constexpr std::uint32_t no_store_contact_ms = 1'000'000;
 /// Own knowledge of the configuration that is older than this is renewed by asking the store.
-constexpr duration evidence_patience = std::chrono::milliseconds(2'200);
-constexpr duration sent_memory = std::chrono::seconds(10);
+constexpr duration evidence_patience = std::chrono::milliseconds(2'700);
+constexpr duration question_memory = std::chrono::seconds(10);
+/// How often a VM that relies on its zone's follower asks it.
+constexpr duration question_period = std::chrono::milliseconds(700);
 
 } // namespace
 
@@ -33,6 +35,10 @@
     m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
     m_membership->on_message<vm_report>(
         [this](peer_state const& peer, vm_report const& report) { take_report(peer, report); });
+    m_membership->on_message<store_question>(
+        [this](peer_state const& peer, store_question const& question) { answer_question(peer, question); });
+    m_membership->on_message<store_word>(
+        [this](peer_state const& /*peer*/, store_word const& word) { take_word(word); });
     m_published_at = m_kernel.now();
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
@@ -54,9 +60,10 @@
         }
         known = is_suspected;
     }
-    auto const fleet = std::max<std::size_t>(usual_fleet, m_membership->fleet_size());
-    auto const period =
-        report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
+    ask_follower();
+    auto const period = current_period();
+    m_membership->set_suspicion_time(current_lifetime());
+    m_rates->set_report_lifetime(current_lifetime());
     auto const configuration = m_fleet->configuration();
     auto const version = configuration ? configuration->version : 0;
     has_news = has_news || std::exchange(m_told_version, version) != version ||
@@ -111,21 +118,12 @@
 
 void report_service::broadcast(bool is_urgent)
 {
-    auto report = make_report();
-    auto const now = m_kernel.now();
-    report.number = ++m_number;
-    m_sent_at[report.number] = now;
-    while (now - m_sent_at.begin()->second > sent_memory) {
-        m_sent_at.erase(m_sent_at.begin());
-    }
+    auto const report = make_report();
     for (auto const& [name, peer] : m_membership->peers()) {
         auto const is_near = peer.availability_zone == m_membership->identity().availability_zone;
-        if (!m_membership->is_reachable(peer) || (!is_near && !is_urgent && m_is_odd_period)) {
-            continue;
+        if (m_membership->is_reachable(peer) && (is_near || is_urgent || !m_is_odd_period)) {
+            m_membership->send(name, report);
         }
-        auto const heard = m_reports.find(name);
-        report.echo = heard == m_reports.end() ? 0 : heard->second.report.number;
-        m_membership->send(name, report);
     }
 }
 
@@ -133,7 +131,7 @@
 {
     m_reports[peer.name] = {report, m_kernel.now()};
     m_rates->take_report(peer.name, report);
-    compare(peer, report);
+    compare(report.configuration_version, report.directory, report.store_age_ms);
     for (auto const& entry : report.leaders) {
         for (auto const& [name, group] : m_groups->groups()) {
             if (to_short_name(name) != entry.group) {
@@ -149,57 +147,100 @@
     }
 }
 
-void report_service::compare(peer_state const& /*peer*/, vm_report const& report)
+void report_service::compare(std::uint64_t its_version, std::uint32_t its_directory,
+                             std::uint32_t store_age_ms)
 {
     auto const configuration = m_fleet->configuration();
     auto const version = configuration ? configuration->version : 0;
-    auto const sent = m_sent_at.find(report.echo);
-    if (version != 0 && report.configuration_version == version && sent != m_sent_at.end() &&
-        report.store_age_ms < no_store_contact_ms) {
-        // The peer wrote this after it had heard our report, so its word is no older than that.
-        m_fleet->confirm_configuration(sent->second - std::chrono::milliseconds(report.store_age_ms));
-    }
-    if (report.configuration_version > version && m_read_configuration) {
+    if (its_version > version && m_read_configuration) {
         m_read_configuration();
     }
-    if (report.directory != m_fleet->directory_digest() && report.store_age_ms <= store_contact_ms &&
+    if (its_directory != m_fleet->directory_digest() && store_age_ms <= store_contact_ms &&
         m_read_directory) {
         m_read_directory();
     }
 }
 
-bool report_service::is_first(bool of_zone) const
+void report_service::ask_follower()
+{
+    auto const now = m_kernel.now();
+    auto const follower = first_with_store(true);
+    if (follower == m_membership->identity().name || now - m_asked_at < question_period) {
+        return;
+    }
+    m_asked_at = now;
+    m_questions[++m_number] = now;
+    while (now - m_questions.begin()->second > question_memory) {
+        m_questions.erase(m_questions.begin());
+    }
+    m_membership->send(follower, store_question{m_number});
+}
+
+void report_service::answer_question(peer_state const& peer, store_question const& question)
+{
+    auto const report = make_report();
+    m_membership->send(peer.name, store_word{question.number, report.configuration_version,
+                                             report.store_age_ms, report.directory});
+}
+
+void report_service::take_word(store_word const& word)
+{
+    auto const asked = m_questions.find(word.number);
+    auto const configuration = m_fleet->configuration();
+    compare(word.configuration_version, word.directory, word.store_age_ms);
+    if (asked == m_questions.end() || !configuration || word.store_age_ms >= no_store_contact_ms ||
+        word.configuration_version != configuration->version) {
+        return;
+    }
+    // The follower wrote this after it was asked, so its word is no older than that.
+    m_fleet->confirm_configuration(asked->second - std::chrono::milliseconds(word.store_age_ms));
+}
+
+std::string report_service::first_with_store(bool of_zone) const
 {
     auto const& own = m_membership->identity();
+    auto first = own.name;
     for (auto const& name : peers_with_store()) {
         auto const is_counted = !of_zone || m_membership->availability_zone_of(name) == own.availability_zone;
-        if (is_counted && name < own.name) {
-            return false;
+        if (is_counted && name < first) {
+            first = name;
         }
     }
-    return true;
+    return first;
 }
 
 bool report_service::follows_configuration() const
 {
     auto const age = m_fleet->configuration_age();
-    return !age || *age > evidence_patience || is_first(true);
+    return !age || *age > evidence_patience || first_with_store(true) == m_membership->identity().name;
 }
 
 bool report_service::follows_directory() const
 {
     auto const age = m_fleet->configuration_age();
-    return !age || *age > evidence_patience || is_first(false);
+    return !age || *age > evidence_patience || first_with_store(false) == m_membership->identity().name;
+}
+
+duration report_service::current_period() const
+{
+    auto const fleet = std::max<std::size_t>(usual_fleet, m_membership->fleet_size());
+    return report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
+}
+
+duration report_service::current_lifetime() const
+{
+    // Reports to another zone come every second period; one of them may be lost.
+    return std::max(report_lifetime, current_period() * 9 / 2);
 }
 
 bool report_service::is_recent(received_report const& entry) const
 {
-    return m_kernel.now() - entry.heard_at <= report_period * 5 / 2;
+    return m_kernel.now() - entry.heard_at <= current_period() * 5 / 2;
 }
 
 bool report_service::is_fresh(received_report const& entry) const
 {
-    return m_kernel.now() - entry.heard_at <= report_lifetime;
+    return m_kernel.now() - entry.heard_at <= current_lifetime();
 }
 
 report_service::group_opinion report_service::opinion_on(database_group const& group) const
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -67,8 +67,15 @@
     void tick();
     void broadcast(bool is_urgent);
     vm_report make_report() const;
-    void compare(peer_state const& peer, vm_report const& report);
-    bool is_first(bool of_zone) const;
+    /// Reads at once what a peer knows better.
+    void compare(std::uint64_t its_version, std::uint32_t its_directory, std::uint32_t store_age_ms);
+    void ask_follower();
+    void answer_question(peer_state const& peer, store_question const& question);
+    void take_word(store_word const& word);
+    /// First by name of the VMs that reach the store, this one included.
+    std::string first_with_store(bool of_zone) const;
+    duration current_period() const;
+    duration current_lifetime() const;
     void take_report(peer_state const& peer, vm_report const& report);
     bool is_fresh(received_report const& entry) const;
     bool is_recent(received_report const& entry) const;
@@ -84,7 +91,8 @@
     std::function<bool(std::string const&)> m_holds_duty;
     monotonic_time m_published_at;
     std::uint32_t m_number = 0;
-    std::map<std::uint32_t, monotonic_time> m_sent_at; ///< Of own reports, by number.
+    std::map<std::uint32_t, monotonic_time> m_questions; ///< When each was asked.
+    monotonic_time m_asked_at;
     std::uint64_t m_told_version = 0;
     std::uint32_t m_told_directory = 0;
     bool m_is_odd_period = false;
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -2,23 +2,28 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
+#include "failover/watcher_choice.h"
+
 namespace greengagehitch {
 
 namespace {
 
 /// Part of the rate that is divided equally, so that a VM without demand can serve a first operation.
 constexpr double equal_part = 0.25;
+/// Part of an account's rate that its home holds for those who run out.
+constexpr double home_part = 0.35;
 /// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
 constexpr double lasting_share = 0.97;
 /// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
 constexpr double used_tolerance = 0.7;
-/// Remembers about four seconds, so that single operations do not move the parts.
-constexpr double demand_smoothing = 0.12;
+/// Time over which demand is remembered, in seconds, so that single operations do not move the parts.
+constexpr double demand_memory = 4;
 constexpr double smallest_demand = 0.05;
-/// Reports come about once a second; a peer that missed two is not counted on.
-constexpr duration report_lifetime = std::chrono::milliseconds(3'000);
+/// A smaller stock of an account without demand is not worth telling.
+constexpr double smallest_stock = 2;
 constexpr double hundredths = 100;
 
 /// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or
@@ -26,7 +31,7 @@
 constexpr duration longest_wait = std::chrono::milliseconds(40);
 /// Longest time that a refusal tells, in seconds.
 constexpr double longest_estimate = 5;
-constexpr std::size_t most_lenders = 3;
+constexpr std::size_t most_lenders = 2;
 /// A borrower asks for what it needs for this time, a lender keeps what it needs for this time itself.
 constexpr double wanted_seconds = 0.2;
 constexpr double reserve_seconds = 0.2;
@@ -65,17 +70,16 @@
     }
 }
 
-double rate_division::part_of(std::string const& client_account) const
+double rate_division::part_of(std::string const& client_account, bool is_home) const
 {
     auto const fleet = static_cast<double>(std::max(m_fleet_size, m_heard));
     auto const total = m_total.find(to_short_name(client_account));
     auto const own = m_own.find(to_short_name(client_account));
-    if (total == m_total.end() || total->second <= 0) {
-        return 1 / fleet;
-    }
-    auto const by_demand = own == m_own.end() ? 0 : own->second / total->second;
     auto const heard = static_cast<double>(m_heard);
-    return heard / fleet * (equal_part / heard + (1 - equal_part) * by_demand);
+    auto const has_demand = total != m_total.end() && total->second > 0;
+    auto const by_demand = !has_demand ? 1 / heard : own == m_own.end() ? 0 : own->second / total->second;
+    auto const elsewhere = equal_part / heard + (1 - equal_part) * by_demand;
+    return heard / fleet * ((is_home ? home_part : 0) + (1 - home_part) * elsewhere);
 }
 
 void rate_shares::start()
@@ -116,10 +120,29 @@
     return state;
 }
 
-double rate_shares::part_of(std::string const& client_account) const
+double rate_shares::part_of(std::string const& client_account, bucket const& bucket) const
 {
     // Before the list of VMs was read, nobody can tell how many share the rate.
-    return m_membership->has_list() ? m_division.part_of(client_account) : 0;
+    auto const is_home = bucket.home == m_membership->identity().name;
+    return m_membership->has_list() ? m_division.part_of(client_account, is_home) : 0;
+}
+
+bool rate_shares::is_heard(std::string const& name) const
+{
+    auto const peer = m_peers.find(name);
+    return peer != m_peers.end() && peer->second.hears_us &&
+           m_kernel.now() - peer->second.heard_at <= m_report_lifetime;
+}
+
+std::string rate_shares::choose_home(std::string const& client_account) const
+{
+    std::vector<std::string> candidates{m_membership->identity().name};
+    for (auto const& [name, peer] : m_peers) {
+        if (is_heard(name)) {
+            candidates.push_back(name);
+        }
+    }
+    return choose_first(client_account, candidates);
 }
 
 rate_shares::bucket& rate_shares::bucket_of(std::string const& client_account)
@@ -128,7 +151,8 @@
     if (is_new) {
         // The part has filled since this process started; what an earlier one left is not counted on.
         found->second.updated = m_started_at;
-        found->second.part = part_of(client_account);
+        found->second.home = choose_home(client_account);
+        found->second.part = part_of(client_account, found->second);
     }
     return found->second;
 }
@@ -207,7 +231,14 @@
     std::vector<std::pair<std::uint32_t, std::string>> stocks;
     for (auto const& [name, peer] : m_peers) {
         auto const stock = peer.tokens.find(to_short_name(client_account));
-        if (now - peer.heard_at <= report_lifetime && stock != peer.tokens.end() && stock->second != 0) {
+        auto const is_home = name == bucket.home;
+        if (now - peer.heard_at > m_report_lifetime) {
+            continue;
+        }
+        if (is_home) {
+            stocks.emplace_back(std::numeric_limits<std::uint32_t>::max(), name);
+        }
+        else if (stock != peer.tokens.end() && stock->second != 0) {
             stocks.emplace_back(stock->second, name);
         }
     }
@@ -293,15 +324,15 @@
 std::vector<account_demand> rate_shares::publish(duration period)
 {
     std::vector<account_demand> demands;
+    auto const smoothing = 1 - std::exp(-seconds(period) / demand_memory);
     // What was published last has reached the peers by now.
     for (auto& [account, bucket] : m_buckets) {
         auto const sample = static_cast<double>(std::exchange(bucket.arrivals, 0)) / seconds(period);
         bucket.published = bucket.demand;
-        bucket.demand += demand_smoothing * (sample - bucket.demand);
+        bucket.demand += smoothing * (sample - bucket.demand);
         if (bucket.demand < smallest_demand) {
             bucket.demand = 0;
         }
-        // Peers may ask for what this VM does not need, so the stock is made known for all accounts.
     }
     divide();
     for (auto const& [account, bucket] : m_buckets) {
@@ -336,7 +367,7 @@
     }
     m_division.add_own(own);
     for (auto const& [name, peer] : m_peers) {
-        if (peer.hears_us && now - peer.heard_at <= report_lifetime) {
+        if (is_heard(name)) {
             m_division.add_peer(peer.demands);
         }
     }
@@ -347,7 +378,8 @@
             refill(bucket, configuration->limits.at(account), now);
         }
         bucket.updated = now;
-        bucket.part = part_of(account);
+        bucket.home = choose_home(account);
+        bucket.part = part_of(account, bucket);
     }
 }
 
@@ -360,7 +392,7 @@
     }
     auto total = own;
     for (auto const& [name, peer] : m_peers) {
-        if (now - peer.heard_at <= report_lifetime) {
+        if (now - peer.heard_at <= m_report_lifetime) {
             for (auto const& [account, demand] : peer.demands) {
                 total += demand;
             }
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -16,8 +16,9 @@
 namespace greengagehitch {
 
 /// Part of a client account's rate that one VM may use, computed from demands that all VMs publish. VMs that
-/// hear each other divide by demand; one that is not heard keeps an equal part, and takes no more than that
-/// itself. A VM uses its own demand only as it was published, so that all compute from the same figures.
+/// hear each other divide by demand, and leave a part to the account's home, which lends to whoever runs out;
+/// one that is not heard keeps an equal part, and takes no more than that itself. A VM uses its own demand
+/// only as it was published, so that all compute from the same figures.
 class rate_division {
 public:
     /// Forgets all demands and sets the size of the fleet, this VM included.
@@ -27,8 +28,8 @@
     void add_own(std::map<short_name, double> const& demands);
     void add_peer(std::map<short_name, double> const& demands);
 
-    /// Part of the account's rate in [0, 1].
-    double part_of(std::string const& client_account) const;
+    /// Part of the account's rate in [0, 1], at its home or elsewhere.
+    double part_of(std::string const& client_account, bool is_home) const;
 
 private:
     std::size_t m_fleet_size = 1;
@@ -68,6 +69,9 @@
     /// Demands to publish now. Called once a report period; what it returns counts from the next period on.
     std::vector<account_demand> publish(duration period);
 
+    /// Sets for how long a peer that has reported is counted on.
+    void set_report_lifetime(duration lifetime) { m_report_lifetime = lifetime; }
+
     /// Takes in a peer's report.
     void take_report(std::string const& peer, vm_report const& report);
 
@@ -86,7 +90,8 @@
         std::size_t arrivals = 0; ///< Since the last publication.
         double demand = 0;        ///< Operations in a second, smoothed.
         double published = 0;
-        double part = 0; ///< Of the account's rate.
+        double part = 0;  ///< Of the account's rate.
+        std::string home; ///< VM that lends to the others.
         std::deque<waiting_operation> waiting;
         std::map<std::uint64_t, std::string> requests; ///< Peers that were asked and have not answered.
         monotonic_time no_request_before;              ///< After a round that brought nothing.
@@ -99,7 +104,9 @@
         monotonic_time heard_at;
     };
 
-    double part_of(std::string const& client_account) const;
+    double part_of(std::string const& client_account, bucket const& bucket) const;
+    std::string choose_home(std::string const& client_account) const;
+    bool is_heard(std::string const& peer) const;
     bucket& bucket_of(std::string const& client_account);
     /// Operations in a second that an account may keep up, over the fleet.
     double lasting_rate(account_limit const& limit) const;
@@ -120,6 +127,7 @@
     membership_service* m_membership = nullptr;
     std::map<std::string, bucket> m_buckets;
     std::map<std::string, peer_demands> m_peers;
+    duration m_report_lifetime = std::chrono::seconds(3);
     rate_division m_division;
     monotonic_time m_started_at;
     std::uint64_t m_next_number = 1;
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -82,6 +82,9 @@
     /// Sends heartbeats now rather than at the next period, for news that must spread at once.
     void spread_news();
 
+    /// Sets how long a peer that is not heard counts as reachable.
+    void set_suspicion_time(duration time) { m_pace.suspicion_time = time; }
+
     /// True when the peer was heard within the suspicion time.
     bool is_reachable(peer_state const& peer) const;
 
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -147,15 +147,27 @@
 
 /// State that VMs which serve sessions share with each other.
 struct vm_report {
-    std::uint32_t number = 0; ///< Grows with each report of the sender's incarnation.
-    std::uint32_t echo = 0;   ///< Number of the last report heard from the receiver.
     std::uint64_t configuration_version = 0;
     std::uint32_t store_age_ms = 0; ///< Since that version was known to be the newest.
     std::uint32_t directory = 0;    ///< Digest of the members' directory as the sender knows it.
     std::vector<short_name> heard;  ///< Peers that the sender hears.
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
-    MSGPACK_DEFINE(number, echo, configuration_version, store_age_ms, directory, heard, demands, leaders)
+    MSGPACK_DEFINE(configuration_version, store_age_ms, directory, heard, demands, leaders)
+};
+
+/// Asks the VM that follows the store for its zone what it knows.
+struct store_question {
+    std::uint32_t number = 0; ///< Grows with each question of the sender's incarnation.
+    MSGPACK_DEFINE(number)
+};
+
+struct store_word {
+    std::uint32_t number = 0; ///< Of the question. What follows was known after it was asked.
+    std::uint64_t configuration_version = 0;
+    std::uint32_t store_age_ms = 0;
+    std::uint32_t directory = 0;
+    MSGPACK_DEFINE(number, configuration_version, store_age_ms, directory)
 };
 
 /// Asks for tokens of a client account's rate.
@@ -174,9 +186,9 @@
     MSGPACK_DEFINE(client_account, number, tokens)
 };
 
-using peer_message =
-    std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
-                 primary_suspicion, share_transfer, share_request, vm_report, token_request, token_grant>;
+using peer_message = std::variant<heartbeat, configuration_request, configuration_chunk, group_state,
+                                  group_state_request, primary_suspicion, share_transfer, share_request,
+                                  vm_report, token_request, token_grant, store_question, store_word>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -91,7 +91,7 @@
                 division.add_peer(demands[other]);
             }
         }
-        sum += division.part_of("t");
+        sum += division.part_of("t", own == 1);
     }
     cr_assert(std::abs(sum - 1) < tolerance);
 }
@@ -101,7 +101,7 @@
     rate_division division;
     division.reset(8);
     division.add_own({{to_short_name("t"), 100}});
-    cr_assert(std::abs(division.part_of("t") - 1.0 / 8) < tolerance);
+    cr_assert(std::abs(division.part_of("t", true) - 1.0 / 8) < tolerance);
 }
 
 Test(rate_shares, demand_at_one_vm_gets_most_of_the_rate)
