--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -540,7 +540,7 @@
         }
         member_command resume;
         resume.kind = command_kind::resume_receiving;
-        link->send({resume}, question_timeout, [link](std::vector<member_answer> const&) {});
+        link->send({resume}, question_timeout, [open = link](std::vector<member_answer> const&) {});
     }
 }
 
