--- a/services/greengagehitchd/daemon.h
+++ b/services/greengagehitchd/daemon.h
@@ -7,12 +7,12 @@
 #include <Poco/Net/DatagramSocket.h>
 #include <absl/status/status.h>
 
+#include "adapters/json_line_log.h"
 #include "adapters/libpq_connector.h"
 #include "adapters/platform_client.h"
 #include "callers/caller_endpoint.h"
 #include "callers/operator_endpoint.h"
 #include "entry_vm/entry_vm.h"
-#include "adapters/json_line_log.h"
 #include "reactor/reactor.h"
 #include "settings/daemon_settings.h"
 
