--- /dev/null
+++ b/libraries/adapters/datagram_socket.cpp
@@ -0,0 +1,55 @@
+#include "adapters/datagram_socket.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <fmt/format.h>
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr std::size_t largest_datagram = 65'536;
+
+} // namespace
+
+absl::Status datagram_socket::try_open(endpoint& address)
+{
+    try {
+        m_socket.emplace(Poco::Net::SocketAddress(address.host, address.port));
+        m_socket->setBlocking(false);
+        address.port = m_socket->address().port();
+    }
+    catch (Poco::Exception const& exception) {
+        return absl::UnavailableError(
+            fmt::format("cannot listen for peers on {}: {}", address.to_string(), exception.displayText()));
+    }
+    m_reactor.watch(m_socket->impl()->sockfd(), EPOLLIN, [this](std::uint32_t /*events*/) { receive(); });
+    return absl::OkStatus();
+}
+
+void datagram_socket::receive()
+{
+    std::string buffer(largest_datagram, '\0');
+    while (true) {
+        auto const size = ::recv(m_socket->impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (size < 0) {
+            return;
+        }
+        m_received(buffer.substr(0, static_cast<std::size_t>(size)));
+    }
+}
+
+void datagram_socket::send(endpoint const& target, std::string const& datagram)
+{
+    try {
+        m_socket->sendTo(datagram.data(), static_cast<int>(datagram.size()),
+                         Poco::Net::SocketAddress(target.host, target.port));
+    }
+    catch (Poco::Exception const& exception) {
+        Json::Value fields(Json::objectValue);
+        fields["target"] = target.to_string();
+        fields["error"] = exception.displayText();
+        m_log({log_level::debug, "daemon", "datagram was not sent", std::move(fields)});
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/duty_claims.cpp
@@ -0,0 +1,79 @@
+#include "failover/duty_claims.h"
+
+#include <optional>
+#include <utility>
+
+#include "base/json.h"
+
+namespace greengagehitch {
+
+namespace {
+
+/// Time for which a claim keeps others from acting for the group. The platform's rules forbid two holders to
+/// act in turn within three seconds; the rest covers orders on their way.
+constexpr std::int64_t claim_lifetime_ms = 4'500;
+
+std::string row_key(std::string const& group)
+{
+    return "takeover/" + group;
+}
+
+} // namespace
+
+duty_claims::duty_row duty_claims::parse(table_row const& row)
+{
+    duty_row parsed;
+    auto const root = try_parse_json(row.value);
+    if (row.version != 0 && root.ok() && root->isObject()) {
+        parsed.holder = (*root)["holder"].asString();
+        parsed.member = (*root)["member"].asString();
+        parsed.fence = (*root)["fence"].asUInt64();
+        parsed.claimed_at_ms = (*root)["claimed_at_ms"].asInt64();
+    }
+    return parsed;
+}
+
+void duty_claims::claim(std::string const& holder, std::string const& group, std::string const& member,
+                        claim_callback done)
+{
+    auto take_row = [this, holder, group, member,
+                     done = std::move(done)](absl::StatusOr<std::optional<table_row>> const& read) {
+        if (!read.ok()) {
+            done(read.status());
+            return;
+        }
+        auto const row = read->value_or(table_row{});
+        auto const known = parse(row);
+        auto const is_mine = known.holder == holder;
+        if (!is_mine && !known.holder.empty() && row.read_at_ms - known.claimed_at_ms < claim_lifetime_ms) {
+            done(absl::AbortedError("another VM holds the duty"));
+            return;
+        }
+        auto const fence = is_mine && known.member == member ? known.fence : known.fence + 1;
+        write(group, row.version, {holder, member, fence, row.read_at_ms}, done);
+    };
+    m_platform.read_row(row_key(group),
+                        m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(std::move(take_row)));
+}
+
+void duty_claims::write(std::string const& group, std::uint64_t version, duty_row const& row,
+                        claim_callback done)
+{
+    Json::Value value(Json::objectValue);
+    value["holder"] = row.holder;
+    value["member"] = row.member;
+    value["fence"] = Json::UInt64(row.fence);
+    value["claimed_at_ms"] = Json::Int64(row.claimed_at_ms);
+    auto take_answer = [fence = row.fence, done = std::move(done)](absl::StatusOr<std::uint64_t> const& put) {
+        if (put.ok()) {
+            done(fence);
+        }
+        else {
+            done(put.status());
+        }
+    };
+    m_platform.put_row(row_key(group), version, to_json_line(value),
+                       m_kernel.guard<absl::StatusOr<std::uint64_t>>(std::move(take_answer)));
+}
+
+} // namespace greengagehitch
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "base/json.h"
 #include "failover/watcher_choice.h"
 
 namespace greengagehitch {
@@ -31,42 +30,11 @@
 constexpr int most_orders = 25;
 constexpr duration lead_poll = std::chrono::milliseconds(60);
 constexpr int most_lead_polls = 50;
-/// Time for which a claim keeps others from acting for the group. The platform's rules forbid two holders to
-/// act in turn within three seconds; the rest covers orders on their way.
-constexpr std::int64_t claim_lifetime_ms = 4'500;
 /// An order is given only on a claim that is younger than this.
 constexpr duration fresh_claim = std::chrono::milliseconds(1'400);
 /// Connections for questions to members belong to no client account.
 constexpr auto control_account = "-";
 
-std::string row_key(std::string const& group)
-{
-    return "takeover/" + group;
-}
-
-struct duty_row {
-    std::string holder;
-    std::string member;
-    std::uint64_t fence = 0;
-    std::int64_t claimed_at_ms = 0; ///< On the store's clock.
-};
-
-duty_row parse_row(std::optional<table_row> const& row)
-{
-    duty_row parsed;
-    if (!row || row->version == 0) {
-        return parsed;
-    }
-    auto const root = try_parse_json(row->value);
-    if (root.ok() && root->isObject()) {
-        parsed.holder = (*root)["holder"].asString();
-        parsed.member = (*root)["member"].asString();
-        parsed.fence = (*root)["fence"].asUInt64();
-        parsed.claimed_at_ms = (*root)["claimed_at_ms"].asInt64();
-    }
-    return parsed;
-}
-
 } // namespace
 
 void takeover_service::start()
@@ -82,7 +50,7 @@
 Json::Value takeover_service::dump() const
 {
     Json::Value state(Json::objectValue);
-    for (auto const& [group, since] : m_held) {
+    for (auto const& group : m_held) {
         state["held"].append(group);
     }
     for (auto const& [group, running] : m_running) {
@@ -332,7 +300,7 @@
     fields["heard"] = Json::UInt64(running->heard.size());
     fields["after_ms"] = to_milliseconds(m_kernel.now() - running->started);
     log("successor is chosen", name, std::move(fields));
-    claim_duty(name, *chosen, [this, name, member = *chosen] { give_order(name, member); });
+    claim_duty(name, *chosen);
 }
 
 std::optional<std::string> takeover_service::choose(database_group& group, takeover const& running) const
@@ -380,71 +348,28 @@
     return furthest >= m_reports->opinion_on(group).highest ? best : std::nullopt;
 }
 
-void takeover_service::claim_duty(std::string const& group, std::string const& member,
-                                  std::function<void()> const& claimed)
+void takeover_service::claim_duty(std::string const& group, std::string const& member)
 {
     auto* const running = find(group);
-    auto const number = running->number;
     running->claimed_at = m_kernel.now();
-    m_platform.read_row(row_key(group), m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(
-                                            [this, group, member, number,
-                                             claimed](absl::StatusOr<std::optional<table_row>> const& row) {
-                                                if (find(group, number) == nullptr) {
-                                                    return;
-                                                }
-                                                if (!row.ok()) {
-                                                    end(group, "store did not answer", true);
-                                                    return;
-                                                }
-                                                take_claim_row(group, member, *row, claimed);
-                                            }));
-}
-
-void takeover_service::take_claim_row(std::string const& group, std::string const& member,
-                                      std::optional<table_row> const& row,
-                                      std::function<void()> const& claimed)
-{
-    auto const known = parse_row(row);
-    auto const now_ms = row ? row->read_at_ms : 0;
-    auto const is_mine = known.holder == m_membership->identity().name;
-    if (!is_mine && !known.holder.empty() && now_ms - known.claimed_at_ms < claim_lifetime_ms) {
-        end(group, "another VM holds the duty", true);
-        return;
-    }
-    auto const fence = is_mine && known.member == member ? known.fence : known.fence + 1;
-    put_claim(group, member, row ? row->version : 0, {fence, now_ms}, claimed);
-}
-
-void takeover_service::put_claim(std::string const& group, std::string const& member,
-                                 std::uint64_t row_version, claim claim, std::function<void()> const& claimed)
-{
-    auto const number = find(group)->number;
-    Json::Value row(Json::objectValue);
-    row["holder"] = m_membership->identity().name;
-    row["member"] = member;
-    row["fence"] = Json::UInt64(claim.fence);
-    row["claimed_at_ms"] = Json::Int64(claim.made_at_ms);
-    m_platform.put_row(
-        row_key(group), row_version, to_json_line(row),
-        m_kernel.guard<absl::StatusOr<std::uint64_t>>(
-            [this, group, member, number, claim, claimed](absl::StatusOr<std::uint64_t> const& put) {
-                auto* const running = find(group, number);
-                if (running == nullptr) {
-                    return;
-                }
-                if (!put.ok()) {
-                    end(group,
-                        absl::IsAborted(put.status()) ? "another VM holds the duty" : "store did not answer",
-                        true);
-                    return;
-                }
-                running->fence = claim.fence;
-
-                running->fenced_member = member;
-                m_held[group] = m_kernel.now();
-                m_reports->send_now();
-                claimed();
-            }));
+    m_claims.claim(
+        m_membership->identity().name, group, member,
+        [this, group, member, number = running->number](absl::StatusOr<std::uint64_t> const& fence) {
+            auto* const current = find(group, number);
+            if (current == nullptr) {
+                return;
+            }
+            if (!fence.ok()) {
+                end(group,
+                    absl::IsAborted(fence.status()) ? "another VM holds the duty" : "store did not answer",
+                    true);
+                return;
+            }
+            current->fence = *fence;
+            m_held.insert(group);
+            m_reports->send_now();
+            give_order(group, member);
+        });
 }
 
 void takeover_service::give_order(std::string const& group, std::string const& member)
@@ -459,7 +384,7 @@
     }
     if (m_kernel.now() - running->claimed_at > fresh_claim) {
         // Another VM may have taken the duty meanwhile.
-        claim_duty(group, member, [this, group, member] { give_order(group, member); });
+        claim_duty(group, member);
         return;
     }
     promotion_order order{group, member, m_membership->identity().name, running->fence};
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -9,6 +9,7 @@
 
 #include <absl/status/status.h>
 
+#include "failover/duty_claims.h"
 #include "fleet/report_service.h"
 #include "kernel/kernel.h"
 #include "members/group_registry.h"
@@ -46,7 +47,7 @@
 
     takeover_service(kernel& kernel, platform_hooks const& platform, link_hooks const& links,
                      promotion_hook promote)
-        : m_kernel(kernel), m_platform(platform), m_links(links), m_promote(std::move(promote))
+        : m_kernel(kernel), m_claims(kernel, platform), m_links(links), m_promote(std::move(promote))
     {
     }
 
@@ -60,11 +61,6 @@
         bool is_draining = false;
     };
 
-    struct claim {
-        std::uint64_t fence = 0;
-        std::int64_t made_at_ms = 0; ///< On the store's clock.
-    };
-
     /// One replacement of a leader under way.
     struct takeover {
         std::uint64_t number = 0;
@@ -75,7 +71,6 @@
         std::uint64_t row_version = 0;
         std::uint64_t fence = 0;
         monotonic_time claimed_at;
-        std::string fenced_member; ///< Member for which the fence was taken.
         std::map<std::string, link_pointer> links;
         std::map<std::string, heard_member> heard;
         std::set<std::string> expected; ///< Replicas that may hold commits.
@@ -91,12 +86,7 @@
     std::optional<takeover_cause> find_cause(database_group& group);
     bool is_my_turn(database_group const& group) const;
     void begin(database_group& group, takeover_cause cause);
-    void claim_duty(std::string const& group, std::string const& member,
-                    std::function<void()> const& claimed);
-    void take_claim_row(std::string const& group, std::string const& member,
-                        std::optional<table_row> const& row, std::function<void()> const& claimed);
-    void put_claim(std::string const& group, std::string const& member, std::uint64_t row_version,
-                   claim claim, std::function<void()> const& claimed);
+    void claim_duty(std::string const& group, std::string const& member);
     void stop_replicas(std::string const& group);
     void ask(std::string const& group, member_entry const& member, member_command command);
     void note_unanswered(std::string const& group, std::string const& member, member_answer const& answer);
@@ -111,7 +101,7 @@
     void log(std::string_view message, std::string const& group, Json::Value fields = {}) const;
 
     kernel& m_kernel;
-    platform_hooks const& m_platform;
+    duty_claims m_claims;
     link_hooks const& m_links;
     promotion_hook m_promote;
     group_registry* m_groups = nullptr;
@@ -119,7 +109,7 @@
     report_service* m_reports = nullptr;
     fleet_state* m_fleet = nullptr;
     std::map<std::string, std::unique_ptr<takeover>> m_running;
-    std::map<std::string, monotonic_time> m_held;             ///< Groups whose duty this VM holds.
+    std::set<std::string> m_held;                             ///< Groups whose duty this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Groups without a known leader.
     std::map<std::string, monotonic_time> m_not_before;       ///< Pause after an attempt.
     std::uint64_t m_next_number = 1;
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -383,25 +383,4 @@
     }
 }
 
-std::optional<double> rate_shares::part_of_all() const
-{
-    auto const now = m_kernel.now();
-    double own = 0;
-    for (auto const& [account, bucket] : m_buckets) {
-        own += bucket.demand;
-    }
-    auto total = own;
-    for (auto const& [name, peer] : m_peers) {
-        if (now - peer.heard_at <= m_report_lifetime) {
-            for (auto const& [account, demand] : peer.demands) {
-                total += demand;
-            }
-        }
-    }
-    if (total <= 0) {
-        return std::nullopt;
-    }
-    return own / total;
-}
-
 } // namespace greengagehitch
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -75,9 +75,6 @@
     /// Takes in a peer's report.
     void take_report(std::string const& peer, vm_report const& report);
 
-    /// This VM's part of all operations of the fleet, by published demand; empty while nothing is known.
-    std::optional<double> part_of_all() const;
-
 private:
     struct waiting_operation {
         std::uint64_t number = 0;
--- /dev/null
+++ b/libraries/reactor/signal_watch.cpp
@@ -0,0 +1,52 @@
+#include "reactor/signal_watch.h"
+
+#include <csignal>
+#include <utility>
+
+#include <sys/signalfd.h>
+
+namespace greengagehitch {
+
+namespace {
+
+sigset_t watched_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+} // namespace
+
+void signal_watch::block()
+{
+    auto const signals = watched_signals();
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+signal_watch::signal_watch(reactor& reactor, std::function<void()> stop, std::function<void()> dump)
+    : m_stop(std::move(stop)), m_dump(std::move(dump))
+{
+    auto const signals = watched_signals();
+    m_descriptor = file_descriptor(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
+    reactor.watch(m_descriptor.get(), EPOLLIN, [this](std::uint32_t /*events*/) { read(); });
+}
+
+void signal_watch::read()
+{
+    signalfd_siginfo received{};
+    while (::read(m_descriptor.get(), &received, sizeof(received)) == sizeof(received)) {
+        if (received.ssi_signo == SIGHUP) {
+            m_dump();
+        }
+        else {
+            m_stop();
+        }
+    }
+}
+
+} // namespace greengagehitch
--- a/services/greengagehitchd/daemon.cpp
+++ b/services/greengagehitchd/daemon.cpp
@@ -1,12 +1,9 @@
 #include "daemon.h"
 
-#include <csignal>
 #include <utility>
 
-#include <Poco/Net/SocketAddress.h>
 #include <absl/strings/strip.h>
 #include <fmt/format.h>
-#include <sys/signalfd.h>
 
 #include "base/json.h"
 #include "base/try.h"
@@ -22,12 +19,14 @@
 /// Time that callers with open connections get to read their last answers.
 constexpr duration last_answer_time = std::chrono::milliseconds(200);
 constexpr std::size_t operator_body_size = 16UL * 1024 * 1024;
-constexpr std::size_t largest_datagram = 65'536;
 
 } // namespace
 
 daemon::daemon(daemon_settings settings, json_line_log log)
-    : m_settings(std::move(settings)), m_log(std::move(log)), m_random(std::random_device{}())
+    : m_settings(std::move(settings)), m_log(std::move(log)), m_random(std::random_device{}()),
+      m_peer_socket(
+          m_reactor, [this](log_record const& record) { m_log.write(record); },
+          [this](std::string const& datagram) { m_vm->handle_datagram(datagram); })
 {
 }
 
@@ -46,12 +45,13 @@
         password =
             std::string(absl::StripAsciiWhitespace(TRY(try_read_file(m_settings.database_password_file))));
     }
-    TRY(try_open_peer_socket());
+    TRY(m_peer_socket.try_open(m_settings.peers));
     m_vm = std::make_unique<entry_vm>(entry_vm_settings{m_settings.vm_name, m_settings.availability_zone,
                                                         m_settings.peers, m_settings.fleet_secret},
                                       make_hooks(password));
     TRY(try_start_listeners());
-    watch_signals();
+    m_signals.emplace(
+        m_reactor, [this] { start_drain(); }, [this] { dump_state(); });
     m_vm->start();
     Json::Value fields(Json::objectValue);
     fields["callers"] = endpoint{m_settings.callers.listen.host, m_callers->listener().port()}.to_string();
@@ -82,29 +82,13 @@
     hooks.kernel.cancel_timer = [this](timer_id timer) { m_reactor.cancel_timer(timer); };
     hooks.kernel.log = [this](log_record const& record) { m_log.write(record); };
     hooks.send_datagram = [this](endpoint const& target, std::string const& datagram) {
-        send_datagram(target, datagram);
+        m_peer_socket.send(target, datagram);
     };
     hooks.database = m_databases->hooks();
     hooks.platform = m_platform->hooks();
     return hooks;
 }
 
-absl::Status daemon::try_open_peer_socket()
-{
-    try {
-        m_peer_socket.emplace(Poco::Net::SocketAddress(m_settings.peers.host, m_settings.peers.port));
-        m_peer_socket->setBlocking(false);
-        m_settings.peers.port = m_peer_socket->address().port();
-    }
-    catch (Poco::Exception const& exception) {
-        return absl::UnavailableError(fmt::format("cannot listen for peers on {}: {}",
-                                                  m_settings.peers.to_string(), exception.displayText()));
-    }
-    m_reactor.watch(m_peer_socket->impl()->sockfd(), EPOLLIN,
-                    [this](std::uint32_t /*events*/) { receive_datagrams(); });
-    return absl::OkStatus();
-}
-
 absl::Status daemon::try_start_listeners()
 {
     m_callers = std::make_unique<caller_endpoint>(
@@ -123,56 +107,11 @@
     return m_operators->listener().try_start();
 }
 
-void daemon::watch_signals()
+void daemon::dump_state()
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    m_signals = file_descriptor(signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC));
-    m_reactor.watch(m_signals.get(), EPOLLIN, [this](std::uint32_t /*events*/) { handle_signal(); });
-}
-
-void daemon::handle_signal()
-{
-    signalfd_siginfo received{};
-    while (::read(m_signals.get(), &received, sizeof(received)) == sizeof(received)) {
-        if (received.ssi_signo != SIGHUP) {
-            start_drain();
-            continue;
-        }
-        Json::Value fields(Json::objectValue);
-        fields["state"] = m_vm->dump();
-        m_log.write({log_level::info, "daemon", "state dump", std::move(fields)});
-    }
-}
-
-void daemon::receive_datagrams()
-{
-    std::string buffer(largest_datagram, '\0');
-    while (true) {
-        auto const size = ::recv(m_peer_socket->impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
-        if (size < 0) {
-            return;
-        }
-        m_vm->handle_datagram(buffer.substr(0, static_cast<std::size_t>(size)));
-    }
-}
-
-void daemon::send_datagram(endpoint const& target, std::string const& datagram)
-{
-    try {
-        m_peer_socket->sendTo(datagram.data(), static_cast<int>(datagram.size()),
-                              Poco::Net::SocketAddress(target.host, target.port));
-    }
-    catch (Poco::Exception const& exception) {
-        // Datagrams may be lost anyway; the protocols between daemons repeat what matters.
-        Json::Value fields(Json::objectValue);
-        fields["target"] = target.to_string();
-        fields["error"] = exception.displayText();
-        m_log.write({log_level::debug, "daemon", "datagram was not sent", std::move(fields)});
-    }
+    Json::Value fields(Json::objectValue);
+    fields["state"] = m_vm->dump();
+    m_log.write({log_level::info, "daemon", "state dump", std::move(fields)});
 }
 
 void daemon::start_drain()
--- a/services/greengagehitchd/daemon.h
+++ b/services/greengagehitchd/daemon.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <random>
 
-#include <Poco/Net/DatagramSocket.h>
 #include <absl/status/status.h>
 
+#include "adapters/datagram_socket.h"
 #include "adapters/json_line_log.h"
 #include "adapters/libpq_connector.h"
 #include "adapters/platform_client.h"
@@ -14,6 +14,7 @@
 #include "callers/operator_endpoint.h"
 #include "entry_vm/entry_vm.h"
 #include "reactor/reactor.h"
+#include "reactor/signal_watch.h"
 #include "settings/daemon_settings.h"
 
 namespace greengagehitch {
@@ -36,21 +37,17 @@
 
 private:
     entry_vm_hooks make_hooks(std::string const& database_password);
-    absl::Status try_open_peer_socket();
     absl::Status try_start_listeners();
-    void watch_signals();
-    void handle_signal();
-    void receive_datagrams();
-    void send_datagram(endpoint const& target, std::string const& datagram);
     void start_drain();
+    void dump_state();
     void stop_when_answers_are_sent();
 
     daemon_settings m_settings;
     json_line_log m_log;
     reactor m_reactor;
     std::mt19937_64 m_random;
-    file_descriptor m_signals;
-    std::optional<Poco::Net::DatagramSocket> m_peer_socket;
+    std::optional<signal_watch> m_signals;
+    datagram_socket m_peer_socket;
     std::optional<platform_client> m_platform;
     std::optional<libpq_connector> m_databases;
     std::unique_ptr<entry_vm> m_vm;
--- a/services/greengagehitchd/main.cpp
+++ b/services/greengagehitchd/main.cpp
@@ -1,5 +1,3 @@
-#include <csignal>
-
 #include <fmt/core.h>
 #include <tclap/CmdLine.h>
 
@@ -21,14 +19,8 @@
         fmt::print("{}: settings are valid\n", path);
         return success;
     }
-    // Blocked before the first thread starts, so that signals reach only the descriptor.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    // Before the first thread starts.
+    greengagehitch::signal_watch::block();
     greengagehitch::json_line_log const log(settings->vm_name, lowest);
     greengagehitch::daemon daemon(*std::move(settings), log);
     if (auto const status = daemon.try_start(); !status.ok()) {
