limits: Share rates soon after a restart of all VMs

The parts of a rate were computed once a report period only, and peers heard each other after a gossip period at the earliest. Change: gossip once the list was read; report to a peer when it is heard first; divide anew then. A broker closes idle connections beyond half of its bound. A window is given out whole (share 1.0 instead of 0.97).

--- a/libraries/brokers/member_desk.h
+++ b/libraries/brokers/member_desk.h
@@ -34,7 +34,11 @@
     /// Closes idle connections beyond the bound, and those that were idle for longer than `limit`.
     void trim(duration limit) { m_pool->trim(limit); }
 
+    /// Closes idle connections beyond `kept` that were idle for longer than `limit`.
+    void trim_surplus(std::size_t kept, duration limit) { m_pool->trim_surplus(kept, limit); }
+
     std::size_t links() const { return m_pool->links(); }
+    std::size_t max_links() const { return m_options.max_links(); }
     std::size_t waiting() const { return m_waiting_count; }
 
 private:
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -77,6 +77,40 @@
     else if (has_news) {
         broadcast(true);
     }
+    greet_new_peers();
+    divide_rates();
+}
+
+void report_service::divide_rates()
+{
+    auto const sharing = m_membership->has_list() ? m_reports.size() + 1 : 0;
+    if (std::exchange(m_divided_among, sharing) != sharing) {
+        m_rates->divide();
+    }
+}
+
+void report_service::greet_new_peers()
+{
+    std::map<std::string, std::uint64_t> heard;
+    std::vector<std::string> added;
+    for (auto const& [name, peer] : m_membership->peers()) {
+        if (!m_membership->is_reachable(peer)) {
+            continue;
+        }
+        heard[name] = peer.incarnation;
+        auto const known = m_greeted.find(name);
+        if (known == m_greeted.end() || known->second != peer.incarnation) {
+            added.push_back(name);
+        }
+    }
+    m_greeted = std::move(heard);
+    if (added.empty()) {
+        return;
+    }
+    auto const report = make_report();
+    for (auto const& name : added) {
+        m_membership->send(name, report);
+    }
 }
 
 void report_service::send_now()
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -66,6 +66,10 @@
 
     void tick();
     void broadcast(bool is_urgent);
+    /// Reports to peers that were not heard before, without waiting for the period.
+    void greet_new_peers();
+    /// Divides the rates anew when the VMs that share them have changed.
+    void divide_rates();
     vm_report make_report() const;
     /// Reads at once what a peer knows better.
     void compare(std::uint64_t its_version, std::uint32_t its_directory, std::uint32_t store_age_ms);
@@ -96,6 +100,8 @@
     std::uint64_t m_told_version = 0;
     std::uint32_t m_told_directory = 0;
     bool m_is_odd_period = false;
+    std::size_t m_divided_among = 0; ///< VMs that were heard when the rates were last divided.
+    std::map<std::string, std::uint64_t> m_greeted; ///< Incarnations of the peers that are heard.
     std::function<void()> m_read_configuration;
     std::function<void()> m_read_directory;
 };
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -16,7 +16,7 @@
 /// Part of an account's rate that its home holds for those who run out.
 constexpr double home_part = 0.35;
 /// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
-constexpr double lasting_share = 0.97;
+constexpr double lasting_share = 1.0;
 /// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
 constexpr double used_tolerance = 0.7;
 /// Time over which demand is remembered, in seconds, so that single operations do not move the parts.
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -69,6 +69,9 @@
     /// Demands to publish now. Called once a report period; what it returns counts from the next period on.
     std::vector<account_demand> publish(duration period);
 
+    /// Divides the rates anew, since other VMs are heard than before.
+    void divide();
+
     /// Sets for how long a peer that has reported is counted on.
     void set_report_lifetime(duration lifetime) { m_report_lifetime = lifetime; }
 
@@ -110,7 +113,6 @@
     /// Operations that an account may have at once beyond its lasting rate, over the fleet.
     double most_stock(account_limit const& limit) const;
     void refill(bucket& bucket, account_limit const& limit, monotonic_time now) const;
-    void divide();
     bool ask_peers(std::string const& client_account, bucket& bucket);
     void answer_request(std::string const& peer, token_request const& request);
     void take_grant(std::string const& peer, token_grant const& grant);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -10,6 +10,11 @@
 /// Used while the configuration names no bound for a group.
 constexpr std::size_t default_max_links = 4;
 constexpr duration idle_limit = std::chrono::seconds(20);
+/// Part of a member's connections that a broker keeps while they are idle. The rest is left to a successor: a member
+/// counts the connections of a VM that lost power until it notices, seconds later.
+constexpr std::size_t kept_idle_divisor = 2;
+/// Time after which idle connections beyond that part are closed.
+constexpr duration surplus_idle_limit = std::chrono::milliseconds(1'500);
 /// How soon a VM that no longer brokers a member gives up its connections.
 constexpr duration sweep_period = std::chrono::milliseconds(200);
 /// Part of a member's connections that stays with VMs which do not broker it.
@@ -26,6 +31,7 @@
     m_kernel.start_periodic(sweep_period, [this] {
         for (auto const& [member, desk] : m_desks) {
             desk->trim(idle_limit);
+            desk->trim_surplus(desk->max_links() / kept_idle_divisor, surplus_idle_limit);
         }
     });
 }
--- a/libraries/members/link_pool.cpp
+++ b/libraries/members/link_pool.cpp
@@ -70,6 +70,15 @@
     }
 }
 
+void link_pool::trim_surplus(std::size_t kept, duration limit)
+{
+    auto const now = m_kernel.now();
+    while (!m_idle.empty() && links() > kept && now - m_idle.front()->last_used() > limit) {
+        m_idle.front()->close();
+        m_idle.pop_front();
+    }
+}
+
 void link_pool::shut_down()
 {
     m_is_shut_down = true;
--- a/libraries/members/link_pool.h
+++ b/libraries/members/link_pool.h
@@ -60,6 +60,9 @@
     /// Closes idle links beyond the bound, and those that were idle for longer than `limit`.
     void trim(duration limit);
 
+    /// Closes idle links beyond `kept` that were idle for longer than `limit`.
+    void trim_surplus(std::size_t kept, duration limit);
+
     /// Closes all idle links and fails the waiting requests, since the member is gone.
     void shut_down();
 
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -185,7 +185,7 @@
 
 void membership_service::take_list(std::vector<vm_record> const& records)
 {
-    m_has_list = true;
+    auto const is_first = !std::exchange(m_has_list, true);
     for (auto& [name, peer] : m_peers) {
         peer.is_listed = false;
     }
@@ -203,6 +203,10 @@
             peer.address = {record.peer_host, record.peer_port};
         }
     }
+    if (is_first) {
+        // Peers count this VM's share of rates as their own, and relay nothing to it, until they hear it.
+        gossip();
+    }
 }
 
 void membership_service::gossip()
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -151,3 +151,21 @@
     auto const most = static_cast<double>(admitted.most_in(5s));
     cr_assert(most <= bound(40), "%f in a window", most);
 }
+
+Test(rate_shares, vms_that_all_restarted_share_uneven_demand_within_half_a_second)
+{
+    session_fleet fleet(shape_with_rate(80), 4);
+    fleet.clock().run_for(5s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        fleet.kill_vm(i);
+    }
+    fleet.clock().run_for(1s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        fleet.start_vm(i);
+    }
+    fleet.clock().run_for(500ms);
+    admission_count admitted(fleet.clock());
+    std::size_t refused = 0;
+    demand(fleet, {0, 1}, 40, 1s, admitted, refused);
+    cr_assert(refused <= admitted.total() / 20, "%zu were refused, %zu admitted", refused, admitted.total());
+}
