fleet: Report zones as wholes, and divide rates by zones

Change: a VM reports to those of its zone; the zone's first VM by name writes one report for all, which one VM of each other zone passes on. Rates are divided among zones, then in the zone, where one VM holds most and lends at no cost between zones; the account's home is asked last. Ruled out: home part of 0.9 for all, since each loan would cross zones. Tests: parts_of_two_zones_make_a_whole; the soak and the windows of rate_division_tests hold.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -111,7 +111,8 @@
     }
     // It is back once it was heard again, and not only by what was on its way.
     auto const back_after = health->second.lost_at + down_time;
-    return m_kernel.now() < back_after || !peer.last_heard || *peer.last_heard < back_after;
+    auto const sign_of_life = std::max(peer.last_heard, peer.vouched_at);
+    return m_kernel.now() < back_after || !sign_of_life || *sign_of_life < back_after;
 }
 
 void broker_service::run(member_entry const& member, member_request request, reply_callback done)
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -11,10 +11,9 @@
 
 /// Suspicions are looked at this often, and reported at once when they change.
 constexpr duration tick_period = std::chrono::milliseconds(100);
-/// Reports go out this often within an availability zone, and half as often to others, in a fleet of up to
-/// `usual_fleet` VMs, and more seldom in larger ones.
+/// Reports go out this often in a zone of up to `usual_zone` VMs, and more seldom in larger ones.
 constexpr duration report_period = std::chrono::milliseconds(600);
-constexpr std::size_t usual_fleet = 16;
+constexpr std::size_t usual_zone = 16;
 constexpr duration report_lifetime = std::chrono::milliseconds(2'700);
 /// A peer that knew the newest configuration this lately reaches the store.
 constexpr std::uint32_t store_contact_ms = 2'500;
@@ -33,8 +32,15 @@
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_rates = &m_kernel.find<rate_shares>(rate_shares::service_name);
     m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
+    m_zones.emplace(m_kernel, *m_membership,
+                    zone_exchange::hooks{[this] { return make_zone_report(); },
+                                         [this](zone_report const& report, std::vector<std::string> const& vms) {
+                                             take_zone_report(report, vms);
+                                         }});
     m_membership->on_message<vm_report>(
         [this](peer_state const& peer, vm_report const& report) { take_report(peer, report); });
+    m_membership->on_message<zone_report>(
+        [this](peer_state const& peer, zone_report const& report) { m_zones->take(peer, report); });
     m_membership->on_message<store_question>(
         [this](peer_state const& peer, store_question const& question) { answer_question(peer, question); });
     m_membership->on_message<store_word>(
@@ -68,22 +74,40 @@
     auto const version = configuration ? configuration->version : 0;
     has_news = has_news || std::exchange(m_told_version, version) != version ||
                std::exchange(m_told_directory, m_fleet->directory_digest()) != m_fleet->directory_digest();
+    has_news = has_news || std::exchange(m_told_leaving, m_membership->is_leaving()) != m_membership->is_leaving() ||
+               std::exchange(m_told_list, m_membership->has_list()) != m_membership->has_list();
     if (now - m_published_at >= period) {
         m_demands = m_rates->publish(now - m_published_at);
         m_published_at = now;
-        m_is_odd_period = !m_is_odd_period;
-        broadcast(has_news);
+        broadcast();
     }
     else if (has_news) {
-        broadcast(true);
+        broadcast();
     }
     greet_new_peers();
     divide_rates();
+    if (is_speaker()) {
+        m_zones->speak(period);
+    }
+}
+
+bool report_service::is_neighbour(peer_state const& peer) const
+{
+    return peer.availability_zone == m_membership->identity().availability_zone;
+}
+
+bool report_service::is_speaker() const
+{
+    auto const& own = m_membership->identity().name;
+    return !m_membership->is_leaving() && std::none_of(m_reports.begin(), m_reports.end(), [&](auto const& each) {
+        return each.first < own && !each.second.report.is_leaving && is_recent(each.second);
+    });
 }
 
 void report_service::divide_rates()
 {
-    auto const sharing = m_membership->has_list() ? m_reports.size() + 1 : 0;
+    auto const zones = m_zones->heard_zones(current_lifetime()).size();
+    auto const sharing = m_membership->has_list() ? 1 + m_reports.size() + zones : 0;
     if (std::exchange(m_divided_among, sharing) != sharing) {
         m_rates->divide();
     }
@@ -94,7 +118,7 @@
     std::map<std::string, std::uint64_t> heard;
     std::vector<std::string> added;
     for (auto const& [name, peer] : m_membership->peers()) {
-        if (!m_membership->is_reachable(peer)) {
+        if (!is_neighbour(peer) || !m_membership->is_reachable(peer)) {
             continue;
         }
         heard[name] = peer.incarnation;
@@ -115,7 +139,7 @@
 
 void report_service::send_now()
 {
-    broadcast(true);
+    broadcast();
 }
 
 vm_report report_service::make_report() const
@@ -124,12 +148,13 @@
     auto const configuration = m_fleet->configuration();
     report.configuration_version = configuration ? configuration->version : 0;
     report.directory = m_fleet->directory_digest();
+    report.is_leaving = m_membership->is_leaving();
     auto const age = m_fleet->configuration_age();
     report.store_age_ms = age ? static_cast<std::uint32_t>(std::min<std::int64_t>(
                                     no_store_contact_ms, to_microseconds(*age) / 1000 + 1))
                               : no_store_contact_ms;
     for (auto const& [name, peer] : m_membership->peers()) {
-        if (m_membership->is_reachable(peer)) {
+        if (is_neighbour(peer) && m_membership->is_reachable(peer)) {
             report.heard.push_back(to_short_name(name));
         }
     }
@@ -150,32 +175,120 @@
     return report;
 }
 
-void report_service::broadcast(bool is_urgent)
+void report_service::broadcast()
 {
     auto const report = make_report();
     for (auto const& [name, peer] : m_membership->peers()) {
-        auto const is_near = peer.availability_zone == m_membership->identity().availability_zone;
-        if (m_membership->is_reachable(peer) && (is_near || is_urgent || !m_is_odd_period)) {
+        if (is_neighbour(peer)) {
             m_membership->send(name, report);
         }
     }
 }
 
+zone_report report_service::make_zone_report() const
+{
+    zone_report report;
+    auto const& own = m_membership->identity();
+    auto const own_report = make_report();
+    report.availability_zone = own.availability_zone;
+    report.configuration_version = own_report.configuration_version;
+    report.store_age_ms = own_report.store_age_ms;
+    report.directory = own_report.directory;
+    report.vms.push_back(to_short_name(own.name));
+    if (own_report.store_age_ms <= store_contact_ms) {
+        report.with_store.push_back(report.vms.front());
+    }
+    for (auto const& [name, entry] : m_reports) {
+        auto const vm = to_short_name(name);
+        if (!is_recent(entry)) {
+            continue;
+        }
+        if (entry.report.is_leaving) {
+            report.leaving_vms.push_back(vm);
+            continue;
+        }
+        report.vms.push_back(vm);
+        if (entry.report.store_age_ms <= store_contact_ms) {
+            report.with_store.push_back(vm);
+        }
+        if (std::pair(entry.report.configuration_version, report.store_age_ms) >
+            std::pair(report.configuration_version, entry.report.store_age_ms)) {
+            report.configuration_version = entry.report.configuration_version;
+            report.store_age_ms = entry.report.store_age_ms;
+            report.directory = entry.report.directory;
+        }
+    }
+    report.heard_zones = m_zones->heard_zones(current_lifetime());
+    report.demands = m_rates->zone_demands();
+    for (auto const& [name, group] : m_groups->groups()) {
+        report.opinions.push_back(make_zone_opinion(*group));
+    }
+    return report;
+}
+
+zone_opinion report_service::make_zone_opinion(database_group const& group) const
+{
+    auto const opinion = zone_opinion_on(group);
+    zone_opinion result;
+    result.leader.group = to_short_name(group.name());
+    if (auto const* const leader = group.leader()) {
+        result.leader.member = leader->entry.id;
+        result.leader.term = leader->proven_term;
+    }
+    result.leader.highest_term = opinion.highest.term;
+    result.leader.highest_position = opinion.highest.position;
+    result.duty_holder = m_holds_duty && m_holds_duty(group.name()) ? to_short_name(m_membership->identity().name)
+                         : opinion.duty_holder.empty()              ? 0
+                                                                    : to_short_name(opinion.duty_holder);
+    result.voters = static_cast<std::uint32_t>(opinion.voters);
+    result.suspects = static_cast<std::uint32_t>(opinion.suspects);
+    return result;
+}
+
 void report_service::take_report(peer_state const& peer, vm_report const& report)
 {
+    if (!is_neighbour(peer)) {
+        return;
+    }
+    if (report.is_leaving) {
+        m_membership->hear_of_leaving(peer.name);
+    }
     m_reports[peer.name] = {report, m_kernel.now()};
     m_rates->take_report(peer.name, report);
     compare(report.configuration_version, report.directory, report.store_age_ms);
     for (auto const& entry : report.leaders) {
         for (auto const& [name, group] : m_groups->groups()) {
-            if (to_short_name(name) != entry.group) {
-                continue;
+            if (to_short_name(name) == entry.group) {
+                take_leader(*group, entry, entry.is_suspected);
             }
-            if (entry.is_suspected) {
-                group->hear_of_suspicion();
-            }
-            else if (entry.term != 0) {
-                group->hear_of_leader(entry.member, entry.term);
+        }
+    }
+    if (is_speaker()) {
+        m_zones->speak(current_period());
+    }
+}
+
+void report_service::take_leader(database_group& group, leader_report const& leader, bool is_suspected)
+{
+    if (is_suspected) {
+        group.hear_of_suspicion();
+    }
+    else if (leader.term != 0) {
+        group.hear_of_leader(leader.member, leader.term);
+    }
+}
+
+void report_service::take_zone_report(zone_report const& report, std::vector<std::string> const& vms)
+{
+    m_rates->take_zone(report, vms);
+    if (report.availability_zone == m_membership->identity().availability_zone) {
+        return;
+    }
+    compare(report.configuration_version, report.directory, report.store_age_ms);
+    for (auto const& entry : report.opinions) {
+        for (auto const& [name, group] : m_groups->groups()) {
+            if (to_short_name(name) == entry.leader.group) {
+                take_leader(*group, entry.leader, entry.suspects != 0);
             }
         }
     }
@@ -234,11 +347,8 @@
 {
     auto const& own = m_membership->identity();
     auto first = own.name;
-    for (auto const& name : peers_with_store()) {
-        auto const is_counted = !of_zone || m_membership->availability_zone_of(name) == own.availability_zone;
-        if (is_counted && name < first) {
-            first = name;
-        }
+    for (auto const& name : of_zone ? neighbours_with_store() : peers_with_store()) {
+        first = std::min(first, name);
     }
     return first;
 }
@@ -257,19 +367,24 @@
 
 duration report_service::current_period() const
 {
-    auto const fleet = std::max<std::size_t>(usual_fleet, m_membership->fleet_size());
-    return report_period * static_cast<duration::rep>(fleet) / static_cast<duration::rep>(usual_fleet);
+    auto const vms = std::max<std::size_t>(usual_zone, 1 + m_reports.size());
+    return report_period * static_cast<duration::rep>(vms) / static_cast<duration::rep>(usual_zone);
 }
 
 duration report_service::current_lifetime() const
 {
-    // Reports to another zone come every second period; one of them may be lost.
+    // Three reports in a row may be lost.
     return std::max(report_lifetime, current_period() * 9 / 2);
 }
 
+duration report_service::recent_time() const
+{
+    return current_period() * 5 / 2;
+}
+
 bool report_service::is_recent(received_report const& entry) const
 {
-    return m_kernel.now() - entry.heard_at <= current_period() * 5 / 2;
+    return m_kernel.now() - entry.heard_at <= recent_time();
 }
 
 bool report_service::is_fresh(received_report const& entry) const
@@ -278,6 +393,28 @@
 }
 
 report_service::group_opinion report_service::opinion_on(database_group const& group) const
+{
+    auto opinion = zone_opinion_on(group);
+    for (auto const& [zone, entry] : m_zones->reports()) {
+        auto const age = m_kernel.now() - entry.heard_at;
+        for (auto const& each : entry.report.opinions) {
+            if (each.leader.group != to_short_name(group.name()) || age > current_lifetime()) {
+                continue;
+            }
+            // A zone that was not heard lately may be behind the same partition as the leader.
+            opinion.voters += age <= recent_time() ? each.voters : each.suspects;
+            opinion.suspects += each.suspects;
+            opinion.highest = std::max(
+                opinion.highest, log_position{each.leader.highest_term, each.leader.highest_position});
+            if (each.duty_holder != 0) {
+                opinion.duty_holder = m_zones->name_of(each.duty_holder);
+            }
+        }
+    }
+    return opinion;
+}
+
+report_service::group_opinion report_service::zone_opinion_on(database_group const& group) const
 {
     group_opinion opinion;
     opinion.voters = 1;
@@ -305,6 +442,17 @@
 }
 
 std::vector<std::string> report_service::peers_with_store() const
+{
+    auto names = neighbours_with_store();
+    for (auto const& [zone, entry] : m_zones->reports()) {
+        if (m_kernel.now() - entry.heard_at <= recent_time()) {
+            names.insert(names.end(), entry.with_store.begin(), entry.with_store.end());
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> report_service::neighbours_with_store() const
 {
     std::vector<std::string> names;
     for (auto const& [name, entry] : m_reports) {
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "fleet/fleet_state.h"
+#include "fleet/zone_exchange.h"
 #include "kernel/kernel.h"
 #include "limits/rate_shares.h"
 #include "members/group_registry.h"
@@ -12,8 +13,8 @@
 
 namespace greengagehitch {
 
-/// Shares with peers what each VM must know of the others: demands, leaders, suspicions, and how well it
-/// reaches the platform.
+/// Shares what VMs must know of each other: demands, leaders, suspicions, and how well they reach the platform. Each VM
+/// reports to those of its zone; zones report to each other as wholes.
 class report_service : public service {
 public:
     static constexpr std::string_view service_name = "reports";
@@ -65,7 +66,14 @@
     };
 
     void tick();
-    void broadcast(bool is_urgent);
+    void broadcast();
+    zone_report make_zone_report() const;
+    zone_opinion make_zone_opinion(database_group const& group) const;
+    void take_zone_report(zone_report const& report, std::vector<std::string> const& vms);
+    void take_leader(database_group& group, leader_report const& leader, bool is_suspected);
+    /// First by name of the VMs of the zone that hear each other, this one included.
+    bool is_speaker() const;
+    bool is_neighbour(peer_state const& peer) const;
     /// Reports to peers that were not heard before, without waiting for the period.
     void greet_new_peers();
     /// Divides the rates anew when the VMs that share them have changed.
@@ -82,6 +90,10 @@
     duration current_lifetime() const;
     void take_report(peer_state const& peer, vm_report const& report);
     bool is_fresh(received_report const& entry) const;
+    duration recent_time() const;
+    /// What the VMs of this zone say of a group.
+    group_opinion zone_opinion_on(database_group const& group) const;
+    std::vector<std::string> neighbours_with_store() const;
     bool is_recent(received_report const& entry) const;
 
     kernel& m_kernel;
@@ -99,7 +111,9 @@
     monotonic_time m_asked_at;
     std::uint64_t m_told_version = 0;
     std::uint32_t m_told_directory = 0;
-    bool m_is_odd_period = false;
+    std::optional<zone_exchange> m_zones; ///< Set when the service starts.
+    bool m_told_leaving = false;
+    bool m_told_list = false;
     std::size_t m_divided_among = 0; ///< VMs that were heard when the rates were last divided.
     std::map<std::string, std::uint64_t> m_greeted; ///< Incarnations of the peers that are heard.
     std::function<void()> m_read_configuration;
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 #include "failover/watcher_choice.h"
@@ -14,7 +13,11 @@
 /// Part of the rate that is divided equally, so that a VM without demand can serve a first operation.
 constexpr double equal_part = 0.25;
 /// Part of an account's rate that its home holds for those who run out.
-constexpr double home_part = 0.35;
+constexpr double home_part = 0.25;
+/// Of a zone's part, so much is divided among its VMs as the parts of this many would be; the zone home holds the rest.
+/// Few operations at each of many VMs do not tell their demands.
+constexpr double divided_vms = 1.5;
+constexpr double least_zone_home_part = 0.35;
 /// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
 constexpr double lasting_share = 1.0;
 /// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
@@ -31,55 +34,85 @@
 constexpr duration longest_wait = std::chrono::milliseconds(40);
 /// Longest time that a refusal tells, in seconds.
 constexpr double longest_estimate = 5;
-constexpr std::size_t most_lenders = 2;
-/// A borrower asks for what it needs for this time, a lender keeps what it needs for this time itself.
+/// A borrower asks for what it needs for this time, and for longer where the way is far; a lender keeps what it needs for
+/// this time itself.
 constexpr double wanted_seconds = 0.2;
+constexpr double wanted_seconds_of_home = 0.5;
 constexpr double reserve_seconds = 0.2;
 /// Pause after peers had nothing to give, so that a flood beyond the rate does not become a flood of
 /// questions.
 constexpr duration fruitless_pause = std::chrono::milliseconds(100);
+constexpr duration fruitless_home_pause = std::chrono::milliseconds(300);
 
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
 }
 
+double demand_in(rate_division::demands_map const& demands, short_name account)
+{
+    auto const found = demands.find(account);
+    return found == demands.end() ? 0 : found->second;
+}
+
+void add_to(rate_division::demands_map& total, rate_division::demands_map const& added)
+{
+    for (auto const& [account, demand] : added) {
+        total[account] += demand;
+    }
+}
+
 } // namespace
 
 void rate_division::reset(std::size_t fleet_size)
 {
+    *this = {};
     m_fleet_size = std::max<std::size_t>(1, fleet_size);
-    m_heard = 1;
-    m_own.clear();
-    m_total.clear();
 }
 
-void rate_division::add_own(std::map<short_name, double> const& demands)
+void rate_division::add_own(demands_map const& demands)
 {
     m_own = demands;
-    for (auto const& [account, demand] : demands) {
-        m_total[account] += demand;
-    }
+    add_to(m_in_zone, demands);
 }
 
-void rate_division::add_peer(std::map<short_name, double> const& demands)
+void rate_division::add_neighbour(demands_map const& demands)
 {
-    ++m_heard;
-    for (auto const& [account, demand] : demands) {
-        m_total[account] += demand;
-    }
+    ++m_neighbours;
+    add_to(m_in_zone, demands);
+}
+
+void rate_division::add_zone(std::size_t vms, demands_map const& demands)
+{
+    m_elsewhere += vms;
+    add_to(m_other_zones, demands);
+}
+
+double rate_division::zone_part(short_name account) const
+{
+    auto const vms_here = static_cast<double>(1 + m_neighbours);
+    auto const equal = vms_here / (vms_here + static_cast<double>(m_elsewhere));
+    auto const here = demand_in(m_own_zone ? *m_own_zone : m_in_zone, account);
+    auto const total = here + demand_in(m_other_zones, account);
+    return equal_part * equal + (1 - equal_part) * (total > 0 ? here / total : equal);
+}
+
+double rate_division::vm_part(short_name account) const
+{
+    auto const equal = 1 / static_cast<double>(1 + m_neighbours);
+    auto const in_zone = demand_in(m_in_zone, account);
+    return equal_part * equal + (1 - equal_part) * (in_zone > 0 ? demand_in(m_own, account) / in_zone : equal);
 }
 
-double rate_division::part_of(std::string const& client_account, bool is_home) const
+double rate_division::part_of(std::string const& client_account, bool is_home, bool is_zone_home) const
 {
-    auto const fleet = static_cast<double>(std::max(m_fleet_size, m_heard));
-    auto const total = m_total.find(to_short_name(client_account));
-    auto const own = m_own.find(to_short_name(client_account));
-    auto const heard = static_cast<double>(m_heard);
-    auto const has_demand = total != m_total.end() && total->second > 0;
-    auto const by_demand = !has_demand ? 1 / heard : own == m_own.end() ? 0 : own->second / total->second;
-    auto const elsewhere = equal_part / heard + (1 - equal_part) * by_demand;
-    return heard / fleet * ((is_home ? home_part : 0) + (1 - home_part) * elsewhere);
+    auto const account = to_short_name(client_account);
+    auto const vms_here = static_cast<double>(1 + m_neighbours);
+    auto const heard = vms_here + static_cast<double>(m_elsewhere);
+    auto const fleet = std::max(static_cast<double>(m_fleet_size), heard);
+    auto const zone_home_part = std::max(least_zone_home_part, 1 - divided_vms / vms_here);
+    auto const in_zone = (is_zone_home ? zone_home_part : 0) + (1 - zone_home_part) * vm_part(account);
+    return heard / fleet * ((is_home ? home_part : 0) + (1 - home_part) * zone_part(account) * in_zone);
 }
 
 void rate_shares::start()
@@ -123,8 +156,10 @@
 double rate_shares::part_of(std::string const& client_account, bucket const& bucket) const
 {
     // Before the list of VMs was read, nobody can tell how many share the rate.
-    auto const is_home = bucket.home == m_membership->identity().name;
-    return m_membership->has_list() ? m_division.part_of(client_account, is_home) : 0;
+    auto const& own = m_membership->identity().name;
+    return m_membership->has_list()
+               ? m_division.part_of(client_account, bucket.home == own, bucket.zone_home == own)
+               : 0;
 }
 
 bool rate_shares::is_heard(std::string const& name) const
@@ -134,12 +169,36 @@
            m_kernel.now() - peer->second.heard_at <= m_report_lifetime;
 }
 
-std::string rate_shares::choose_home(std::string const& client_account) const
+bool rate_shares::is_heard(zone_state const& zone) const
 {
-    std::vector<std::string> candidates{m_membership->identity().name};
+    return zone.hears_us && m_kernel.now() - zone.heard_at <= m_report_lifetime;
+}
+
+std::vector<std::string> rate_shares::heard_neighbours() const
+{
+    std::vector<std::string> names;
     for (auto const& [name, peer] : m_peers) {
         if (is_heard(name)) {
-            candidates.push_back(name);
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::string rate_shares::choose_zone_home(std::string const& client_account) const
+{
+    auto candidates = heard_neighbours();
+    candidates.push_back(m_membership->identity().name);
+    return choose_first(client_account, candidates);
+}
+
+std::string rate_shares::choose_home(std::string const& client_account) const
+{
+    auto candidates = heard_neighbours();
+    candidates.push_back(m_membership->identity().name);
+    for (auto const& [zone, state] : m_zones) {
+        if (zone != m_membership->identity().availability_zone && is_heard(state)) {
+            candidates.insert(candidates.end(), state.vms.begin(), state.vms.end());
         }
     }
     return choose_first(client_account, candidates);
@@ -152,6 +211,7 @@
         // The part has filled since this process started; what an earlier one left is not counted on.
         found->second.updated = m_started_at;
         found->second.home = choose_home(client_account);
+        found->second.zone_home = choose_zone_home(client_account);
         found->second.part = part_of(client_account, found->second);
     }
     return found->second;
@@ -221,38 +281,56 @@
 
 bool rate_shares::ask_peers(std::string const& client_account, bucket& bucket)
 {
-    auto const now = m_kernel.now();
     if (!bucket.requests.empty()) {
         return true;
     }
-    if (now < bucket.no_request_before) {
+    if (m_kernel.now() < bucket.no_request_before) {
         return false;
     }
-    std::vector<std::pair<std::uint32_t, std::string>> stocks;
+    bucket.has_asked_home = false;
+    return ask_neighbours(client_account, bucket) || ask_home(client_account, bucket);
+}
+
+bool rate_shares::ask_neighbours(std::string const& client_account, bucket& bucket)
+{
+    auto const& own = m_membership->identity().name;
+    std::string richest;
+    std::uint32_t most = 0;
     for (auto const& [name, peer] : m_peers) {
         auto const stock = peer.tokens.find(to_short_name(client_account));
-        auto const is_home = name == bucket.home;
-        if (now - peer.heard_at > m_report_lifetime) {
-            continue;
-        }
-        if (is_home) {
-            stocks.emplace_back(std::numeric_limits<std::uint32_t>::max(), name);
-        }
-        else if (stock != peer.tokens.end() && stock->second != 0) {
-            stocks.emplace_back(stock->second, name);
+        auto const is_live = m_kernel.now() - peer.heard_at <= m_report_lifetime;
+        if (is_live && name != bucket.zone_home && stock != peer.tokens.end() && stock->second > most) {
+            most = stock->second;
+            richest = name;
         }
     }
-    std::sort(stocks.rbegin(), stocks.rend());
-    if (stocks.size() > most_lenders) {
-        stocks.resize(most_lenders);
+    if (bucket.zone_home != own) {
+        ask(bucket.zone_home, client_account, bucket, wanted_seconds);
     }
-    for (auto const& [stock, name] : stocks) {
-        auto const number = m_next_number++;
-        bucket.requests[number] = name;
-        auto const wanted = bucket.waiting.size() + static_cast<std::size_t>(bucket.demand * wanted_seconds);
-        m_membership->send(name, token_request{client_account, number, static_cast<std::uint32_t>(wanted)});
+    if (!richest.empty()) {
+        ask(richest, client_account, bucket, wanted_seconds);
     }
-    return !stocks.empty();
+    return !bucket.requests.empty();
+}
+
+bool rate_shares::ask_home(std::string const& client_account, bucket& bucket)
+{
+    auto const is_useful = bucket.home != m_membership->identity().name && bucket.home != bucket.zone_home;
+    if (!is_useful || bucket.has_asked_home || m_kernel.now() < bucket.no_home_request_before) {
+        return false;
+    }
+    bucket.has_asked_home = true;
+    ask(bucket.home, client_account, bucket, wanted_seconds_of_home);
+    return true;
+}
+
+void rate_shares::ask(std::string const& lender, std::string const& client_account, bucket& bucket,
+                      double horizon)
+{
+    auto const number = m_next_number++;
+    bucket.requests[number] = lender;
+    auto const wanted = bucket.waiting.size() + static_cast<std::size_t>(std::ceil(bucket.demand * horizon));
+    m_membership->send(lender, token_request{client_account, number, static_cast<std::uint32_t>(wanted)});
 }
 
 void rate_shares::answer_request(std::string const& peer, token_request const& request)
@@ -283,12 +361,16 @@
         return;
     }
     bucket.requests.erase(request);
-    if (grant.tokens == 0) {
-        m_peers[peer].tokens[to_short_name(grant.client_account)] = 0;
+    auto const lender = m_peers.find(peer);
+    if (grant.tokens == 0 && lender != m_peers.end()) {
+        lender->second.tokens[to_short_name(grant.client_account)] = 0;
+    }
+    if (grant.tokens == 0 && peer == bucket.home) {
+        bucket.no_home_request_before = m_kernel.now() + fruitless_home_pause;
     }
     bucket.tokens += grant.tokens;
     serve_waiting(grant.client_account, bucket);
-    if (bucket.requests.empty() && !bucket.waiting.empty()) {
+    if (bucket.requests.empty() && !bucket.waiting.empty() && !ask_home(grant.client_account, bucket)) {
         bucket.no_request_before = m_kernel.now() + fruitless_pause;
         if (time_to_token(grant.client_account, bucket) > longest_wait) {
             refuse_waiting(grant.client_account, bucket);
@@ -357,6 +439,41 @@
     }
 }
 
+void rate_shares::take_zone(zone_report const& report, std::vector<std::string> const& vms)
+{
+    auto const own_zone = to_short_name(m_membership->identity().availability_zone);
+    auto& entry = m_zones[report.availability_zone];
+    entry.heard_at = m_kernel.now();
+    entry.hears_us =
+        std::find(report.heard_zones.begin(), report.heard_zones.end(), own_zone) != report.heard_zones.end();
+    entry.vms = vms;
+    entry.demands.clear();
+    for (auto const& demand : report.demands) {
+        entry.demands[demand.client_account] = static_cast<double>(demand.operations) / hundredths;
+    }
+}
+
+std::vector<zone_demand> rate_shares::zone_demands() const
+{
+    std::map<short_name, double> sums;
+    for (auto const& [account, bucket] : m_buckets) {
+        sums[to_short_name(account)] += bucket.published;
+    }
+    for (auto const& [name, peer] : m_peers) {
+        if (is_heard(name)) {
+            add_to(sums, peer.demands);
+        }
+    }
+    std::vector<zone_demand> demands;
+    for (auto const& [account, sum] : sums) {
+        auto const operations = static_cast<std::uint32_t>(std::lround(sum * hundredths));
+        if (operations != 0) {
+            demands.push_back({account, operations});
+        }
+    }
+    return demands;
+}
+
 void rate_shares::divide()
 {
     auto const now = m_kernel.now();
@@ -368,7 +485,17 @@
     m_division.add_own(own);
     for (auto const& [name, peer] : m_peers) {
         if (is_heard(name)) {
-            m_division.add_peer(peer.demands);
+            m_division.add_neighbour(peer.demands);
+        }
+    }
+    for (auto const& [zone, state] : m_zones) {
+        if (zone == m_membership->identity().availability_zone) {
+            if (now - state.heard_at <= m_report_lifetime) {
+                m_division.set_own_zone(state.demands);
+            }
+        }
+        else if (is_heard(state)) {
+            m_division.add_zone(state.vms.size(), state.demands);
         }
     }
     auto const configuration = m_fleet->configuration();
@@ -379,6 +506,7 @@
         }
         bucket.updated = now;
         bucket.home = choose_home(account);
+        bucket.zone_home = choose_zone_home(account);
         bucket.part = part_of(account, bucket);
     }
 }
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -15,27 +15,41 @@
 
 namespace greengagehitch {
 
-/// Part of a client account's rate that one VM may use, computed from demands that all VMs publish. VMs that
-/// hear each other divide by demand, and leave a part to the account's home, which lends to whoever runs out;
-/// one that is not heard keeps an equal part, and takes no more than that itself. A VM uses its own demand
-/// only as it was published, so that all compute from the same figures.
+/// Part of a client account's rate that one VM may use. The rate is divided first among availability zones, by the
+/// demands that their reports name, then among the VMs of the zone, by the demands that these publish; all VMs compute
+/// from the same figures, so that the parts make a whole. Of each zone's part most is left to one VM there, the account's
+/// zone home, which lends to its neighbours; a part of the whole is left to the account's home for all. VMs that are not
+/// heard keep equal parts, and a VM takes no more than that for them.
 class rate_division {
 public:
+    using demands_map = std::map<short_name, double>;
+
     /// Forgets all demands and sets the size of the fleet, this VM included.
     void reset(std::size_t fleet_size);
 
-    /// Adds this VM's or a heard peer's published demand, by client account.
-    void add_own(std::map<short_name, double> const& demands);
-    void add_peer(std::map<short_name, double> const& demands);
+    /// Adds this VM's or a heard VM's published demand, of its own zone, by client account.
+    void add_own(demands_map const& demands);
+    void add_neighbour(demands_map const& demands);
+    /// Sets the own zone's demands as they were last reported to other zones.
+    void set_own_zone(demands_map const& demands) { m_own_zone = demands; }
+    /// Adds another zone that is heard and hears this one, with its number of VMs.
+    void add_zone(std::size_t vms, demands_map const& demands);
 
-    /// Part of the account's rate in [0, 1], at its home or elsewhere.
-    double part_of(std::string const& client_account, bool is_home) const;
+    /// Part of the account's rate in [0, 1] at a VM that is, or is not, the account's home and zone home.
+    double part_of(std::string const& client_account, bool is_home, bool is_zone_home) const;
 
 private:
+    /// Zone's part of what all zones that are heard share, and this VM's part of what its zone shares.
+    double zone_part(short_name account) const;
+    double vm_part(short_name account) const;
+
     std::size_t m_fleet_size = 1;
-    std::size_t m_heard = 1;
-    std::map<short_name, double> m_own;
-    std::map<short_name, double> m_total;
+    std::size_t m_neighbours = 0;
+    std::size_t m_elsewhere = 0; ///< VMs of other zones.
+    demands_map m_own;
+    demands_map m_in_zone;
+    std::optional<demands_map> m_own_zone;
+    demands_map m_other_zones;
 };
 
 /// How operations are counted: over any span of `window`, an account may have rate x window + burst of them,
@@ -75,9 +89,15 @@
     /// Sets for how long a peer that has reported is counted on.
     void set_report_lifetime(duration lifetime) { m_report_lifetime = lifetime; }
 
-    /// Takes in a peer's report.
+    /// Takes in the report of a VM of this zone.
     void take_report(std::string const& peer, vm_report const& report);
 
+    /// Takes in the report of a zone, this one's own included. `vms` are the names of those that it holds.
+    void take_zone(zone_report const& report, std::vector<std::string> const& vms);
+
+    /// Demands of all VMs of this zone that are heard, as they were published.
+    std::vector<zone_demand> zone_demands() const;
+
 private:
     struct waiting_operation {
         std::uint64_t number = 0;
@@ -91,10 +111,20 @@
         double demand = 0;        ///< Operations in a second, smoothed.
         double published = 0;
         double part = 0;  ///< Of the account's rate.
-        std::string home; ///< VM that lends to the others.
+        std::string home;      ///< VM that lends to all others.
+        std::string zone_home; ///< VM that lends to those of its zone.
         std::deque<waiting_operation> waiting;
         std::map<std::uint64_t, std::string> requests; ///< Peers that were asked and have not answered.
+        bool has_asked_home = false;                   ///< In this round; the zone is asked first.
         monotonic_time no_request_before;              ///< After a round that brought nothing.
+        monotonic_time no_home_request_before;         ///< After the home had nothing to give.
+    };
+
+    struct zone_state {
+        std::vector<std::string> vms;
+        std::map<short_name, double> demands;
+        bool hears_us = false;
+        monotonic_time heard_at;
     };
 
     struct peer_demands {
@@ -106,7 +136,10 @@
 
     double part_of(std::string const& client_account, bucket const& bucket) const;
     std::string choose_home(std::string const& client_account) const;
+    std::string choose_zone_home(std::string const& client_account) const;
+    std::vector<std::string> heard_neighbours() const;
     bool is_heard(std::string const& peer) const;
+    bool is_heard(zone_state const& zone) const;
     bucket& bucket_of(std::string const& client_account);
     /// Operations in a second that an account may keep up, over the fleet.
     double lasting_rate(account_limit const& limit) const;
@@ -114,6 +147,9 @@
     double most_stock(account_limit const& limit) const;
     void refill(bucket& bucket, account_limit const& limit, monotonic_time now) const;
     bool ask_peers(std::string const& client_account, bucket& bucket);
+    bool ask_neighbours(std::string const& client_account, bucket& bucket);
+    bool ask_home(std::string const& client_account, bucket& bucket);
+    void ask(std::string const& lender, std::string const& client_account, bucket& bucket, double horizon);
     void answer_request(std::string const& peer, token_request const& request);
     void take_grant(std::string const& peer, token_grant const& grant);
     void serve_waiting(std::string const& client_account, bucket& bucket);
@@ -125,7 +161,8 @@
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
     std::map<std::string, bucket> m_buckets;
-    std::map<std::string, peer_demands> m_peers;
+    std::map<std::string, peer_demands> m_peers; ///< Of this zone.
+    std::map<std::string, zone_state> m_zones;   ///< By availability zone.
     duration m_report_lifetime = std::chrono::seconds(3);
     rate_division m_division;
     monotonic_time m_started_at;
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -119,7 +119,25 @@
 
 bool membership_service::is_reachable(peer_state const& peer) const
 {
-    return peer.last_heard && m_kernel.now() - *peer.last_heard <= m_pace.suspicion_time;
+    auto const sign_of_life = std::max(peer.last_heard, peer.vouched_at);
+    return sign_of_life && m_kernel.now() - *sign_of_life <= m_pace.suspicion_time;
+}
+
+void membership_service::vouch_for(std::string const& name)
+{
+    auto const found = m_peers.find(name);
+    if (found != m_peers.end()) {
+        found->second.vouched_at = m_kernel.now();
+        found->second.is_leaving = false;
+    }
+}
+
+void membership_service::hear_of_leaving(std::string const& name)
+{
+    auto const found = m_peers.find(name);
+    if (found != m_peers.end()) {
+        found->second.is_leaving = true;
+    }
 }
 
 bool membership_service::has_majority() const
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -36,6 +36,7 @@
     bool is_listed = false;        ///< In the platform's list.
     bool is_leaving = false;
     std::optional<monotonic_time> last_heard;
+    std::optional<monotonic_time> vouched_at; ///< When a VM of its zone last said that it hears it.
     std::uint64_t last_sequence = 0; ///< Of its heartbeats.
     /// When the newest heartbeat was sent to which the peer has answered.
     std::optional<monotonic_time> answered_since;
@@ -85,9 +86,13 @@
     /// Sets how long a peer that is not heard counts as reachable.
     void set_suspicion_time(duration time) { m_pace.suspicion_time = time; }
 
-    /// True when the peer was heard within the suspicion time.
+    /// True when the peer was heard, or was vouched for, within the suspicion time.
     bool is_reachable(peer_state const& peer) const;
 
+    /// Takes in another VM's word that a peer serves, or that it shuts down.
+    void vouch_for(std::string const& peer);
+    void hear_of_leaving(std::string const& peer);
+
     /// True when this VM hears the majority of the VMs that it knows, itself included.
     bool has_majority() const;
 
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -145,15 +145,49 @@
     MSGPACK_DEFINE(group, member, term, highest_term, highest_position, is_suspected, holds_duty)
 };
 
-/// State that VMs which serve sessions share with each other.
+/// State that a VM which serves sessions shares with the others of its availability zone.
 struct vm_report {
     std::uint64_t configuration_version = 0;
     std::uint32_t store_age_ms = 0; ///< Since that version was known to be the newest.
     std::uint32_t directory = 0;    ///< Digest of the members' directory as the sender knows it.
-    std::vector<short_name> heard;  ///< Peers that the sender hears.
+    bool is_leaving = false;
+    std::vector<short_name> heard; ///< VMs of its zone that the sender hears.
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
-    MSGPACK_DEFINE(configuration_version, store_age_ms, directory, heard, demands, leaders)
+    MSGPACK_DEFINE(configuration_version, store_age_ms, directory, is_leaving, heard, demands, leaders)
+};
+
+/// What the VMs of one availability zone say together of a group's leader.
+struct zone_opinion {
+    leader_report leader;
+    short_name duty_holder = 0; ///< VM of the zone that orders promotions; 0 for none.
+    std::uint32_t voters = 0;   ///< VMs that use the group.
+    std::uint32_t suspects = 0; ///< Of them, those that find the leader unreachable.
+    MSGPACK_DEFINE(leader, duty_holder, voters, suspects)
+};
+
+/// Demand of one client account in a whole availability zone.
+struct zone_demand {
+    short_name client_account = 0;
+    std::uint32_t operations = 0; ///< In a second, in hundredths.
+    MSGPACK_DEFINE(client_account, operations)
+};
+
+/// State of all VMs of an availability zone. One of them writes it and sends it to one VM of each other zone, which
+/// passes it on there; so what crosses zones does not grow with the number of VMs.
+struct zone_report {
+    std::string availability_zone;
+    std::uint64_t configuration_version = 0;
+    std::uint32_t store_age_ms = 0; ///< Of the VM that knows most of the store.
+    std::uint32_t directory = 0;
+    std::vector<short_name> vms;         ///< That serve, the writer included.
+    std::vector<short_name> leaving_vms; ///< That shut down.
+    std::vector<short_name> with_store;  ///< Of `vms`, those that reach the store.
+    std::vector<short_name> heard_zones;
+    std::vector<zone_demand> demands;
+    std::vector<zone_opinion> opinions;
+    MSGPACK_DEFINE(availability_zone, configuration_version, store_age_ms, directory, vms, leaving_vms, with_store,
+                   heard_zones, demands, opinions)
 };
 
 /// Asks the VM that follows the store for its zone what it knows.
@@ -188,7 +222,7 @@
 
 using peer_message = std::variant<heartbeat, configuration_request, configuration_chunk, group_state,
                                   group_state_request, primary_suspicion, share_transfer, share_request,
-                                  vm_report, token_request, token_grant, store_question, store_word>;
+                                  vm_report, token_request, token_grant, store_question, store_word, zone_report>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -88,10 +88,30 @@
         division.add_own(demands[own]);
         for (std::size_t other = 0; other < demands.size(); ++other) {
             if (other != own) {
-                division.add_peer(demands[other]);
+                division.add_neighbour(demands[other]);
             }
         }
-        sum += division.part_of("t", own == 1);
+        sum += division.part_of("t", own == 1, own == 2);
+    }
+    cr_assert(std::abs(sum - 1) < tolerance);
+}
+
+Test(rate_division, parts_of_two_zones_make_a_whole)
+{
+    std::map<short_name, double> const here{{to_short_name("t"), 10}};
+    std::map<short_name, double> const there{{to_short_name("t"), 30}};
+    double sum = 0;
+    for (auto const is_first_zone : {true, false}) {
+        auto const& own_zone = is_first_zone ? here : there;
+        for (int vm = 0; vm < 2; ++vm) {
+            rate_division division;
+            division.reset(4);
+            division.add_own(vm == 0 ? own_zone : std::map<short_name, double>{});
+            division.add_neighbour(vm == 0 ? std::map<short_name, double>{} : own_zone);
+            division.set_own_zone(own_zone);
+            division.add_zone(2, is_first_zone ? there : here);
+            sum += division.part_of("t", is_first_zone && vm == 0, vm == 1);
+        }
     }
     cr_assert(std::abs(sum - 1) < tolerance);
 }
@@ -101,7 +121,7 @@
     rate_division division;
     division.reset(8);
     division.add_own({{to_short_name("t"), 100}});
-    cr_assert(std::abs(division.part_of("t", true) - 1.0 / 8) < tolerance);
+    cr_assert(std::abs(division.part_of("t", true, true) - 1.0 / 8) < tolerance);
 }
 
 Test(rate_shares, demand_at_one_vm_gets_most_of_the_rate)
