fleet: Know the VMs of a zone at once, and lend from homes that all agree on

Each refusal now logs what decided it, and that showed two to four heard neighbours where thirteen ran, and seven to sixteen different homes for one account: VMs that started together were not on the list that each read first, the list was read again after 11.5 s, and a VM that was heard before it was listed never got a zone or an address. Change: reports carry the sender's address; a zone report that names an unknown VM has the list read early; rumours without an address are dropped. Accounts whose stock is too small to be divided stay with their homes; a stock is what the tolerance of the window allows; a VM starts without tokens, since 66 first tokens exceed a small account's tolerance. Each operation waits its own 40 ms for a loan, and a loan on its way is not forgotten when another operation gives up. VMs with a small part of a core no longer broker members where larger ones are at hand.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "brokers/broker_candidates.h"
 #include "failover/watcher_choice.h"
 
 namespace greengagehitch {
@@ -78,26 +79,26 @@
         auto const until = avoided->second.find(vm);
         return until != avoided->second.end() && until->second > now;
     };
-    std::vector<std::string> near;
-    std::vector<std::string> all;
-    auto const add = [&](std::string const& vm, std::string const& its_zone) {
+    broker_candidates near;
+    broker_candidates all;
+    auto const add = [&](std::string const& vm, std::string const& its_zone, double processor_share) {
         if (is_avoided(vm)) {
             return;
         }
-        all.push_back(vm);
+        all.add(vm, processor_share);
         if (its_zone == zone) {
-            near.push_back(vm);
+            near.add(vm, processor_share);
         }
     };
     if (!m_membership->is_leaving()) {
-        add(self.name, self.availability_zone);
+        add(self.name, self.availability_zone, self.processor_share);
     }
     for (auto const& [name, peer] : m_membership->peers()) {
         if (!peer.is_leaving && !is_down(name, peer) && m_membership->is_reachable(peer)) {
-            add(name, peer.availability_zone);
+            add(name, peer.availability_zone, peer.processor_share);
         }
     }
-    auto const& candidates = near.empty() ? all : near;
+    auto const candidates = near.is_empty() ? all.strong() : near.strong();
     chosen.vm = candidates.empty() ? self.name : choose_first(member, candidates);
     chosen.made_at = now;
     return chosen.vm;
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -32,11 +32,12 @@
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_rates = &m_kernel.find<rate_shares>(rate_shares::service_name);
     m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
-    m_zones.emplace(m_kernel, *m_membership,
-                    zone_exchange::hooks{[this] { return make_zone_report(); },
-                                         [this](zone_report const& report, std::vector<std::string> const& vms) {
-                                             take_zone_report(report, vms);
-                                         }});
+    m_zones.emplace(
+        m_kernel, *m_membership,
+        zone_exchange::hooks{[this] { return make_zone_report(); },
+                             [this](zone_report const& report, std::vector<std::string> const& vms) {
+                                 take_zone_report(report, vms);
+                             }});
     m_membership->on_message<vm_report>(
         [this](peer_state const& peer, vm_report const& report) { take_report(peer, report); });
     m_membership->on_message<zone_report>(
@@ -74,7 +75,8 @@
     auto const version = configuration ? configuration->version : 0;
     has_news = has_news || std::exchange(m_told_version, version) != version ||
                std::exchange(m_told_directory, m_fleet->directory_digest()) != m_fleet->directory_digest();
-    has_news = has_news || std::exchange(m_told_leaving, m_membership->is_leaving()) != m_membership->is_leaving() ||
+    has_news = has_news ||
+               std::exchange(m_told_leaving, m_membership->is_leaving()) != m_membership->is_leaving() ||
                std::exchange(m_told_list, m_membership->has_list()) != m_membership->has_list();
     if (now - m_published_at >= period) {
         m_demands = m_rates->publish(now - m_published_at);
@@ -99,9 +101,10 @@
 bool report_service::is_speaker() const
 {
     auto const& own = m_membership->identity().name;
-    return !m_membership->is_leaving() && std::none_of(m_reports.begin(), m_reports.end(), [&](auto const& each) {
-        return each.first < own && !each.second.report.is_leaving && is_recent(each.second);
-    });
+    return !m_membership->is_leaving() &&
+           std::none_of(m_reports.begin(), m_reports.end(), [&](auto const& each) {
+               return each.first < own && !each.second.report.is_leaving && is_recent(each.second);
+           });
 }
 
 void report_service::divide_rates()
@@ -148,6 +151,7 @@
     auto const configuration = m_fleet->configuration();
     report.configuration_version = configuration ? configuration->version : 0;
     report.directory = m_fleet->directory_digest();
+    report.sender = m_membership->own_rumor();
     report.is_leaving = m_membership->is_leaving();
     auto const age = m_fleet->configuration_age();
     report.store_age_ms = age ? static_cast<std::uint32_t>(std::min<std::int64_t>(
@@ -237,9 +241,10 @@
     }
     result.leader.highest_term = opinion.highest.term;
     result.leader.highest_position = opinion.highest.position;
-    result.duty_holder = m_holds_duty && m_holds_duty(group.name()) ? to_short_name(m_membership->identity().name)
-                         : opinion.duty_holder.empty()              ? 0
-                                                                    : to_short_name(opinion.duty_holder);
+    result.duty_holder = m_holds_duty && m_holds_duty(group.name())
+                             ? to_short_name(m_membership->identity().name)
+                         : opinion.duty_holder.empty() ? 0
+                                                       : to_short_name(opinion.duty_holder);
     result.voters = static_cast<std::uint32_t>(opinion.voters);
     result.suspects = static_cast<std::uint32_t>(opinion.suspects);
     return result;
@@ -247,6 +252,7 @@
 
 void report_service::take_report(peer_state const& peer, vm_report const& report)
 {
+    m_membership->learn(report.sender);
     if (!is_neighbour(peer)) {
         return;
     }
@@ -404,8 +410,8 @@
             // A zone that was not heard lately may be behind the same partition as the leader.
             opinion.voters += age <= recent_time() ? each.voters : each.suspects;
             opinion.suspects += each.suspects;
-            opinion.highest = std::max(
-                opinion.highest, log_position{each.leader.highest_term, each.leader.highest_position});
+            opinion.highest = std::max(opinion.highest,
+                                       log_position{each.leader.highest_term, each.leader.highest_position});
             if (each.duty_holder != 0) {
                 opinion.duty_holder = m_zones->name_of(each.duty_holder);
             }
--- a/libraries/fleet/zone_exchange.cpp
+++ b/libraries/fleet/zone_exchange.cpp
@@ -29,8 +29,8 @@
         suspects.push_back(opinion.suspects);
         holders.push_back(opinion.duty_holder);
     }
-    return {report.configuration_version, report.directory, report.vms, report.leaving_vms, std::move(suspects),
-            std::move(holders)};
+    return {report.configuration_version, report.directory,    report.vms,
+            report.leaving_vms,           std::move(suspects), std::move(holders)};
 }
 
 void zone_exchange::speak(duration period)
@@ -59,8 +59,9 @@
 {
     std::set<std::string> zones;
     for (auto const& [name, peer] : m_membership.peers()) {
-        if (peer.availability_zone != m_membership.identity().availability_zone) {
-            zones.insert(peer.availability_zone);
+        auto const& zone = peer.availability_zone;
+        if (!zone.empty() && zone != m_membership.identity().availability_zone) {
+            zones.insert(zone);
         }
     }
     return zones;
@@ -117,9 +118,11 @@
     entry.heard_at = m_kernel.now();
     entry.vms.clear();
     entry.with_store.clear();
+    auto has_unknown = false;
     for (auto const vm : report.vms) {
         auto const name = name_of(vm);
         if (name.empty()) {
+            has_unknown = true;
             continue;
         }
         m_membership.vouch_for(name);
@@ -131,6 +134,9 @@
     for (auto const vm : report.leaving_vms) {
         m_membership.hear_of_leaving(name_of(vm));
     }
+    if (has_unknown) {
+        m_membership.read_list_soon();
+    }
     m_hooks.taken(report, entry.vms);
 }
 
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -14,10 +14,11 @@
 constexpr double equal_part = 0.25;
 /// Part of an account's rate that its home holds for those who run out.
 constexpr double home_part = 0.25;
-/// Of a zone's part, so much is divided among its VMs as the parts of this many would be; the zone home holds the rest.
-/// Few operations at each of many VMs do not tell their demands.
-constexpr double divided_vms = 1.5;
-constexpr double least_zone_home_part = 0.35;
+/// Part of what a zone has that the account's zone home holds for its neighbours.
+constexpr double zone_home_part = 0.35;
+/// A smaller stock is not worth holding: it is used up by two operations that come together.
+constexpr double least_zone_stock = 3;
+constexpr double least_vm_stock = 2;
 /// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
 constexpr double lasting_share = 1.0;
 /// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
@@ -32,10 +33,12 @@
 /// A shortage that ends within this time is waited for, since a refusal costs the caller a round trip or
 /// more.
 constexpr duration longest_wait = std::chrono::milliseconds(40);
+/// An answer to a request for tokens that has not come by then is lost.
+constexpr duration answer_time = std::chrono::milliseconds(80);
 /// Longest time that a refusal tells, in seconds.
 constexpr double longest_estimate = 5;
-/// A borrower asks for what it needs for this time, and for longer where the way is far; a lender keeps what it needs for
-/// this time itself.
+/// A borrower asks for what it needs for this time, and for longer where the way is far; a lender keeps what
+/// it needs for this time itself.
 constexpr double wanted_seconds = 0.2;
 constexpr double wanted_seconds_of_home = 0.5;
 constexpr double reserve_seconds = 0.2;
@@ -85,6 +88,7 @@
 void rate_division::add_zone(std::size_t vms, demands_map const& demands)
 {
     m_elsewhere += vms;
+    ++m_other_zones_count;
     add_to(m_other_zones, demands);
 }
 
@@ -101,18 +105,30 @@
 {
     auto const equal = 1 / static_cast<double>(1 + m_neighbours);
     auto const in_zone = demand_in(m_in_zone, account);
-    return equal_part * equal + (1 - equal_part) * (in_zone > 0 ? demand_in(m_own, account) / in_zone : equal);
+    return equal_part * equal +
+           (1 - equal_part) * (in_zone > 0 ? demand_in(m_own, account) / in_zone : equal);
 }
 
-double rate_division::part_of(std::string const& client_account, bool is_home, bool is_zone_home) const
+double rate_division::home_part_of(double stock) const
+{
+    auto const zones = static_cast<double>(1 + m_other_zones_count);
+    return stock * (1 - home_part) / zones < least_zone_stock ? 1 : home_part;
+}
+
+double rate_division::zone_home_part_of(double stock) const
+{
+    return stock / static_cast<double>(m_fleet_size) < least_vm_stock ? 1 : zone_home_part;
+}
+
+double rate_division::part_of(std::string const& client_account, double stock, role role) const
 {
     auto const account = to_short_name(client_account);
-    auto const vms_here = static_cast<double>(1 + m_neighbours);
-    auto const heard = vms_here + static_cast<double>(m_elsewhere);
+    auto const heard = static_cast<double>(1 + m_neighbours + m_elsewhere);
     auto const fleet = std::max(static_cast<double>(m_fleet_size), heard);
-    auto const zone_home_part = std::max(least_zone_home_part, 1 - divided_vms / vms_here);
-    auto const in_zone = (is_zone_home ? zone_home_part : 0) + (1 - zone_home_part) * vm_part(account);
-    return heard / fleet * ((is_home ? home_part : 0) + (1 - home_part) * zone_part(account) * in_zone);
+    auto const at_home = home_part_of(stock);
+    auto const at_zone_home = zone_home_part_of(stock);
+    auto const in_zone = (role.is_zone_home ? at_zone_home : 0) + (1 - at_zone_home) * vm_part(account);
+    return heard / fleet * ((role.is_home ? at_home : 0) + (1 - at_home) * zone_part(account) * in_zone);
 }
 
 void rate_shares::start()
@@ -157,9 +173,13 @@
 {
     // Before the list of VMs was read, nobody can tell how many share the rate.
     auto const& own = m_membership->identity().name;
-    return m_membership->has_list()
-               ? m_division.part_of(client_account, bucket.home == own, bucket.zone_home == own)
-               : 0;
+    auto const configuration = m_fleet->configuration();
+    auto const limit = configuration->limits.find(client_account);
+    if (!m_membership->has_list() || limit == configuration->limits.end()) {
+        return 0;
+    }
+    return m_division.part_of(client_account, most_stock(limit->second),
+                              {bucket.home == own, bucket.zone_home == own});
 }
 
 bool rate_shares::is_heard(std::string const& name) const
@@ -226,7 +246,7 @@
 {
     auto const allowed = limit.rate * seconds(m_counting.window) + limit.burst;
     auto const tolerated = m_counting.tolerated_share * allowed + m_counting.tolerated_operations;
-    return std::min(limit.burst, used_tolerance * tolerated);
+    return std::min(allowed, used_tolerance * tolerated);
 }
 
 void rate_shares::refill(bucket& bucket, account_limit const& limit, monotonic_time now) const
@@ -253,34 +273,47 @@
         done(std::nullopt);
         return;
     }
-    auto const number = m_next_number++;
-    bucket.waiting.push_back({number, std::move(done)});
+    bucket.waiting.push_back({m_kernel.now(), std::move(done)});
     auto const wait = time_to_token(client_account, bucket);
     if (!ask_peers(client_account, bucket) && wait > longest_wait) {
         refuse_waiting(client_account, bucket);
         return;
     }
-    m_kernel.start_timer(std::min(wait, longest_wait), [this, client_account] {
+    auto const look = [this, client_account] {
         auto const found = m_buckets.find(client_account);
         if (found != m_buckets.end()) {
             serve_waiting(client_account, found->second);
-            refuse_waiting(client_account, found->second);
+            refuse_overdue(client_account, found->second);
         }
-    });
+    };
+    if (wait < longest_wait) {
+        m_kernel.start_timer(wait, look);
+    }
+    m_kernel.start_timer(longest_wait, look);
 }
 
 duration rate_shares::time_to_token(std::string const& client_account, bucket const& bucket) const
 {
     auto const& limits = m_fleet->configuration()->limits;
     auto const limit = limits.find(client_account);
-    auto const rate = limit == limits.end() ? 0 : lasting_rate(limit->second) * bucket.part;
     auto const missing = static_cast<double>(std::max<std::size_t>(1, bucket.waiting.size())) - bucket.tokens;
+    if (limit != limits.end() && bucket.part == 0 && m_membership->has_list()) {
+        // This VM has what the homes lend, and asks them again after the pause.
+        return std::max<duration>(fruitless_home_pause,
+                                  std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                                      missing / std::max(1.0, lasting_rate(limit->second)))));
+    }
+    auto const rate = limit == limits.end() ? 0 : lasting_rate(limit->second) * bucket.part;
     auto const wait = rate > 0 ? std::min(longest_estimate, missing / rate) : longest_estimate;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::max(0.0, wait)));
 }
 
 bool rate_shares::ask_peers(std::string const& client_account, bucket& bucket)
 {
+    if (m_kernel.now() - bucket.asked_at >= answer_time) {
+        // Their answers are lost; those that come yet are taken as unknown.
+        bucket.requests.clear();
+    }
     if (!bucket.requests.empty()) {
         return true;
     }
@@ -329,6 +362,7 @@
 {
     auto const number = m_next_number++;
     bucket.requests[number] = lender;
+    bucket.asked_at = m_kernel.now();
     auto const wanted = bucket.waiting.size() + static_cast<std::size_t>(std::ceil(bucket.demand * horizon));
     m_membership->send(lender, token_request{client_account, number, static_cast<std::uint32_t>(wanted)});
 }
@@ -395,14 +429,46 @@
 
 void rate_shares::refuse_waiting(std::string const& client_account, bucket& bucket)
 {
-    // Requests that are still without an answer were lost.
-    bucket.requests.clear();
     auto const wait = time_to_token(client_account, bucket);
+    log_refusal(client_account, bucket, bucket.waiting.size());
     for (auto const& each : std::exchange(bucket.waiting, {})) {
         each.done(wait);
     }
 }
 
+void rate_shares::log_refusal(std::string const& client_account, bucket const& bucket,
+                              std::size_t refused) const
+{
+    if (refused == 0) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["client_account"] = client_account;
+    fields["refused"] = Json::UInt64(refused);
+    fields["tokens"] = bucket.tokens;
+    fields["part"] = bucket.part;
+    fields["home"] = bucket.home;
+    fields["zone_home"] = bucket.zone_home;
+    fields["neighbours"] = Json::UInt64(heard_neighbours().size());
+    fields["zones"] = Json::Int64(std::count_if(m_zones.begin(), m_zones.end(),
+                                                [this](auto const& each) { return is_heard(each.second); }));
+    fields["unanswered"] = Json::UInt64(bucket.requests.size());
+    fields["asked_ms_ago"] = to_milliseconds(m_kernel.now() - bucket.asked_at);
+    m_kernel.log(log_level::info, service_name, "operations are above the account's rate", std::move(fields));
+}
+
+void rate_shares::refuse_overdue(std::string const& client_account, bucket& bucket)
+{
+    auto const wait = time_to_token(client_account, bucket);
+    auto const waited = bucket.waiting.size();
+    while (!bucket.waiting.empty() && m_kernel.now() - bucket.waiting.front().since >= longest_wait) {
+        auto const done = std::move(bucket.waiting.front().done);
+        bucket.waiting.pop_front();
+        done(wait);
+    }
+    log_refusal(client_account, bucket, waited - bucket.waiting.size());
+}
+
 std::vector<account_demand> rate_shares::publish(duration period)
 {
     std::vector<account_demand> demands;
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -15,11 +15,12 @@
 
 namespace greengagehitch {
 
-/// Part of a client account's rate that one VM may use. The rate is divided first among availability zones, by the
-/// demands that their reports name, then among the VMs of the zone, by the demands that these publish; all VMs compute
-/// from the same figures, so that the parts make a whole. Of each zone's part most is left to one VM there, the account's
-/// zone home, which lends to its neighbours; a part of the whole is left to the account's home for all. VMs that are not
-/// heard keep equal parts, and a VM takes no more than that for them.
+/// Part of a client account's rate that one VM may use. The rate is divided first among availability zones,
+/// by the demands that their reports name, then among the VMs of the zone, by the demands that these publish;
+/// all VMs compute from the same figures, so that the parts make a whole. Of each zone's part most is left to
+/// one VM there, the account's zone home, which lends to its neighbours; a part of the whole is left to the
+/// account's home for all. An account whose stock is too small to be divided so far stays with the homes
+/// alone. VMs that are not heard keep equal parts, and a VM takes no more than that for them.
 class rate_division {
 public:
     using demands_map = std::map<short_name, double>;
@@ -35,10 +36,19 @@
     /// Adds another zone that is heard and hears this one, with its number of VMs.
     void add_zone(std::size_t vms, demands_map const& demands);
 
-    /// Part of the account's rate in [0, 1] at a VM that is, or is not, the account's home and zone home.
-    double part_of(std::string const& client_account, bool is_home, bool is_zone_home) const;
+    /// What a VM is to an account.
+    struct role {
+        bool is_home = false;
+        bool is_zone_home = false;
+    };
+
+    /// Part of the account's rate in [0, 1] at this VM. `stock` is what the account may have at once, over
+    /// the fleet.
+    double part_of(std::string const& client_account, double stock, role role) const;
 
 private:
+    double home_part_of(double stock) const;
+    double zone_home_part_of(double stock) const;
     /// Zone's part of what all zones that are heard share, and this VM's part of what its zone shares.
     double zone_part(short_name account) const;
     double vm_part(short_name account) const;
@@ -46,6 +56,7 @@
     std::size_t m_fleet_size = 1;
     std::size_t m_neighbours = 0;
     std::size_t m_elsewhere = 0; ///< VMs of other zones.
+    std::size_t m_other_zones_count = 0;
     demands_map m_own;
     demands_map m_in_zone;
     std::optional<demands_map> m_own_zone;
@@ -100,21 +111,22 @@
 
 private:
     struct waiting_operation {
-        std::uint64_t number = 0;
+        monotonic_time since;
         admission_callback done;
     };
 
     struct bucket {
-        double tokens = 1;
+        double tokens = 0;
         monotonic_time updated;
         std::size_t arrivals = 0; ///< Since the last publication.
         double demand = 0;        ///< Operations in a second, smoothed.
         double published = 0;
-        double part = 0;  ///< Of the account's rate.
+        double part = 0;       ///< Of the account's rate.
         std::string home;      ///< VM that lends to all others.
         std::string zone_home; ///< VM that lends to those of its zone.
         std::deque<waiting_operation> waiting;
         std::map<std::uint64_t, std::string> requests; ///< Peers that were asked and have not answered.
+        monotonic_time asked_at;                       ///< When the last of them was asked.
         bool has_asked_home = false;                   ///< In this round; the zone is asked first.
         monotonic_time no_request_before;              ///< After a round that brought nothing.
         monotonic_time no_home_request_before;         ///< After the home had nothing to give.
@@ -154,6 +166,9 @@
     void take_grant(std::string const& peer, token_grant const& grant);
     void serve_waiting(std::string const& client_account, bucket& bucket);
     void refuse_waiting(std::string const& client_account, bucket& bucket);
+    /// Refuses the operations that have waited as long as they may.
+    void refuse_overdue(std::string const& client_account, bucket& bucket);
+    void log_refusal(std::string const& client_account, bucket const& bucket, std::size_t refused) const;
     duration time_to_token(std::string const& client_account, bucket const& bucket) const;
 
     kernel& m_kernel;
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr duration forget_time = std::chrono::minutes(5);
-constexpr duration shortest_list_period = std::chrono::seconds(2);
+/// Early reads of the platform's list are at least this far apart.
+constexpr duration shortest_early_read = std::chrono::seconds(1);
 constexpr duration heartbeat_memory = std::chrono::seconds(10);
 constexpr double list_reads_per_second = 10;
 /// Up to this many peers hear each heartbeat; larger fleets gossip to as many random ones.
@@ -193,12 +194,35 @@
 
 void membership_service::poll_list()
 {
+    read_list();
+    auto const period = store_period(m_pace.list_period, list_reads_per_second);
+    m_kernel.start_timer(period, [this] { poll_list(); });
+}
+
+void membership_service::read_list_soon()
+{
+    if (!m_list_asked_at || m_kernel.now() - *m_list_asked_at >= shortest_early_read) {
+        read_list();
+    }
+}
+
+void membership_service::learn(member_rumor const& rumor)
+{
+    auto const found = m_peers.find(rumor.vm);
+    if (found != m_peers.end()) {
+        found->second.availability_zone = rumor.availability_zone;
+        found->second.address = {rumor.host, rumor.port};
+    }
+}
+
+void membership_service::read_list()
+{
+    m_list_asked_at = m_kernel.now();
     m_platform.list_vms(m_kernel.guard<absl::StatusOr<std::vector<vm_record>>>([this](auto const& records) {
         if (records.ok()) {
             take_list(*records);
         }
     }));
-    m_kernel.start_timer(store_period(shortest_list_period, list_reads_per_second), [this] { poll_list(); });
 }
 
 void membership_service::take_list(std::vector<vm_record> const& records)
@@ -214,9 +238,10 @@
         auto& peer = m_peers[record.name];
         peer.name = record.name;
         peer.is_listed = true;
+        peer.processor_share = record.processor_share;
         peer.is_leaving = peer.is_leaving || record.state == vm_state::leaving;
         // The list lags, so what the peer says of itself goes first.
-        if (!peer.last_heard) {
+        if (!peer.last_heard || peer.address.port == 0) {
             peer.availability_zone = record.availability_zone;
             peer.address = {record.peer_host, record.peer_port};
         }
@@ -297,7 +322,8 @@
 
 void membership_service::take_rumor(member_rumor const& rumor)
 {
-    if (rumor.vm == m_identity.name) {
+    // A sender may have heard a VM without knowing its address yet.
+    if (rumor.vm == m_identity.name || rumor.port == 0) {
         return;
     }
     auto& peer = m_peers[rumor.vm];
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -19,12 +19,15 @@
     std::string availability_zone;
     endpoint peer_endpoint;
     std::uint64_t incarnation = 0; ///< Random, new with each start.
+    double processor_share = 1;    ///< Of a core.
 };
 
 /// How often the VM shows signs of life by itself, and how long it believes in those of others.
 struct membership_pace {
     duration gossip_period = std::chrono::milliseconds(500);
     duration suspicion_time = std::chrono::milliseconds(1'600);
+    duration list_period =
+        std::chrono::seconds(2); ///< Shortest time between two reads of the platform's list.
 };
 
 /// What is known of another entry VM.
@@ -35,9 +38,10 @@
     std::uint64_t incarnation = 0; ///< 0 until it was heard.
     bool is_listed = false;        ///< In the platform's list.
     bool is_leaving = false;
+    double processor_share = 1; ///< Of a core, by the platform's list.
     std::optional<monotonic_time> last_heard;
     std::optional<monotonic_time> vouched_at; ///< When a VM of its zone last said that it hears it.
-    std::uint64_t last_sequence = 0; ///< Of its heartbeats.
+    std::uint64_t last_sequence = 0;          ///< Of its heartbeats.
     /// When the newest heartbeat was sent to which the peer has answered.
     std::optional<monotonic_time> answered_since;
     std::set<std::string> interests;
@@ -93,6 +97,14 @@
     void vouch_for(std::string const& peer);
     void hear_of_leaving(std::string const& peer);
 
+    /// Takes in what a peer says of itself.
+    void learn(member_rumor const& peer);
+
+    /// Reads the platform's list before its time, since a VM was named that is not known.
+    void read_list_soon();
+
+    member_rumor own_rumor() const;
+
     /// True when this VM hears the majority of the VMs that it knows, itself included.
     bool has_majority() const;
 
@@ -125,6 +137,7 @@
     }
 
     void poll_list();
+    void read_list();
     void take_list(std::vector<vm_record> const& records);
     void gossip();
     std::vector<std::string> choose_gossip_targets();
@@ -132,7 +145,6 @@
     void read_heartbeat(peer_state& peer, heartbeat const& message);
     void take_rumor(member_rumor const& rumor);
     std::vector<member_rumor> choose_rumors();
-    member_rumor own_rumor() const;
     void forget_silent_peers();
 
     kernel& m_kernel;
@@ -150,6 +162,7 @@
     std::uint64_t m_next_sequence = 1;
     bool m_is_leaving = false;
     bool m_has_list = false;
+    std::optional<monotonic_time> m_list_asked_at;
     bool m_is_odd_period = false;
     std::uint64_t m_rejected_datagrams = 0;
 };
--- a/libraries/platform/platform_hooks.h
+++ b/libraries/platform/platform_hooks.h
@@ -35,6 +35,7 @@
     std::string peer_host; ///< IP number.
     std::uint16_t peer_port = 0;
     vm_state state = vm_state::live;
+    double processor_share = 1; ///< Of a core.
 };
 
 /// Calls to the platform. A callback comes at most once. absl::StatusCode::kUnavailable and kDeadlineExceeded
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -10,6 +10,7 @@
 
 /// Reports are signs of life too; heartbeats only make VMs known to each other.
 constexpr duration heartbeat_period = std::chrono::seconds(2);
+constexpr duration list_period = std::chrono::milliseconds(11'500);
 /// Time in which two reports to another zone should have come.
 constexpr duration peer_suspicion_time = std::chrono::milliseconds(2'600);
 
@@ -18,12 +19,12 @@
 session_vm::session_vm(session_vm_settings const& settings, session_vm_hooks hooks)
     : m_hooks(std::move(hooks)), m_name(settings.name), m_kernel(m_hooks.kernel)
 {
-    vm_identity identity{settings.name, settings.availability_zone, settings.peer_endpoint,
-                         m_kernel.random()};
+    vm_identity identity{settings.name, settings.availability_zone, settings.peer_endpoint, m_kernel.random(),
+                         settings.processor_share};
     m_kernel.add(std::make_unique<membership_service>(
         m_kernel, m_hooks.platform, std::move(identity),
         peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram,
-        membership_pace{heartbeat_period, peer_suspicion_time}));
+        membership_pace{heartbeat_period, peer_suspicion_time, list_period}));
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -29,6 +29,7 @@
     std::string name;
     std::string availability_zone;
     endpoint peer_endpoint;
+    double processor_share = 1; ///< Of a core.
     std::string fleet_secret;
     session_engine_settings sessions;
     rate_counting rates;
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -147,6 +147,7 @@
 
 /// State that a VM which serves sessions shares with the others of its availability zone.
 struct vm_report {
+    member_rumor sender; ///< Tells where the sender is heard, since the platform's list lags.
     std::uint64_t configuration_version = 0;
     std::uint32_t store_age_ms = 0; ///< Since that version was known to be the newest.
     std::uint32_t directory = 0;    ///< Digest of the members' directory as the sender knows it.
@@ -154,7 +155,8 @@
     std::vector<short_name> heard; ///< VMs of its zone that the sender hears.
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
-    MSGPACK_DEFINE(configuration_version, store_age_ms, directory, is_leaving, heard, demands, leaders)
+    MSGPACK_DEFINE(sender, configuration_version, store_age_ms, directory, is_leaving, heard, demands,
+                   leaders)
 };
 
 /// What the VMs of one availability zone say together of a group's leader.
@@ -173,8 +175,8 @@
     MSGPACK_DEFINE(client_account, operations)
 };
 
-/// State of all VMs of an availability zone. One of them writes it and sends it to one VM of each other zone, which
-/// passes it on there; so what crosses zones does not grow with the number of VMs.
+/// State of all VMs of an availability zone. One of them writes it and sends it to one VM of each other zone,
+/// which passes it on there; so what crosses zones does not grow with the number of VMs.
 struct zone_report {
     std::string availability_zone;
     std::uint64_t configuration_version = 0;
@@ -186,8 +188,8 @@
     std::vector<short_name> heard_zones;
     std::vector<zone_demand> demands;
     std::vector<zone_opinion> opinions;
-    MSGPACK_DEFINE(availability_zone, configuration_version, store_age_ms, directory, vms, leaving_vms, with_store,
-                   heard_zones, demands, opinions)
+    MSGPACK_DEFINE(availability_zone, configuration_version, store_age_ms, directory, vms, leaving_vms,
+                   with_store, heard_zones, demands, opinions)
 };
 
 /// Asks the VM that follows the store for its zone what it knows.
@@ -220,9 +222,10 @@
     MSGPACK_DEFINE(client_account, number, tokens)
 };
 
-using peer_message = std::variant<heartbeat, configuration_request, configuration_chunk, group_state,
-                                  group_state_request, primary_suspicion, share_transfer, share_request,
-                                  vm_report, token_request, token_grant, store_question, store_word, zone_report>;
+using peer_message =
+    std::variant<heartbeat, configuration_request, configuration_chunk, group_state, group_state_request,
+                 primary_suspicion, share_transfer, share_request, vm_report, token_request, token_grant,
+                 store_question, store_word, zone_report>;
 
 /// Message with the identity of its sender.
 struct peer_envelope {
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -63,6 +63,7 @@
     for (std::size_t i = 0; i < m_shape.zones.size(); ++i) {
         auto added = std::make_unique<running_vm>();
         added->name = fmt::format("vm-{}", i);
+        added->index = i;
         added->zone = m_shape.zones[i];
         added->address = {fmt::format("10.0.0.{}", i + 1), peer_port};
         m_vms.push_back(std::move(added));
@@ -215,7 +216,7 @@
         if (to == nullptr || !hears(*self, *to)) {
             return;
         }
-        auto const number = static_cast<std::size_t>(to->address.host.back() - '1');
+        auto const number = to->index;
         after_latency(number, [datagram](session_vm& vm) { vm.handle_datagram(datagram); });
     };
     hooks.links = {[this](link_target const& target, link_events events) {
@@ -242,7 +243,7 @@
         },
         [this, index](std::string const& vm) {
             auto* const to = find_vm(vm);
-            auto const server = static_cast<std::size_t>(to->address.host.back() - '1');
+            auto const server = to->index;
             auto const found = m_channel_of.find({index, server});
             if (found != m_channel_of.end()) {
                 m_channels.erase(found->second);
@@ -282,8 +283,10 @@
     hooks.platform.list_vms = [this](auto done) {
         std::vector<vm_record> records;
         for (auto const& each : m_vms) {
-            records.push_back(
-                {each->name, each->zone, each->address.host, each->address.port, vm_state::live});
+            if (each->is_listed) {
+                records.push_back(
+                    {each->name, each->zone, each->address.host, each->address.port, vm_state::live});
+            }
         }
         m_clock.start_timer(m_shape.latency, [records, done = std::move(done)] { done(records); });
     };
@@ -303,7 +306,7 @@
 void session_fleet::send_message(std::size_t from, std::string const& to, std::string const& message)
 {
     auto* const target = find_vm(to);
-    auto const server = static_cast<std::size_t>(target->address.host.back() - '1');
+    auto const server = target->index;
     if (!target->vm) {
         after_latency(from, [to](session_vm& vm) { vm.brokers().lose_vm(to, false); });
         return;
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -43,6 +43,8 @@
 
     /// Cuts a VM from the store, or mends it.
     void set_store_cut(std::size_t index, bool is_cut) { m_vms[index]->has_store = !is_cut; }
+    /// Sets whether the platform's list names a VM, for reads from now on.
+    void set_listed(std::size_t index, bool is_listed) { m_vms[index]->is_listed = is_listed; }
     /// Cuts a VM from its peers, or mends it.
     void set_peer_cut(std::size_t index, bool is_cut) { m_vms[index]->has_peers = !is_cut; }
 
@@ -62,6 +64,7 @@
 
 private:
     struct running_vm {
+        std::size_t index = 0;
         std::string name;
         std::string zone;
         endpoint address;
@@ -69,6 +72,7 @@
         std::uint64_t incarnation = 0;
         bool has_store = true;
         bool has_peers = true;
+        bool is_listed = true;
     };
 
     struct store_entry {
--- /dev/null
+++ b/tests/brokers/broker_candidates_tests.cpp
@@ -0,0 +1,35 @@
+#include <criterion/criterion.h>
+
+#include "brokers/broker_candidates.h"
+
+using namespace greengagehitch;
+
+namespace {
+
+using names = std::vector<std::string>;
+
+} // namespace
+
+Test(broker_candidates, vms_of_equal_size_all_take_part)
+{
+    broker_candidates candidates;
+    candidates.add("a", 0.25);
+    candidates.add("b", 0.25);
+    cr_assert(candidates.strong() == names({"a", "b"}));
+}
+
+Test(broker_candidates, small_vms_are_left_out_beside_large_ones)
+{
+    broker_candidates candidates;
+    candidates.add("small", 0.12);
+    candidates.add("large", 0.5);
+    candidates.add("middle", 0.25);
+    cr_assert(candidates.strong() == names({"large", "middle"}));
+}
+
+Test(broker_candidates, small_vms_take_part_when_nothing_larger_is_left)
+{
+    broker_candidates candidates;
+    candidates.add("small", 0.12);
+    cr_assert(candidates.strong() == names({"small"}));
+}
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -1,3 +1,5 @@
+#include <numeric>
+
 #include <criterion/criterion.h>
 
 #include <fmt/format.h>
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr double tolerance = 1e-9;
+constexpr double large_stock = 1'000;
 
 session_fleet_shape shape_with_rate(double rate)
 {
@@ -91,7 +94,7 @@
                 division.add_neighbour(demands[other]);
             }
         }
-        sum += division.part_of("t", own == 1, own == 2);
+        sum += division.part_of("t", large_stock, {own == 1, own == 2});
     }
     cr_assert(std::abs(sum - 1) < tolerance);
 }
@@ -100,20 +103,21 @@
 {
     std::map<short_name, double> const here{{to_short_name("t"), 10}};
     std::map<short_name, double> const there{{to_short_name("t"), 30}};
-    double sum = 0;
-    for (auto const is_first_zone : {true, false}) {
-        auto const& own_zone = is_first_zone ? here : there;
-        for (int vm = 0; vm < 2; ++vm) {
+    for (auto const stock : {large_stock, 6.0, 1.0}) {
+        double sum = 0;
+        for (auto const& [is_first_zone, vm] :
+             {std::pair(true, 0), std::pair(true, 1), std::pair(false, 0), std::pair(false, 1)}) {
+            auto const& own_zone = is_first_zone ? here : there;
             rate_division division;
             division.reset(4);
             division.add_own(vm == 0 ? own_zone : std::map<short_name, double>{});
             division.add_neighbour(vm == 0 ? std::map<short_name, double>{} : own_zone);
             division.set_own_zone(own_zone);
             division.add_zone(2, is_first_zone ? there : here);
-            sum += division.part_of("t", is_first_zone && vm == 0, vm == 1);
+            sum += division.part_of("t", stock, {is_first_zone && vm == 0, vm == 1});
         }
+        cr_assert(std::abs(sum - 1) < tolerance);
     }
-    cr_assert(std::abs(sum - 1) < tolerance);
 }
 
 Test(rate_division, vm_that_hears_nobody_takes_an_equal_part)
@@ -121,7 +125,7 @@
     rate_division division;
     division.reset(8);
     division.add_own({{to_short_name("t"), 100}});
-    cr_assert(std::abs(division.part_of("t", true, true) - 1.0 / 8) < tolerance);
+    cr_assert(std::abs(division.part_of("t", large_stock, {true, true}) - 1.0 / 8) < tolerance);
 }
 
 Test(rate_shares, demand_at_one_vm_gets_most_of_the_rate)
@@ -189,3 +193,21 @@
     demand(fleet, {0, 1}, 40, 1s, admitted, refused);
     cr_assert(refused <= admitted.total() / 20, "%zu were refused, %zu admitted", refused, admitted.total());
 }
+
+/// Shape of load: few operations of an account at each of many VMs, so that no VM can tell its own demand.
+Test(rate_shares, sparse_demand_at_many_vms_is_served_within_the_rate)
+{
+    auto shape = shape_with_rate(16);
+    shape.zones.clear();
+    for (int vm = 0; vm < 40; ++vm) {
+        shape.zones.push_back(std::string(1, static_cast<char>('a' + vm % 4)));
+    }
+    session_fleet fleet(shape, 5);
+    fleet.clock().run_for(6s);
+    std::vector<std::size_t> vms(fleet.vms());
+    std::iota(vms.begin(), vms.end(), 0);
+    admission_count admitted(fleet.clock());
+    std::size_t refused = 0;
+    demand(fleet, vms, 10, 30s, admitted, refused);
+    cr_assert(refused <= admitted.total() / 50, "%zu were refused, %zu admitted", refused, admitted.total());
+}
--- /dev/null
+++ b/tests/sessions/fleet_tests.cpp
@@ -0,0 +1,46 @@
+#include <criterion/criterion.h>
+
+#include "session_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+/// Peers of a VM that it can send to.
+std::size_t known_peers(session_vm& vm)
+{
+    auto const state = vm.dump();
+    std::size_t count = 0;
+    for (auto const& peer : state["membership"]["peers"]) {
+        count += peer["availability_zone"].asString() == "a" && peer["is_reachable"].asBool() ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace
+
+/// VMs that start together read a list that does not name the others yet.
+Test(fleet, vms_that_the_list_does_not_name_yet_are_known_within_a_second)
+{
+    session_fleet_shape shape;
+    shape.zones.assign(30, "a");
+    session_fleet fleet(shape, 6);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        fleet.kill_vm(i);
+        fleet.set_listed(i, false);
+    }
+    fleet.clock().run_for(20s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        // Each one is listed once it runs, and so reads those that started before it.
+        fleet.set_listed(i, true);
+        fleet.start_vm(i);
+        fleet.clock().run_for(10ms);
+    }
+    fleet.clock().run_for(1s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        cr_assert(known_peers(fleet.vm(i)) == fleet.vms() - 1, "VM %zu knows %zu", i,
+                  known_peers(fleet.vm(i)));
+    }
+}
