failover: Leave leaders alone in a zone that is cut off; serve latency histograms

Change: a VM that hears no other zone, nor the store since it last heard one, begins no takeover. Brokers of unknown size take part and push nobody out. The metrics address serves latency histograms by statement kind, and ages of configuration and evidence.

--- a/libraries/brokers/broker_candidates.cpp
+++ b/libraries/brokers/broker_candidates.cpp
@@ -12,7 +12,7 @@
     }
     std::vector<std::string> names;
     for (auto const& each : m_vms) {
-        if (2 * each.processor_share >= largest) {
+        if (each.processor_share == 0 || 2 * each.processor_share >= largest) {
             names.push_back(each.vm);
         }
     }
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -129,7 +129,7 @@
     auto const with_store = m_reports->peers_with_store();
     auto const own_age = m_fleet->configuration_age();
     auto const has_store = own_age && *own_age < std::chrono::seconds(3);
-    if (!has_store) {
+    if (!has_store || m_reports->is_cut_off()) {
         return false;
     }
     if (m_held.contains(group.name())) {
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -447,6 +447,20 @@
     return opinion;
 }
 
+bool report_service::is_cut_off() const
+{
+    if (m_zones->reports().empty()) {
+        return false;
+    }
+    monotonic_time heard_at{};
+    for (auto const& [zone, entry] : m_zones->reports()) {
+        heard_at = std::max(heard_at, entry.heard_at);
+    }
+    auto const now = m_kernel.now();
+    auto const age = m_fleet->configuration_age();
+    return now - heard_at > recent_time() && (!age || now - *age <= heard_at);
+}
+
 std::vector<std::string> report_service::peers_with_store() const
 {
     auto names = neighbours_with_store();
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -13,8 +13,8 @@
 
 namespace greengagehitch {
 
-/// Shares what VMs must know of each other: demands, leaders, suspicions, and how well they reach the platform. Each VM
-/// reports to those of its zone; zones report to each other as wholes.
+/// Shares what VMs must know of each other: demands, leaders, suspicions, and how well they reach the
+/// platform. Each VM reports to those of its zone; zones report to each other as wholes.
 class report_service : public service {
 public:
     static constexpr std::string_view service_name = "reports";
@@ -50,6 +50,10 @@
         m_read_directory = std::move(read_directory);
     }
 
+    /// True when this VM heard no other zone lately, nor the store since it last heard one: then it is rather
+    /// this VM that is cut off than whatever it cannot reach.
+    bool is_cut_off() const;
+
     /// Peers that were heard lately and reach the platform's store.
     std::vector<std::string> peers_with_store() const;
 
@@ -114,7 +118,7 @@
     std::optional<zone_exchange> m_zones; ///< Set when the service starts.
     bool m_told_leaving = false;
     bool m_told_list = false;
-    std::size_t m_divided_among = 0; ///< VMs that were heard when the rates were last divided.
+    std::size_t m_divided_among = 0;                ///< VMs that were heard when the rates were last divided.
     std::map<std::string, std::uint64_t> m_greeted; ///< Incarnations of the peers that are heard.
     std::function<void()> m_read_configuration;
     std::function<void()> m_read_directory;
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -476,6 +476,12 @@
     }
 }
 
+std::optional<duration> database_group::evidence_age() const
+{
+    auto const newest = m_evidence.newest();
+    return newest ? std::optional(m_kernel.now() - newest->asked_at) : std::nullopt;
+}
+
 Json::Value database_group::dump() const
 {
     Json::Value state(Json::objectValue);
@@ -491,8 +497,8 @@
         entry["failures"] = Json::UInt64(member.failures);
         state["members"][id] = std::move(entry);
     }
-    if (auto const newest = m_evidence.newest()) {
-        state["evidence_age_ms"] = to_milliseconds(m_kernel.now() - newest->asked_at);
+    if (auto const age = evidence_age()) {
+        state["evidence_age_ms"] = to_milliseconds(*age);
     }
     return state;
 }
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -109,6 +109,8 @@
     std::map<std::string, former_member> const& former_members() const { return m_former; }
 
     position_evidence const& evidence() const { return m_evidence; }
+    /// Time since the question whose answer last proved who leads; empty when none did.
+    std::optional<duration> evidence_age() const;
     /// Highest position of a commit that was acknowledged to a caller here.
     log_position highest_acknowledged() const { return m_highest; }
 
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -38,7 +38,7 @@
     std::uint64_t incarnation = 0; ///< 0 until it was heard.
     bool is_listed = false;        ///< In the platform's list.
     bool is_leaving = false;
-    double processor_share = 1; ///< Of a core, by the platform's list.
+    double processor_share = 0; ///< Of a core, by the platform's list; 0 until it named the peer.
     std::optional<monotonic_time> last_heard;
     std::optional<monotonic_time> vouched_at; ///< When a VM of its zone last said that it hears it.
     std::uint64_t last_sequence = 0;          ///< Of its heartbeats.
--- /dev/null
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -0,0 +1,63 @@
+#include "session_vm/vm_metrics.h"
+
+#include <fmt/format.h>
+
+#include "session_vm/session_vm.h"
+
+namespace greengagehitch {
+
+namespace {
+
+std::string render_counters(session_engine& sessions)
+{
+    auto const& counters = sessions.counters();
+    auto text = fmt::format("greengagehitch_sessions {}\n", sessions.size());
+    text += fmt::format("greengagehitch_sessions_opened_total {}\n", counters.opened);
+    text += fmt::format("greengagehitch_statements_total {}\n", counters.statements);
+    text += fmt::format("greengagehitch_statements_answered_total {}\n", counters.answered);
+    for (std::size_t i = 0; i < session_error_names.size(); ++i) {
+        text += fmt::format("greengagehitch_statements_refused_total{{error=\"{}\"}} {}\n",
+                            session_error_names[i].name, counters.refused[i]);
+    }
+    return text;
+}
+
+std::string render_latencies(session_counters const& counters)
+{
+    std::string text;
+    for (std::size_t i = 0; i < statement_kind_names.size(); ++i) {
+        if (counters.latencies[i].count() != 0) {
+            text += counters.latencies[i].to_text("greengagehitch_statement_seconds",
+                                                  fmt::format("kind=\"{}\"", statement_kind_names[i].name));
+        }
+    }
+    return text;
+}
+
+std::string render_beliefs(session_vm& vm)
+{
+    auto const& configuration = vm.fleet().configuration();
+    auto text =
+        fmt::format("greengagehitch_configuration_version {}\n", configuration ? configuration->version : 0);
+    if (auto const age = vm.fleet().configuration_age()) {
+        text += fmt::format("greengagehitch_configuration_age_seconds {}\n",
+                            std::chrono::duration<double>(*age).count());
+    }
+    for (auto const& [name, group] : vm.sessions().groups().groups()) {
+        text += fmt::format("greengagehitch_leader_term{{group=\"{}\"}} {}\n", name, group->proven_term());
+        if (auto const age = group->evidence_age()) {
+            text += fmt::format("greengagehitch_evidence_age_seconds{{group=\"{}\"}} {}\n", name,
+                                std::chrono::duration<double>(*age).count());
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+std::string render_metrics(session_vm& vm)
+{
+    return render_counters(vm.sessions()) + render_latencies(vm.sessions().counters()) + render_beliefs(vm);
+}
+
+} // namespace greengagehitch
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -485,6 +485,8 @@
     answer.state = m_state;
     if (answer.is_ok()) {
         ++m_engine.counters().answered;
+        auto const kind = static_cast<std::size_t>(statement.kind);
+        m_engine.counters().latencies[kind].record(m_kernel.now() - m_arrived);
     }
     else {
         ++m_engine.counters().refused[static_cast<std::size_t>(*answer.error)];
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -11,6 +11,7 @@
 #include "kernel/kernel.h"
 #include "limits/rate_shares.h"
 #include "members/group_registry.h"
+#include "metrics/latency_histogram.h"
 #include "sessions/client_session.h"
 
 namespace greengagehitch {
@@ -32,6 +33,8 @@
     std::uint64_t statements = 0;
     std::uint64_t answered = 0;
     std::array<std::uint64_t, session_error_names.size()> refused{}; ///< By error.
+    /// Time from a statement's arrival to its answer, by statement_kind; refusals are left out.
+    std::array<latency_histogram, statement_kind_names.size()> latencies;
 };
 
 /// All sessions of this VM, with what they share. The one way from a caller's statement to a database.
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -219,14 +219,18 @@
         auto const number = to->index;
         after_latency(number, [datagram](session_vm& vm) { vm.handle_datagram(datagram); });
     };
-    hooks.links = {[this](link_target const& target, link_events events) {
+    hooks.links = {[this, self](link_target const& target, link_events events) {
                        auto const number = m_next_link++;
+                       if (!self->has_members) {
+                           return link_id{number};
+                       }
                        open_link(number, target, std::move(events));
                        return link_id{number};
                    },
-                   [this](link_id id, std::vector<member_command> const& commands) {
+                   [this, self](link_id id, std::vector<member_command> const& commands) {
                        auto const number = static_cast<std::uint64_t>(id);
-                       if (auto const found = m_group_of_link.find(number); found != m_group_of_link.end()) {
+                       auto const found = m_group_of_link.find(number);
+                       if (found != m_group_of_link.end() && self->has_members) {
                            found->second->send(number, commands);
                        }
                    },
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -45,6 +45,8 @@
     void set_store_cut(std::size_t index, bool is_cut) { m_vms[index]->has_store = !is_cut; }
     /// Sets whether the platform's list names a VM, for reads from now on.
     void set_listed(std::size_t index, bool is_listed) { m_vms[index]->is_listed = is_listed; }
+    /// Cuts a VM from all members, or mends it.
+    void set_member_cut(std::size_t index, bool is_cut) { m_vms[index]->has_members = !is_cut; }
     /// Cuts a VM from its peers, or mends it.
     void set_peer_cut(std::size_t index, bool is_cut) { m_vms[index]->has_peers = !is_cut; }
 
@@ -72,6 +74,7 @@
         std::uint64_t incarnation = 0;
         bool has_store = true;
         bool has_peers = true;
+        bool has_members = true;
         bool is_listed = true;
     };
 
--- a/tests/brokers/broker_candidates_tests.cpp
+++ b/tests/brokers/broker_candidates_tests.cpp
@@ -33,3 +33,11 @@
     candidates.add("small", 0.12);
     cr_assert(candidates.strong() == names({"small"}));
 }
+
+Test(broker_candidates, vm_of_unknown_size_takes_part_and_pushes_nobody_out)
+{
+    broker_candidates candidates;
+    candidates.add("listed", 0.25);
+    candidates.add("heard", 0);
+    cr_assert(candidates.strong() == names({"listed", "heard"}));
+}
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -138,3 +138,29 @@
     cr_assert(group.holds_all_acknowledged());
     cr_assert(group.acknowledged() >= acknowledged);
 }
+
+/// The zone sees all leaders as lost; it must leave the members alone, also once it is back.
+Test(takeover, zone_that_is_cut_off_replaces_no_leader)
+{
+    takeover_fixture fixture;
+    fixture.write_for(2s);
+    auto const cut = fixture.fleet.vms() - 1;
+    auto set_cut = [&fixture, cut](bool is_cut) {
+        fixture.fleet.set_peer_cut(cut, is_cut);
+        fixture.fleet.set_store_cut(cut, is_cut);
+        fixture.fleet.set_member_cut(cut, is_cut);
+    };
+    set_cut(true);
+    std::vector<session_caller> callers;
+    for (int i = 0; i < 250; ++i) {
+        // Callers at the cut VM keep asking, so that it notices.
+        callers.push_back(fixture.caller(cut));
+        if (callers.back().is_open()) {
+            callers.back().send(session_caller::read("x"));
+        }
+        fixture.fleet.clock().run_for(20ms);
+    }
+    set_cut(false);
+    fixture.write_for(3s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+}
