--- a/libraries/fleet/zone_exchange.h
+++ b/libraries/fleet/zone_exchange.h
@@ -13,8 +13,9 @@
 
 namespace greengagehitch {
 
-/// Exchanges one report for each availability zone. The speaker of a zone, the first by name of the VMs that hear each
-/// other there, writes its report; one VM of each other zone takes it and passes it on to its neighbours.
+/// Exchanges one report for each availability zone. The speaker of a zone, the first by name of the VMs that
+/// hear each other there, writes its report; one VM of each other zone takes it and passes it on to its
+/// neighbours.
 class zone_exchange {
 public:
     struct hooks {
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -10,8 +10,8 @@
 /// Used while the configuration names no bound for a group.
 constexpr std::size_t default_max_links = 4;
 constexpr duration idle_limit = std::chrono::seconds(20);
-/// Part of a member's connections that a broker keeps while they are idle. The rest is left to a successor: a member
-/// counts the connections of a VM that lost power until it notices, seconds later.
+/// Part of a member's connections that a broker keeps while they are idle. The rest is left to a successor: a
+/// member counts the connections of a VM that lost power until it notices, seconds later.
 constexpr std::size_t kept_idle_divisor = 2;
 /// Time after which idle connections beyond that part are closed.
 constexpr duration surplus_idle_limit = std::chrono::milliseconds(1'500);
