--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -19,7 +19,7 @@
 /// A smaller stock is not worth holding: it is used up by two operations that come together.
 constexpr double least_zone_stock = 3;
 constexpr double least_vm_stock = 2;
-/// Part of what a window allows that is given out evenly; the rest covers what moves between VMs.
+/// Part of what a window allows that is given out evenly; the tolerance covers what moves between VMs.
 constexpr double lasting_share = 1.0;
 /// Part of the tolerance that a stock may use; the rest covers VMs that differ in what they know.
 constexpr double used_tolerance = 0.7;
