brokers: Never run a statement whose transaction was rolled back while it waited

A statement of an open transaction waited at the broker for a slot when the channel of its VM was lost. The lease went and the transaction was rolled back; the statement kept the link and ran on it afterwards, outside of any transaction or inside another one. Change: the desk asks, when a statement's turn comes, whether its transaction still holds the link.

--- a/libraries/brokers/member_desk.cpp
+++ b/libraries/brokers/member_desk.cpp
@@ -118,6 +118,12 @@
 void member_desk::start(entry_pointer const& started)
 {
     started->is_started = true;
+    if (started->link && !*started->is_held) {
+        // The transaction was rolled back while this waited, and the link may serve another one.
+        free_slot(*started);
+        refuse(started, member_error::connection_lost, "transaction is gone");
+        return;
+    }
     if (started->link) {
         send(started, started->link);
         return;
@@ -203,21 +209,24 @@
 
 lease_pointer member_desk::make_lease(link_pointer const& link)
 {
-    return std::make_shared<member_lease>(
-        member_lease::hooks{[desk = shared_from_this(), link](member_request request, reply_callback done) {
-                                auto const added = std::make_shared<entry>();
-                                added->request = std::move(request);
-                                added->done = std::move(done);
-                                added->link = link;
-                                added->since = desk->m_kernel.now();
-                                desk->enqueue(added);
-                            },
-                            [weak = weak_from_this(), lifetime = m_kernel.lifetime(), link] {
-                                auto const desk = weak.lock();
-                                if (desk && !lifetime.expired()) {
-                                    desk->give_back(link);
-                                }
-                            }});
+    auto const is_held = std::make_shared<bool>(true);
+    return std::make_shared<member_lease>(member_lease::hooks{
+        [desk = shared_from_this(), link, is_held](member_request request, reply_callback done) {
+            auto const added = std::make_shared<entry>();
+            added->request = std::move(request);
+            added->done = std::move(done);
+            added->link = link;
+            added->is_held = is_held;
+            added->since = desk->m_kernel.now();
+            desk->enqueue(added);
+        },
+        [weak = weak_from_this(), lifetime = m_kernel.lifetime(), link, is_held] {
+            *is_held = false;
+            auto const desk = weak.lock();
+            if (desk && !lifetime.expired()) {
+                desk->give_back(link);
+            }
+        }});
 }
 
 void member_desk::give_back(link_pointer const& link)
--- a/libraries/brokers/member_desk.h
+++ b/libraries/brokers/member_desk.h
@@ -45,7 +45,8 @@
     struct entry {
         member_request request;
         reply_callback done;
-        link_pointer link; ///< Of the transaction that sends it; null for a new one.
+        link_pointer link;                   ///< Of the transaction that sends it; null for a new one.
+        std::shared_ptr<bool const> is_held; ///< Whether that transaction still has the link.
         monotonic_time since;
         bool is_started = false;
     };
