members: Prove the leader before a read where no fence is checked

Cause: where the platform checks no fence, a replaced leader accepts transactions until it is told to step down or for a second after it can reach its successor. Our begin and rollback round each read proved nothing there.

Change: leadership_guard at the broker of each member sends a begin only while a proof lasts (600 ms): a commit that a replica received, or the status of a replica that still receives. A takeover steps the old leader down, also a draining one, or waits until all proofs have expired after it stopped the replicas. Another member is ordered only when no unanswered order may still be carried out.

Ruled out: a check after the read (the read itself breaks the rule); a lease on the store's rows (a feed for each zone and 2.5 s more for each takeover); a question for each read (priced, and commits give the same evidence for nothing).

The stand-in of the groups plays both settings.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -160,6 +160,27 @@
 
 void member_dispatcher::send(queued_request_pointer const& queued,
                              backend_connection_pointer const& connection)
+{
+    if (!queued->request.needs_proven_leader || !m_options.check_leadership) {
+        send_commands(queued, connection);
+        return;
+    }
+    m_options.check_leadership([dispatcher = shared_from_this(), queued, connection](bool is_proven) {
+        if (is_proven) {
+            dispatcher->send_commands(queued, connection);
+            return;
+        }
+        if (!queued->connection) {
+            dispatcher->m_pool->release(connection);
+        }
+        dispatcher->free_slot(*queued);
+        dispatcher->refuse(queued, member_error::unproven_leader,
+                           "member is not proven to be the leader of its group");
+    });
+}
+
+void member_dispatcher::send_commands(queued_request_pointer const& queued,
+                                      backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
     auto commands = connection->commands_to_set_values(request.values);
@@ -198,6 +219,9 @@
             connection->clear_prepared();
         }
     }
+    if (queued->request.commits_write && answers.back().is_ok() && m_options.on_commit) {
+        m_options.on_commit(sent_at);
+    }
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_time += (m_kernel.now() - sent_at - m_service_time) / smoothing_divisor;
     }
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -23,6 +23,11 @@
         std::size_t slots = 1;                         ///< Execution slots of the member.
         std::function<void(member_error)> on_open_failed;
         std::function<void()> on_opened;
+        /// Checks whether the member is the only leader of its group. May be empty if a replaced leader
+        /// rejects transactions at once.
+        std::function<void(std::function<void(bool)>)> check_leadership;
+        /// Called after a write was committed, with the time at which it was sent.
+        std::function<void(monotonic_time sent_at)> on_commit;
     };
 
     member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks, backend_connection_target target,
@@ -59,7 +64,9 @@
     void start_waiting_requests();
     queued_request_pointer take_next();
     void start(queued_request_pointer const& queued);
+    /// Sends the request, once the member is proven to be the leader if the request needs this.
     void send(queued_request_pointer const& queued, backend_connection_pointer const& connection);
+    void send_commands(queued_request_pointer const& queued, backend_connection_pointer const& connection);
     void handle_answers(queued_request_pointer const& queued, backend_connection_pointer const& connection,
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
--- a/libraries/brokers/member_request.h
+++ b/libraries/brokers/member_request.h
@@ -26,8 +26,12 @@
     std::int32_t priority = 0;        ///< Requests with a lower value run first; 0 is the lowest.
     bool needs_slot = true;           ///< False for commands that a member answers without an execution slot.
     bool keeps_connection = false;    ///< Whether to pin the connection if a transaction is open afterwards.
+    /// Whether the member must be proven to be the only leader before the commands are sent.
+    bool needs_proven_leader = false;
+    /// Whether success of the last command means that it committed a write.
+    bool commits_write = false;
     MSGPACK_DEFINE(client_account, values, prepared, commands, time_limit_ms, queue_limit_ms, priority,
-                   needs_slot, keeps_connection)
+                   needs_slot, keeps_connection, needs_proven_leader, commits_write)
 };
 
 class pinned_connection;
--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -34,9 +34,9 @@
 }
 
 void failover_lock::acquire(std::string const& holder, std::string const& group, std::string const& member,
-                            lock_callback done)
+                            bool checks_fences, lock_callback done)
 {
-    auto handle_row = [this, holder, group, member,
+    auto handle_row = [this, holder, group, member, checks_fences,
                        done = std::move(done)](absl::StatusOr<std::optional<table_row>> const& read) {
         if (!read.ok()) {
             done(read.status());
@@ -50,6 +50,13 @@
             done(absl::AbortedError("another VM holds the failover lock"));
             return;
         }
+        auto const has_other_order =
+            !checks_fences && !is_own_lock && !known.member.empty() && known.member != member;
+        if (has_other_order &&
+            std::chrono::milliseconds(row.read_at_ms - known.claimed_at_ms) < max_order_delay) {
+            done(absl::AbortedError("an order of the previous holder may still be carried out"));
+            return;
+        }
         auto const fence = is_own_lock && known.member == member ? known.fence : known.fence + 1;
         write(group, row.version, {holder, member, fence, row.read_at_ms}, done);
     };
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -10,6 +10,9 @@
 
 namespace greengagehitch {
 
+/// Longest time after which the platform may still carry out an order that it did not answer.
+inline constexpr duration max_order_delay = std::chrono::milliseconds(7'500);
+
 /// Receives the fence of an acquired lock. kAborted means that another VM holds the lock; any other error
 /// means that the store did not confirm the write.
 using lock_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
@@ -21,9 +24,10 @@
     failover_lock(kernel& kernel, platform_hooks const& platform) : m_kernel(kernel), m_platform(platform) {}
 
     /// Acquires the lock for `holder` in order to promote `member`, or renews it. The fence grows whenever
-    /// the holder or the member changes.
+    /// the holder or the member changes. Unless the platform `checks_fences`, another holder does not get the
+    /// lock for another member while an order of the previous holder may still be carried out.
     void acquire(std::string const& holder, std::string const& group, std::string const& member,
-                 lock_callback done);
+                 bool checks_fences, lock_callback done);
 
 private:
     struct lock_row {
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "failover/watcher_choice.h"
+#include "members/leadership_guard.h"
 
 namespace greengagehitch {
 
@@ -38,6 +39,8 @@
 /// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
 /// sent.
 constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
+/// Added to leadership_proof_lifetime for differences between the rates of the VMs' clocks.
+constexpr duration leadership_proof_margin = std::chrono::milliseconds(50);
 /// Placeholder account for takeover connections, which belong to no client account.
 constexpr auto control_account = "-";
 
@@ -190,7 +193,10 @@
         member_command command;
         command.term = running->term;
         if (id == running->old_leader) {
-            if (running->cause == takeover_cause::draining || running->is_old_leader_stopped) {
+            // A draining leader serves until the replicas have stopped and a successor is chosen.
+            auto const still_serves =
+                running->cause == takeover_cause::draining && !running->old_leader_expires_at;
+            if (still_serves || running->is_old_leader_stopped) {
                 continue;
             }
             // An old leader that is still reachable must not acknowledge further commits.
@@ -301,7 +307,7 @@
         return;
     }
     auto const chosen = choose_successor(m_groups->group(name), *running);
-    if (!chosen) {
+    if (!chosen || !is_old_leader_out_of_use(name)) {
         return;
     }
     running->is_promoting = true;
@@ -315,6 +321,25 @@
     acquire_lock(name, *chosen);
 }
 
+bool takeover_service::is_old_leader_out_of_use(std::string const& name)
+{
+    auto* const running = find_takeover(name);
+    if (m_deposes_replaced_leaders || running->is_old_leader_stopped || running->old_leader.empty()) {
+        return true;
+    }
+    auto const now = m_kernel.now();
+    if (!running->old_leader_expires_at) {
+        running->old_leader_expires_at = now + leadership_proof_lifetime + leadership_proof_margin;
+        stop_replicas(name);
+        m_kernel.start_timer(*running->old_leader_expires_at - now, [this, name, number = running->number] {
+            if (find_takeover(name, number) != nullptr) {
+                promote_if_chosen(name);
+            }
+        });
+    }
+    return now >= *running->old_leader_expires_at;
+}
+
 std::optional<std::string> takeover_service::choose_successor(database_group& group,
                                                               takeover const& running) const
 {
@@ -322,7 +347,12 @@
     auto const old_leader = running.responses.find(running.old_leader);
     auto const has_old_leader = old_leader != running.responses.end();
     auto candidates = running.expected_responders;
-    if (has_old_leader) {
+    // The replicas hold all acknowledged commits, so a leader that drains need not lead again.
+    auto const may_lead_again =
+        running.cause != takeover_cause::draining ||
+        std::any_of(candidates.begin(), candidates.end(),
+                    [&running](std::string const& id) { return !running.responses.contains(id); });
+    if (has_old_leader && may_lead_again) {
         candidates.insert(running.old_leader);
     }
     log_position furthest;
@@ -368,7 +398,7 @@
     auto* const running = find_takeover(group);
     running->lock_acquired_at = m_kernel.now();
     m_lock.acquire(
-        m_membership->identity().name, group, member,
+        m_membership->identity().name, group, member, m_deposes_replaced_leaders,
         [this, group, member, number = running->number](absl::StatusOr<std::uint64_t> const& fence) {
             auto* const current = find_takeover(group, number);
             if (current == nullptr) {
@@ -388,6 +418,14 @@
         });
 }
 
+bool takeover_service::may_order(std::string const& group, std::string const& member) const
+{
+    // Without a check of fences, a delayed order for another member would replace the new leader.
+    auto const found = m_unanswered_orders.find(group);
+    return m_deposes_replaced_leaders || found == m_unanswered_orders.end() ||
+           found->second.member == member || m_kernel.now() - found->second.sent_at >= max_order_delay;
+}
+
 void takeover_service::send_order(std::string const& group, std::string const& member)
 {
     auto* const running = find_takeover(group);
@@ -399,12 +437,17 @@
                      true);
         return;
     }
+    if (!may_order(group, member)) {
+        end_takeover(group, "platform may still carry out an unanswered order for another member", true);
+        return;
+    }
     if (m_kernel.now() - running->lock_acquired_at > max_lock_age) {
         // Another VM may have acquired the lock in the meantime.
         acquire_lock(group, member);
         return;
     }
     promotion_order order{group, member, m_membership->identity().name, running->fence};
+    m_unanswered_orders[group] = {member, m_kernel.now()};
     m_promote(order, m_kernel.guard<absl::Status>(
                          [this, group, member, number = running->number](absl::Status const& status) {
                              if (find_takeover(group, number) != nullptr) {
@@ -421,6 +464,9 @@
     fields["fence"] = Json::UInt64(find_takeover(group)->fence);
     fields["answer"] = status.ok() ? "accepted" : std::string(status.message());
     log("platform answered the promotion order", group, std::move(fields));
+    if (find_takeover(group)->order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status))) {
+        m_unanswered_orders.erase(group);
+    }
     if (status.ok()) {
         await_leadership(group, member, 0);
         return;
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -47,9 +47,10 @@
     static constexpr std::string_view service_name = "takeover";
 
     takeover_service(kernel& kernel, platform_hooks const& platform,
-                     backend_connection_hooks const& connection_hooks, promotion_hook promote)
+                     backend_connection_hooks const& connection_hooks, promotion_hook promote,
+                     bool deposes_replaced_leaders)
         : m_kernel(kernel), m_lock(kernel, platform), m_connection_hooks(connection_hooks),
-          m_promote(std::move(promote))
+          m_promote(std::move(promote)), m_deposes_replaced_leaders(deposes_replaced_leaders)
     {
     }
 
@@ -63,6 +64,11 @@
         bool is_draining = false;
     };
 
+    struct unanswered_order {
+        std::string member;
+        monotonic_time sent_at;
+    };
+
     /// State of one takeover in progress.
     struct takeover {
         std::uint64_t number = 0; ///< Identifies the takeover, so that callbacks of earlier ones are ignored.
@@ -78,6 +84,9 @@
         std::set<std::string> expected_responders; ///< Ids of the replicas whose responses are awaited.
         std::set<std::string> not_running; ///< Ids of contacted members that are known not to be running.
         bool is_old_leader_stopped = false;
+        /// Time at which all proofs of the old leader's leadership have expired; set once the replicas whose
+        /// answers are needed have stopped receiving.
+        std::optional<monotonic_time> old_leader_expires_at;
         bool is_promoting = false; ///< True once a successor was chosen.
         int order_attempts = 0;    ///< Number of promotion orders that were attempted.
         monotonic_time commands_sent_at;
@@ -95,6 +104,9 @@
     void handle_replication_status(std::string const& group, std::string const& member,
                                    member_answer const& answer);
     void promote_if_chosen(std::string const& group);
+    /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
+    bool is_old_leader_out_of_use(std::string const& group);
+    bool may_order(std::string const& group, std::string const& member) const;
     std::optional<std::string> choose_successor(database_group& group, takeover const& running) const;
     void send_order(std::string const& group, std::string const& member);
     void handle_order_answer(std::string const& group, std::string const& member, absl::Status const& status);
@@ -107,6 +119,7 @@
     failover_lock m_lock;
     backend_connection_hooks const& m_connection_hooks;
     promotion_hook m_promote;
+    bool m_deposes_replaced_leaders; ///< Whether a promotion ends the replaced leader's leadership at once.
     group_registry* m_groups = nullptr;
     membership_service* m_membership = nullptr;
     report_service* m_reports = nullptr;
@@ -114,6 +127,8 @@
     std::map<std::string, std::unique_ptr<takeover>> m_takeovers;
     std::set<std::string> m_held_locks;                       ///< Groups whose failover lock this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Keyed by group without a known leader.
+    /// Last order of each group that was not answered, which the platform may still carry out.
+    std::map<std::string, unanswered_order> m_unanswered_orders;
     std::map<std::string, monotonic_time> m_next_takeover_at; ///< Earliest next takeover, keyed by group.
     std::uint64_t m_next_number = 1;
 };
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -22,6 +22,7 @@
 /// Interval at which all members are probed while requests wait for a leader.
 constexpr duration search_period = std::chrono::milliseconds(80);
 constexpr std::uint32_t probe_timeout_ms = 300;
+constexpr std::uint32_t status_timeout_ms = 150;
 /// Time without a response after which a failing leader is suspected.
 constexpr duration suspicion_time = std::chrono::milliseconds(300);
 constexpr std::size_t suspicion_failures = 2;
@@ -276,6 +277,7 @@
     probe.queue_limit_ms = probe_timeout_ms;
     probe.commands.resize(2);
     probe.commands[0].kind = kind;
+    probe.needs_proven_leader = kind == command_kind::begin;
     probe.commands[1].kind = command_kind::rollback;
     run(id, std::move(probe),
         [this, id, sent_at = m_kernel.now(), answered = std::move(answered)](member_reply const& reply) {
@@ -291,6 +293,50 @@
         });
 }
 
+void database_group::query_replicas(std::string const& leader, std::function<void(bool)> done)
+{
+    struct query {
+        std::size_t pending = 0;
+        std::optional<std::uint64_t> leader_term;
+        /// Lowest term of the replicas that still receive.
+        std::optional<std::uint64_t> replica_term;
+        std::function<void(bool)> done;
+    };
+    auto const state = std::make_shared<query>();
+    state->pending = m_members.size();
+    state->done = std::move(done);
+    auto const handle_status = [state](bool is_leader, std::optional<replication_status> const& status) {
+        --state->pending;
+        if (status && is_leader && status->role == member_role::primary) {
+            state->leader_term = status->term;
+        }
+        if (status && !is_leader && status->role == member_role::replica && status->stopped_at_term == 0) {
+            state->replica_term = std::min(state->replica_term.value_or(status->term), status->term);
+        }
+        auto const is_proven =
+            state->leader_term && state->replica_term && *state->replica_term <= *state->leader_term;
+        if ((is_proven || state->pending == 0) && state->done) {
+            std::exchange(state->done, nullptr)(is_proven);
+        }
+    };
+    std::vector<std::string> ids;
+    for (auto const& [id, member] : m_members) {
+        ids.push_back(id);
+    }
+    for (auto const& id : ids) {
+        member_request request;
+        request.client_account = no_account;
+        request.needs_slot = false;
+        request.time_limit_ms = status_timeout_ms;
+        request.queue_limit_ms = status_timeout_ms;
+        request.commands.resize(1);
+        request.commands[0].kind = command_kind::status;
+        run(id, std::move(request), [is_leader = id == leader, handle_status](member_reply const& reply) {
+            handle_status(is_leader, reply.answers.front().replication);
+        });
+    }
+}
+
 void database_group::probe_leadership(group_member& member, std::string const& client_account)
 {
     send_probe(member, client_account, command_kind::begin,
@@ -424,7 +470,8 @@
 void database_group::record_failure(std::string const& id, member_error error)
 {
     auto* const member = find_member(id);
-    if (member == nullptr || is_answer(error) || error == member_error::not_started) {
+    if (member == nullptr || is_answer(error) || error == member_error::not_started ||
+        error == member_error::unproven_leader) {
         return;
     }
     auto const now = m_kernel.now();
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -96,6 +96,9 @@
     /// Sends a probe to a member whose answer is overdue, to check whether the member responds and leads.
     void probe_member(std::string const& member, std::string const& client_account);
     void record_answer(std::string const& member, duration latency);
+    /// Asks all members for their status and passes true if a replica still receives and knows no newer term
+    /// than `leader`, which answered as the primary. See leadership_guard.
+    void query_replicas(std::string const& leader, std::function<void(bool)> done);
     /// Records that the member responded, which clears its failures.
     void record_response(std::string const& member);
     void record_failure(std::string const& member, member_error error);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "members/leadership_guard.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -75,6 +77,9 @@
         group(entry.group).record_failure(entry.id, error);
     };
     options.on_opened = [this, entry] { group(entry.group).record_response(entry.id); };
+    if (!m_deposes_replaced_leaders) {
+        guard_leadership(entry, options);
+    }
     auto dispatcher = std::make_shared<member_dispatcher>(
         m_kernel, m_connection_hooks, backend_connection_target{entry.address, entry.group, entry.id, {}},
         std::move(options));
@@ -82,6 +87,30 @@
     m_brokers->add_dispatcher(entry, std::move(dispatcher));
 }
 
+void group_registry::guard_leadership(member_entry const& entry, member_dispatcher::options& options)
+{
+    auto const guard =
+        std::make_shared<leadership_guard>(m_kernel, [this, entry](leadership_guard::result_callback done) {
+            group(entry.group).query_replicas(entry.id, std::move(done));
+        });
+    options.check_leadership = [guard](std::function<void(bool)> done) { guard->check(std::move(done)); };
+    options.on_commit = [this, guard, name = entry.group](monotonic_time sent_at) {
+        if (replicates_synchronously(name)) {
+            guard->record_replicated_commit(sent_at);
+        }
+    };
+}
+
+bool group_registry::replicates_synchronously(std::string const& group) const
+{
+    auto const& configuration = m_fleet->configuration();
+    if (!configuration) {
+        return false;
+    }
+    auto const limits = configuration->groups.find(group);
+    return limits != configuration->groups.end() && limits->second.synchronous_replicas > 0;
+}
+
 void group_registry::remove_member(member_entry const& entry)
 {
     auto const found = m_dispatchers.find(entry.id);
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -19,8 +19,12 @@
 public:
     static constexpr std::string_view service_name = "groups";
 
-    group_registry(kernel& kernel, backend_connection_hooks const& connection_hooks)
-        : m_kernel(kernel), m_connection_hooks(connection_hooks)
+    /// `deposes_replaced_leaders` tells whether a promotion ends the leadership of the replaced leader.
+    /// Otherwise leadership is proven before requests are sent to a leader.
+    group_registry(kernel& kernel, backend_connection_hooks const& connection_hooks,
+                   bool deposes_replaced_leaders)
+        : m_kernel(kernel), m_connection_hooks(connection_hooks),
+          m_deposes_replaced_leaders(deposes_replaced_leaders)
     {
     }
 
@@ -40,9 +44,12 @@
     void apply_member_directory(member_directory const& members);
     void add_member(member_entry const& entry);
     void remove_member(member_entry const& entry);
+    void guard_leadership(member_entry const& entry, member_dispatcher::options& options);
+    bool replicates_synchronously(std::string const& group) const;
 
     kernel& m_kernel;
     backend_connection_hooks const& m_connection_hooks;
+    bool m_deposes_replaced_leaders;
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
     broker_service* m_brokers = nullptr;
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -64,6 +64,7 @@
     malformed,
     connection_lost, ///< No complete answer arrived; the outcome of commands that were sent is unknown.
     refused,         ///< The connection was never opened, so nothing was sent.
+    unproven_leader, ///< Not sent, since the member was not proven to be the only leader of its group.
 };
 
 inline constexpr std::array member_error_names{
@@ -79,6 +80,7 @@
     enum_name<member_error>{member_error::malformed, "malformed"},
     enum_name<member_error>{member_error::connection_lost, "connection_lost"},
     enum_name<member_error>{member_error::refused, "refused"},
+    enum_name<member_error>{member_error::unproven_leader, "unproven_leader"},
 };
 
 } // namespace greengagehitch
@@ -92,7 +94,8 @@
 /// Returns true if the command certainly did not run, because the member rejected it or it was never sent.
 constexpr bool is_not_run(member_error error)
 {
-    return error <= member_error::not_started || error == member_error::refused;
+    return error <= member_error::not_started || error == member_error::refused ||
+           error == member_error::unproven_leader;
 }
 
 /// Returns true if the member returned the error; false if the connection failed or the queue rejected the
@@ -100,7 +103,8 @@
 constexpr bool is_answer(member_error error)
 {
     return error != member_error::connection_lost && error != member_error::timed_out &&
-           error != member_error::refused && error != member_error::not_started;
+           error != member_error::refused && error != member_error::not_started &&
+           error != member_error::unproven_leader;
 }
 
 /// Replication status that a member reports for its own log.
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -28,10 +28,11 @@
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
-    m_kernel.add(std::make_unique<group_registry>(m_kernel, m_hooks.connections));
-    m_kernel.add(std::make_unique<report_service>(m_kernel));
     m_kernel.add(
-        std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.connections, m_hooks.promote));
+        std::make_unique<group_registry>(m_kernel, m_hooks.connections, settings.deposes_replaced_leaders));
+    m_kernel.add(std::make_unique<report_service>(m_kernel));
+    m_kernel.add(std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.connections,
+                                                    m_hooks.promote, settings.deposes_replaced_leaders));
     m_kernel.add(std::make_unique<session_engine>(m_kernel, settings.sessions));
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_sessions = &m_kernel.find<session_engine>(session_engine::service_name);
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -33,6 +33,9 @@
     double processor_share = 1; ///< Processor time that the VM may use, as a fraction of one core.
     std::string fleet_secret;   ///< Secret that all VMs of the fleet share.
     session_engine_settings sessions;
+    /// Whether the platform checks the fences of promotion orders and ends the replaced leader's leadership
+    /// when it promotes a member.
+    bool deposes_replaced_leaders = true;
     rate_bounds rates; ///< Bounds on the operations that are admitted for an account.
 };
 
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -374,6 +374,7 @@
     request.queue_limit_ms = request.time_limit_ms;
     request.keeps_connection = true;
     m_has_written = m_has_written || execution->is_write;
+    request.commits_write = m_has_written && statement.kind == statement_kind::commit;
     auto const sent_at = m_kernel.now();
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto const member = m_connection->member;
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -21,11 +21,15 @@
 /// Retry delay reported to a caller when the leader's queue is too long; several times the time that a
 /// statement spends in the queue.
 constexpr duration overload_retry_delay = std::chrono::milliseconds(250);
+/// Retry delay reported to a caller when the leader is not proven to lead; a takeover takes about as long.
+constexpr duration unproven_refusal_delay = std::chrono::milliseconds(300);
 /// The latency target divided by these is the longest time that a statement may wait in the queue for the
 /// leader or for another member.
 constexpr int leader_queue_divisor = 2;
 constexpr int reader_queue_divisor = 4;
 constexpr duration unreachable_retry_delay = std::chrono::milliseconds(30);
+/// Delay before a statement is tried again after its leader was not proven to lead.
+constexpr duration unproven_retry_delay = std::chrono::milliseconds(60);
 /// Time without an answer after which a probe is sent to the member.
 constexpr duration overdue_time = std::chrono::milliseconds(220);
 /// Time that a member gets beyond the statement's timeout, so that its own timeout error arrives first.
@@ -59,6 +63,7 @@
     case member_error::busy:
     case member_error::not_started:
     case member_error::refused:
+    case member_error::unproven_leader:
         result.error = session_error::busy;
         break;
     case member_error::lagging:
@@ -237,6 +242,9 @@
     member_command begin;
     begin.kind = attempt.mode == execution_mode::begin_read ? command_kind::begin_read : command_kind::begin;
     begin.minimum_position = minimum_position;
+    request.needs_proven_leader =
+        attempt.mode == execution_mode::begin || attempt.mode == execution_mode::leader_read;
+    request.commits_write = attempt.mode == execution_mode::write;
     switch (attempt.mode) {
     case execution_mode::begin:
     case execution_mode::begin_read:
@@ -443,6 +451,14 @@
         }
         start_next_attempt_after(busy_retry_delay);
         return true;
+    case member_error::unproven_leader:
+        if (m_in_flight == 0 && m_kernel.now() - m_request.arrived_at >= m_request.work.latency_target / 2) {
+            refuse(session_error::busy, "the leader is being replaced or is cut off from its group",
+                   unproven_refusal_delay);
+            return true;
+        }
+        start_next_attempt_after(unproven_retry_delay);
+        return true;
     case member_error::too_many_connections:
     case member_error::wrong_member:
     case member_error::refused:
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -40,6 +40,7 @@
         m_groups.push_back(std::make_unique<virtual_database_group>(m_clock, name, ids, m_shape.group));
         for (auto const& id : ids) {
             m_group_of_member[id] = m_groups.back().get();
+            m_zone_of_member[id] = id.substr(id.size() - 1);
         }
         m_configuration.groups[name] = {m_shape.group.max_connections, 1};
         for (auto const consistency :
@@ -90,6 +91,7 @@
     settings.name = starting.name;
     settings.availability_zone = starting.zone;
     settings.peer_endpoint = starting.address;
+    settings.deposes_replaced_leaders = m_shape.vms_rely_on_fences;
     settings.fleet_secret = "secret of the virtual fleet";
     starting.vm = std::make_unique<session_vm>(settings, make_hooks(index));
     starting.vm->start();
@@ -119,6 +121,26 @@
     }
 }
 
+void session_fleet::set_zone_cut(std::string const& zone, bool is_cut)
+{
+    if (is_cut) {
+        m_cut_zones.insert(zone);
+    }
+    else {
+        m_cut_zones.erase(zone);
+    }
+    for (auto const& each : m_vms) {
+        if (each->zone == zone) {
+            each->can_reach_store = !is_cut;
+        }
+    }
+    for (auto const& [member, member_zone] : m_zone_of_member) {
+        if (member_zone == zone) {
+            m_group_of_member.at(member)->faults(member).is_isolated = is_cut;
+        }
+    }
+}
+
 void session_fleet::change_configuration(std::function<void(served_configuration&)> const& change)
 {
     change(m_configuration);
@@ -212,6 +234,7 @@
     hooks.kernel.cancel_timer = [this](timer_id timer) { m_clock.cancel_timer(timer); };
     hooks.kernel.log = [](log_record const&) {};
     hooks.send_datagram = [this, self](endpoint const& target, std::string const& datagram) {
+        m_datagram_bytes += datagram.size();
         auto* const to = find_vm(target);
         if (to == nullptr || !can_exchange_messages(*self, *to)) {
             return;
@@ -222,16 +245,18 @@
     hooks.connections = {
         [this, self](backend_connection_target const& target, backend_connection_events events) {
             auto const number = m_next_connection++;
-            if (!self->can_reach_members) {
+            if (!can_reach_member(*self, target.member)) {
                 return backend_connection_id{number};
             }
+            m_member_of_connection[number] = target.member;
             open_connection(number, target, std::move(events));
             return backend_connection_id{number};
         },
         [this, self](backend_connection_id id, std::vector<member_command> const& commands) {
             auto const number = static_cast<std::uint64_t>(id);
             auto const found = m_group_of_connection.find(number);
-            if (found != m_group_of_connection.end() && self->can_reach_members) {
+            if (found != m_group_of_connection.end() &&
+                can_reach_member(*self, m_member_of_connection.at(number))) {
                 found->second->send(number, commands);
             }
         },
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -18,6 +18,7 @@
     std::vector<std::string> zones{"a", "a", "b", "b", "c"}; ///< Availability zone of each VM.
     std::size_t groups = 1;                                  ///< Number of database groups.
     std::size_t accounts = 2;                                ///< Number of client accounts.
+    bool vms_rely_on_fences = true; ///< Whether VMs assume that a replaced leader rejects transactions.
     double rate = 1'000; ///< Rate limit and burst of each account across the fleet, in statements per second.
     /// One-way network delay between VMs; a request to the store takes as long until its answer arrives.
     duration latency = std::chrono::milliseconds(1);
@@ -54,6 +55,10 @@
     /// Cuts a VM off from its peers, or reconnects it.
     void set_peer_cut(std::size_t index, bool is_cut) { m_vms[index]->can_reach_peers = !is_cut; }
 
+    /// Cuts a zone off from the other zones and the store, or reconnects it. The VMs of the zone still reach
+    /// its members.
+    void set_zone_cut(std::string const& zone, bool is_cut);
+
     /// Applies `change` to the configuration and increments its version. VMs receive it with the next
     /// periodic publication.
     void change_configuration(std::function<void(served_configuration&)> const& change);
@@ -61,6 +66,8 @@
     /// Marks a member as draining in the directory.
     void drain_member(std::string const& id);
 
+    /// Returns the total size of the datagrams that VMs have sent, without headers.
+    std::size_t datagram_bytes() const { return m_datagram_bytes; }
     /// Returns the number of accepted promotion orders for members that were not the leader.
     std::size_t promotions() const { return m_promotions; }
     /// Returns the number of promotion orders that were rejected because a higher fence had been seen.
@@ -97,7 +104,15 @@
     virtual_vm* find_vm(endpoint const& address);
     bool can_exchange_messages(virtual_vm const& from, virtual_vm const& to) const
     {
-        return from.can_reach_peers && to.can_reach_peers;
+        return from.can_reach_peers && to.can_reach_peers && can_reach_zone(from.zone, to.zone);
+    }
+    bool can_reach_zone(std::string const& from, std::string const& to) const
+    {
+        return from == to || (!m_cut_zones.contains(from) && !m_cut_zones.contains(to));
+    }
+    bool can_reach_member(virtual_vm const& from, std::string const& member) const
+    {
+        return from.can_reach_members && can_reach_zone(from.zone, m_zone_of_member.at(member));
     }
     void send_message(std::size_t from, std::string const& to, std::string const& message);
     void reply(std::size_t from, channel_id to, std::string const& message);
@@ -115,6 +130,9 @@
     std::vector<std::unique_ptr<virtual_database_group>> m_groups;
     std::map<std::string, virtual_database_group*> m_group_of_member;       ///< Keyed by member id.
     std::map<std::uint64_t, virtual_database_group*> m_group_of_connection; ///< Keyed by connection number.
+    std::map<std::uint64_t, std::string> m_member_of_connection;            ///< Keyed by connection number.
+    std::map<std::string, std::string> m_zone_of_member;                    ///< Keyed by member id.
+    std::set<std::string> m_cut_zones;
     std::uint64_t m_next_connection = 1;
     std::set<std::string> m_draining; ///< Ids of the draining members.
     served_configuration m_configuration;
@@ -127,6 +145,7 @@
     /// Channel numbers, keyed by the indexes of the client VM and the server VM.
     std::map<std::pair<std::size_t, std::size_t>, std::uint64_t> m_channel_of;
     std::uint64_t m_next_channel = 1;
+    std::size_t m_datagram_bytes = 0;
     std::size_t m_promotions = 0;
     std::size_t m_stale_promotion_orders = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -7,10 +7,17 @@
 
 namespace greengagehitch::standin {
 
+namespace {
+
+/// Time after which a replaced leader that can reach its successor becomes a replica.
+constexpr duration replaced_leader_time = std::chrono::seconds(1);
+
+} // namespace
+
 virtual_database_group::virtual_database_group(virtual_clock& clock, std::string name,
                                                std::vector<std::string> ids, options options)
     : m_clock(clock), m_name(std::move(name)), m_ids(std::move(ids)), m_options(options),
-      m_leader(m_ids.front())
+      m_leader(m_ids.front()), m_primaries{m_leader}
 {
     for (auto const& id : m_ids) {
         m_members[id];
@@ -33,7 +40,8 @@
         close(connection_number);
         lost_connection->events.lost(member_error::connection_lost);
     }
-    if (!is_leader(id)) {
+    if (id != m_leader) {
+        m_primaries.erase(id);
         restarted.log = m_members.at(m_leader).log;
         restarted.applied = restarted.log.size();
     }
@@ -42,17 +50,24 @@
 void virtual_database_group::promote(std::string const& id)
 {
     m_clock.start_timer(m_options.promotion_time, [this, id] {
-        if (is_leader(id) || m_members.at(id).faults.is_down) {
+        if ((m_leader == id && is_primary(id)) || m_members.at(id).faults.is_down) {
             return;
         }
         ++m_term;
+        if (m_options.deposes_replaced_leader) {
+            m_primaries.clear();
+        }
+        else if (m_leader != id && is_primary(m_leader)) {
+            depose_replaced_leader(m_leader);
+        }
         m_leader = id;
+        m_primaries.insert(id);
         auto& leader = m_members.at(id);
         leader.applied = leader.log.size();
         m_next_number = leader.log.empty() ? 1 : leader.log.back().position.position + 1;
         for (auto& [other, each] : m_members) {
             each.stopped_at_term = 0;
-            if (other != id && !each.faults.is_down) {
+            if (other != id && !each.faults.is_down && !is_primary(other)) {
                 each.log = leader.log;
                 each.applied = std::min(each.applied, each.log.size());
             }
@@ -60,6 +75,34 @@
     });
 }
 
+void virtual_database_group::depose_replaced_leader(std::string const& id)
+{
+    m_clock.start_timer(replaced_leader_time, [this, id] {
+        if (id == m_leader || !is_primary(id)) {
+            return;
+        }
+        auto& replaced = m_members.at(id);
+        if (replaced.faults.is_isolated || replaced.faults.is_down) {
+            depose_replaced_leader(id);
+            return;
+        }
+        m_primaries.erase(id);
+        replaced.log = m_members.at(m_leader).log;
+        replaced.applied = replaced.log.size();
+    });
+}
+
+void virtual_database_group::note_read(std::string const& statement)
+{
+    m_noted_reads[statement] = acknowledged_before(m_clock.now());
+}
+
+void virtual_database_group::check_noted_read(std::string const& statement, log_position applied)
+{
+    auto const noted = m_noted_reads.find(statement);
+    m_stale_reads += noted != m_noted_reads.end() && applied < noted->second ? 1 : 0;
+}
+
 bool virtual_database_group::holds_all_acknowledged() const
 {
     auto const& log = m_members.at(m_leader).log;
@@ -189,7 +232,7 @@
              current->prepared.at(command.name).is_write);
         auto const ends_with_commit = (is_commit && current->state == transaction_state::open) ||
                                       (is_write && current->state == transaction_state::idle);
-        if (ends_with_commit && is_leader(current->member)) {
+        if (ends_with_commit && is_primary(current->member)) {
             m_statements_run += is_write ? 1 : 0;
             if (!is_commit) {
                 current->pending_writes = {command.id};
@@ -219,6 +262,11 @@
         send_answer(connection_number, std::move(answer), true);
         return;
     }
+    if (current->member != m_leader) {
+        // A replaced leader has no replica that receives from it, so the commit gets no answer.
+        current->pending_writes.clear();
+        return;
+    }
     log_entry const entry{{m_term, m_next_number++}, current->pending_writes.front()};
     current->pending_writes.clear();
     auto& leader = m_members.at(m_leader);
@@ -240,6 +288,8 @@
                                                 is_acknowledged] {
             auto& member = m_members.at(replica);
             auto const is_not_receiving = member.faults.is_down || member.faults.is_replication_cut ||
+                                          member.faults.is_isolated ||
+                                          m_members.at(sender).faults.is_isolated ||
                                           member.stopped_at_term > entry.position.term || m_leader != sender;
             if (is_not_receiving) {
                 return;
@@ -330,7 +380,7 @@
     switch (command.kind) {
     case command_kind::begin:
     case command_kind::begin_read:
-        if (command.kind == command_kind::begin && !is_leader(current.member)) {
+        if (command.kind == command_kind::begin && !is_primary(current.member)) {
             return make_error_answer(current, member_error::read_only);
         }
         if (command.minimum_position && applied_position(member) < *command.minimum_position) {
@@ -365,11 +415,15 @@
         else if (command.kind == command_kind::resume_receiving) {
             member.stopped_at_term = 0;
         }
+        else if (command.kind == command_kind::step_down && !m_options.deposes_replaced_leader) {
+            m_primaries.erase(current.member);
+        }
         auto answer = make_answer(current);
         auto const received = member.log.empty() ? log_position{} : member.log.back().position;
         answer.replication =
-            replication_status{is_leader(current.member) ? member_role::primary : member_role::replica,
-                               m_term, received, member.stopped_at_term};
+            replication_status{is_primary(current.member) ? member_role::primary : member_role::replica,
+                               is_primary(current.member) && current.member != m_leader ? m_term - 1 : m_term,
+                               received, member.stopped_at_term};
         return answer;
     }
     case command_kind::caller_statement:
@@ -398,14 +452,17 @@
     }
     auto const has_lost_leadership = current.state == transaction_state::open &&
                                      current.is_write_transaction &&
-                                     (!is_leader(current.member) || current.term != m_term);
-    if (has_lost_leadership || (is_write && !is_leader(current.member))) {
+                                     (!is_primary(current.member) || current.term != m_term);
+    if (has_lost_leadership || (is_write && !is_primary(current.member))) {
         return make_error_answer(current, member_error::read_only);
     }
     ++m_statements_run;
     if (is_write) {
         current.pending_writes.push_back(command.id);
     }
+    else {
+        check_noted_read(command.id, applied_position(member));
+    }
     auto answer = make_answer(current);
     answer.proof = "proof-" + command.id;
     // The row reports position, member, account and session values, so that tests can check where and how
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -22,6 +22,7 @@
 struct member_faults {
     bool is_down = false;            ///< The member neither answers callers nor receives log entries.
     bool is_replication_cut = false; ///< The member receives no log entries from the leader.
+    bool is_isolated = false;        ///< The member exchanges no log entries and cannot learn of a successor.
     double lost_answer_share = 0;    ///< Fraction of executed statements whose answer is lost, 0 to 1.
     /// Mean time from receiving a log entry to applying it; the time is exponentially distributed.
     duration mean_apply_lag = std::chrono::milliseconds(20);
@@ -45,6 +46,9 @@
         duration latency = std::chrono::milliseconds(1);
         /// Time from the order of a promotion to the start of the new term.
         duration promotion_time = std::chrono::milliseconds(300);
+        /// Whether a replaced leader loses its leadership when the new term starts. Otherwise it accepts
+        /// transactions until it is ordered to step down, or for a time after it can reach its successor.
+        bool deposes_replaced_leader = true;
     };
 
     virtual_database_group(virtual_clock& clock, std::string name, std::vector<std::string> ids,
@@ -75,6 +79,12 @@
     /// Returns the position of the last entry in the leader's log.
     log_position end_of_log() const;
 
+    /// Returns how many statements were read at a replaced leader that still acts as a primary and lacked a
+    /// commit acknowledged before the read's caller sent it, as far as `note_read` announced the read.
+    std::size_t stale_reads() const { return m_stale_reads; }
+    /// Announces a read that must see all commits acknowledged so far, wherever it runs.
+    void note_read(std::string const& statement);
+
     /// Returns the number of open connections of a member.
     std::size_t connections(std::string const& id) const { return m_members.at(id).connections; }
     /// Returns the number of connection attempts that a member has answered.
@@ -128,7 +138,10 @@
     /// Returns the position of the last log entry that reads at a member see.
     log_position applied_position(member const& queried) const;
     static bool needs_slot(connection const& current, member_command const& command);
-    bool is_leader(std::string const& id) const { return m_leader == id; }
+    /// Returns whether the member acts as a primary, which a replaced leader may do beside its successor.
+    bool is_primary(std::string const& id) const { return m_primaries.contains(id); }
+    void depose_replaced_leader(std::string const& id);
+    void check_noted_read(std::string const& statement, log_position applied);
 
     virtual_clock& m_clock;
     std::string m_name;
@@ -136,11 +149,14 @@
     options m_options;
     std::map<std::string, member> m_members;
     std::map<std::uint64_t, connection_pointer> m_connections; ///< Keyed by connection number.
-    std::string m_leader;
+    std::string m_leader;                                      ///< Member that was promoted last.
+    std::set<std::string> m_primaries;                         ///< Ids of the members that act as a primary.
     std::uint64_t m_term = 1;
     std::uint64_t m_next_number = 1; ///< Position of the next log entry.
     /// Acknowledged commits in order, each with the time of its acknowledgement.
     std::vector<std::pair<monotonic_time, log_entry>> m_acknowledged;
+    std::map<std::string, log_position> m_noted_reads; ///< Positions that reads must see, keyed by statement.
+    std::size_t m_stale_reads = 0;
     std::size_t m_opened_connections = 0;
     std::size_t m_statements_run = 0;
 };
