fleet: Keep the work for each report independent of the fleet's size

Change: lender_choice keeps the choices and compares only VMs that join; peers and groups are found by the hash of their name; a broadcast is encoded once; a broker is chosen among its zone first; only dispatchers with connections are swept; idle accounts are not published; urgent zone reports are at most 12 in a period, as before in small zones.

--- a/libraries/brokers/broker_candidates.h
+++ b/libraries/brokers/broker_candidates.h
@@ -13,8 +13,6 @@
     /// Adds a VM; a `processor_share` of 0 means that its share is not known yet.
     void add(std::string const& vm, double processor_share) { m_vms.push_back({vm, processor_share}); }
 
-    bool is_empty() const { return m_vms.empty(); }
-
     /// Returns the names of the VMs whose processor share is at least half of the largest one, or is not
     /// known yet.
     std::vector<std::string> eligible() const;
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -80,26 +80,23 @@
         auto const until = excluded->second.find(vm);
         return until != excluded->second.end() && until->second > now;
     };
-    broker_candidates in_zone;
-    broker_candidates all;
-    auto const add = [&](std::string const& vm, std::string const& vm_zone, double processor_share) {
-        if (is_excluded(vm)) {
-            return;
+    auto const candidates_where = [&](auto const& accepts_zone) {
+        broker_candidates found;
+        if (!m_membership->is_leaving() && accepts_zone(self.availability_zone) && !is_excluded(self.name)) {
+            found.add(self.name, self.processor_share);
         }
-        all.add(vm, processor_share);
-        if (vm_zone == zone) {
-            in_zone.add(vm, processor_share);
+        for (auto const& [name, peer] : m_membership->peers()) {
+            if (accepts_zone(peer.availability_zone) && !peer.is_leaving && !is_down(name, peer) &&
+                m_membership->is_reachable(peer) && !is_excluded(name)) {
+                found.add(name, peer.processor_share);
+            }
         }
+        return found.eligible();
     };
-    if (!m_membership->is_leaving()) {
-        add(self.name, self.availability_zone, self.processor_share);
-    }
-    for (auto const& [name, peer] : m_membership->peers()) {
-        if (!peer.is_leaving && !is_down(name, peer) && m_membership->is_reachable(peer)) {
-            add(name, peer.availability_zone, peer.processor_share);
-        }
+    auto candidates = candidates_where([&zone](std::string const& each) { return each == zone; });
+    if (candidates.empty()) {
+        candidates = candidates_where([](std::string const&) { return true; });
     }
-    auto const candidates = in_zone.is_empty() ? all.eligible() : in_zone.eligible();
     chosen.vm = candidates.empty() ? self.name : choose_first(member, candidates);
     chosen.made_at = now;
     return chosen.vm;
--- a/libraries/failover/watcher_choice.h
+++ b/libraries/failover/watcher_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,10 @@
 std::vector<std::string> choose_watchers(std::string const& database,
                                          std::vector<watcher_candidate> candidates, std::size_t count);
 
+/// Score of a VM for a key in rendezvous hashing; the VM with the highest score ranks first, and of those
+/// with equal scores the first by name.
+std::uint64_t rendezvous_score(std::string const& key, std::string const& vm);
+
 /// Returns the VM that ranks first for `key` by rendezvous hashing; `vms` must not be empty.
 std::string choose_first(std::string const& key, std::vector<std::string> const& vms);
 
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -192,12 +192,7 @@
 
 void report_service::broadcast()
 {
-    auto const report = make_report();
-    for (auto const& [name, peer] : m_membership->peers()) {
-        if (is_zone_peer(peer)) {
-            m_membership->send(name, report);
-        }
-    }
+    m_membership->send_to_zone_peers(make_report());
 }
 
 zone_report report_service::make_zone_report() const
@@ -275,10 +270,8 @@
     refresh_if_behind(report.configuration_version, report.member_directory_digest,
                       report.configuration_age_ms);
     for (auto const& entry : report.leaders) {
-        for (auto const& [name, group] : m_groups->groups()) {
-            if (hash_name(name) == entry.group) {
-                apply_leader_report(*group, entry, entry.is_suspected);
-            }
+        if (auto* const group = m_groups->find_group(entry.group)) {
+            apply_leader_report(*group, entry, entry.is_suspected);
         }
     }
     if (is_zone_reporter()) {
@@ -306,10 +299,8 @@
     refresh_if_behind(report.configuration_version, report.member_directory_digest,
                       report.configuration_age_ms);
     for (auto const& entry : report.assessments) {
-        for (auto const& [name, group] : m_groups->groups()) {
-            if (hash_name(name) == entry.leader.group) {
-                apply_leader_report(*group, entry.leader, entry.suspects != 0);
-            }
+        if (auto* const group = m_groups->find_group(entry.leader.group)) {
+            apply_leader_report(*group, entry.leader, entry.suspects != 0);
         }
     }
 }
@@ -331,9 +322,11 @@
 void report_service::request_store_status()
 {
     auto const now = m_kernel.now();
+    if (now - m_last_request_at < store_status_request_period) {
+        return;
+    }
     auto const store_reader = first_vm_with_store(true);
-    if (store_reader == m_membership->identity().name ||
-        now - m_last_request_at < store_status_request_period) {
+    if (store_reader == m_membership->identity().name) {
         return;
     }
     m_last_request_at = now;
@@ -421,10 +414,11 @@
 report_service::group_assessment report_service::assessment_of(database_group const& group) const
 {
     auto assessment = zone_assessment_of(group);
+    auto const hash = hash_name(group.name());
     for (auto const& [zone, entry] : m_zones->reports()) {
         auto const age = m_kernel.now() - entry.received_at;
         for (auto const& each : entry.report.assessments) {
-            if (each.leader.group != hash_name(group.name()) || age > current_lifetime()) {
+            if (each.leader.group != hash || age > current_lifetime()) {
                 continue;
             }
             // Without a recent report, only VMs that suspect the leader count as voters of the zone: it may
@@ -434,7 +428,7 @@
             assessment.highest = std::max(
                 assessment.highest, log_position{each.leader.highest_term, each.leader.highest_position});
             if (each.lock_holder != 0) {
-                assessment.lock_holder = m_zones->name_of(each.lock_holder);
+                assessment.lock_holder = m_membership->name_of(each.lock_holder);
             }
         }
     }
@@ -444,6 +438,7 @@
 report_service::group_assessment report_service::zone_assessment_of(database_group const& group) const
 {
     group_assessment assessment;
+    auto const hash = hash_name(group.name());
     assessment.voters = 1;
     assessment.suspects = group.suspects_leader() ? 1 : 0;
     assessment.highest = group.highest_acknowledged();
@@ -452,7 +447,7 @@
             continue;
         }
         for (auto const& each : entry.report.leaders) {
-            if (each.group != hash_name(group.name())) {
+            if (each.group != hash) {
                 continue;
             }
             // Without a recent report, a VM counts as a voter only if it suspects the leader: it may be
--- a/libraries/fleet/zone_exchange.cpp
+++ b/libraries/fleet/zone_exchange.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Shortest time between two reports, also when the urgent state changes.
-constexpr duration min_report_interval = std::chrono::milliseconds(50);
+/// The period divided by this is the shortest time between two reports, also when the urgent state changes.
+constexpr int urgent_report_divisor = 12;
 /// Number of VMs of another zone that receive a report while none of them is known to be reachable.
 constexpr std::size_t max_unconfirmed_receivers = 2;
 
@@ -40,7 +40,7 @@
 void zone_exchange::send_zone_report(duration period)
 {
     auto const now = m_kernel.now();
-    if (now - m_sent_at < min_report_interval) {
+    if (now - m_sent_at < period / urgent_report_divisor) {
         return;
     }
     auto const report = m_hooks.make_report();
@@ -50,7 +50,7 @@
     }
     m_sent_urgent_state = std::move(current);
     m_sent_at = now;
-    send_to_zone_peers(report);
+    m_membership.send_to_zone_peers(report);
     for (auto const& zone : other_zones()) {
         for (auto const& receiver : choose_receivers(zone)) {
             m_membership.send(receiver, report);
@@ -93,15 +93,6 @@
     return listed;
 }
 
-void zone_exchange::send_to_zone_peers(zone_report const& report)
-{
-    for (auto const& [name, peer] : m_membership.peers()) {
-        if (peer.availability_zone == m_membership.identity().availability_zone) {
-            m_membership.send(name, report);
-        }
-    }
-}
-
 void zone_exchange::handle_report(peer_state const& sender, zone_report const& report)
 {
     auto const& own_zone = m_membership.identity().availability_zone;
@@ -110,7 +101,7 @@
         return;
     }
     if (sender.availability_zone != own_zone) {
-        send_to_zone_peers(report);
+        m_membership.send_to_zone_peers(report);
     }
     store_report(report);
 }
@@ -124,7 +115,7 @@
     entry.vms_with_store.clear();
     auto has_unknown_vm = false;
     for (auto const vm : report.vms) {
-        auto const name = name_of(vm);
+        auto const& name = m_membership.name_of(vm);
         if (name.empty()) {
             has_unknown_vm = true;
             continue;
@@ -137,7 +128,7 @@
         }
     }
     for (auto const vm : report.leaving_vms) {
-        m_membership.record_leaving(name_of(vm));
+        m_membership.record_leaving(m_membership.name_of(vm));
     }
     if (has_unknown_vm) {
         m_membership.read_list_soon();
@@ -156,14 +147,4 @@
     return zones;
 }
 
-std::string zone_exchange::name_of(name_hash vm) const
-{
-    for (auto const& [name, peer] : m_membership.peers()) {
-        if (hash_name(name) == vm) {
-            return name;
-        }
-    }
-    return {};
-}
-
 } // namespace greengagehitch
--- a/libraries/fleet/zone_exchange.h
+++ b/libraries/fleet/zone_exchange.h
@@ -48,9 +48,6 @@
     /// Returns the other zones whose reports were received within `lifetime`.
     std::vector<name_hash> reachable_zones(duration lifetime) const;
 
-    /// Returns the name of the known VM with this hash, or an empty string.
-    std::string name_of(name_hash vm) const;
-
 private:
     /// The part of a report whose changes are sent at once: configuration version, directory digest, VMs, VMs
     /// that are shutting down, and, for each group, the number of suspecting VMs and the holder of the
@@ -60,7 +57,6 @@
                    std::vector<std::uint32_t>, std::vector<name_hash>>;
 
     static urgent_state urgent_state_of(zone_report const& report);
-    void send_to_zone_peers(zone_report const& report);
     std::vector<std::string> choose_receivers(std::string const& zone);
     std::set<std::string> other_zones() const;
     void store_report(zone_report const& report);
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <utility>
 
-#include "failover/watcher_choice.h"
-
 namespace greengagehitch {
 
 namespace {
@@ -216,23 +214,17 @@
     return names;
 }
 
-std::string rate_shares::choose_zone_lender(std::string const& client_account) const
-{
-    auto candidates = zone_peers_in_contact();
-    candidates.push_back(m_membership->identity().name);
-    return choose_first(client_account, candidates);
-}
-
-std::string rate_shares::choose_fleet_lender(std::string const& client_account) const
+void rate_shares::set_lenders()
 {
     auto candidates = zone_peers_in_contact();
     candidates.push_back(m_membership->identity().name);
+    m_zone_lenders.set_vms(candidates);
     for (auto const& [zone, state] : m_zones) {
         if (zone != m_membership->identity().availability_zone && is_in_contact(state)) {
             candidates.insert(candidates.end(), state.vms.begin(), state.vms.end());
         }
     }
-    return choose_first(client_account, candidates);
+    m_fleet_lenders.set_vms(std::move(candidates));
 }
 
 rate_shares::bucket& rate_shares::bucket_of(std::string const& client_account)
@@ -241,8 +233,8 @@
     if (is_new) {
         // Tokens accrue from the start of this process; tokens of an earlier process are not assumed.
         found->second.refilled_at = m_started_at;
-        found->second.fleet_lender = choose_fleet_lender(client_account);
-        found->second.zone_lender = choose_zone_lender(client_account);
+        found->second.fleet_lender = m_fleet_lenders.choose(client_account);
+        found->second.zone_lender = m_zone_lenders.choose(client_account);
         found->second.share = share_of(client_account, found->second);
     }
     return found->second;
@@ -502,9 +494,12 @@
     }
     divide();
     for (auto const& [account, bucket] : m_buckets) {
-        demands.push_back({hash_name(account),
-                           static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths_per_unit)),
-                           static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
+        // Peers treat an account that is not published like one without demand and tokens.
+        if (bucket.demand > 0 || bucket.tokens >= min_published_tokens) {
+            demands.push_back({hash_name(account),
+                               static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths_per_unit)),
+                               static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
+        }
     }
     return demands;
 }
@@ -583,6 +578,7 @@
             m_division.add_other_zone(state.vms.size(), state.demands);
         }
     }
+    set_lenders();
     auto const configuration = m_fleet->configuration();
     for (auto& [account, bucket] : m_buckets) {
         if (configuration && configuration->limits.contains(account)) {
@@ -590,8 +586,8 @@
             refill(bucket, configuration->limits.at(account), now);
         }
         bucket.refilled_at = now;
-        bucket.fleet_lender = choose_fleet_lender(account);
-        bucket.zone_lender = choose_zone_lender(account);
+        bucket.fleet_lender = m_fleet_lenders.choose(account);
+        bucket.zone_lender = m_zone_lenders.choose(account);
         bucket.share = share_of(account, bucket);
     }
 }
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -10,6 +10,7 @@
 
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
+#include "limits/lender_choice.h"
 #include "membership/membership_service.h"
 #include "wire/name_hash.h"
 
@@ -162,8 +163,8 @@
     };
 
     double share_of(std::string const& client_account, bucket const& bucket) const;
-    std::string choose_fleet_lender(std::string const& client_account) const;
-    std::string choose_zone_lender(std::string const& client_account) const;
+    /// Sets the VMs among which the lenders are chosen to those in contact.
+    void set_lenders();
     std::vector<std::string> zone_peers_in_contact() const;
     /// True when a recent report of the zone peer, or of the zone, shows that messages arrive in both
     /// directions.
@@ -199,6 +200,8 @@
     std::map<std::string, zone_state> m_zones;   ///< Keyed by availability zone.
     duration m_report_lifetime = std::chrono::seconds(3);
     rate_division m_division;
+    lender_choice m_zone_lenders;
+    lender_choice m_fleet_lenders;
     monotonic_time m_started_at;
     std::uint64_t m_next_number = 1;
 };
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "members/leadership_guard.h"
+#include "wire/name_hash.h"
 
 namespace greengagehitch {
 
@@ -35,6 +36,9 @@
     m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_kernel.start_periodic(sweep_period, [this] {
         for (auto const& [member, dispatcher] : m_dispatchers) {
+            if (dispatcher->connections() == 0) {
+                continue;
+            }
             dispatcher->trim(idle_limit);
             dispatcher->trim_surplus(dispatcher->connection_limit() / kept_idle_divisor, surplus_idle_limit);
         }
@@ -62,10 +66,17 @@
             [this](member_entry const& member) { add_member(member); },
             [this](member_entry const& member) { remove_member(member); }};
         entry = std::make_unique<database_group>(name, std::move(dependencies));
+        m_group_of_hash[hash_name(name)] = entry.get();
     }
     return *entry;
 }
 
+database_group* group_registry::find_group(name_hash hash) const
+{
+    auto const found = m_group_of_hash.find(hash);
+    return found == m_group_of_hash.end() ? nullptr : found->second;
+}
+
 void group_registry::add_member(member_entry const& entry)
 {
     member_dispatcher::options options;
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "brokers/broker_service.h"
 #include "fleet/fleet_state.h"
@@ -36,6 +37,8 @@
     /// group before its members are listed.
     database_group& group(std::string const& name);
     std::map<std::string, std::unique_ptr<database_group>> const& groups() const { return m_groups; }
+    /// Returns the group whose name has this hash, or null when it is unknown.
+    database_group* find_group(name_hash hash) const;
 
     /// Maximum number of connections that this VM may hold to a member of the group.
     std::size_t connection_limit(std::string const& group, std::string const& member) const;
@@ -55,6 +58,8 @@
     broker_service* m_brokers = nullptr;
     std::map<std::string, std::shared_ptr<member_dispatcher>> m_dispatchers; ///< Keyed by member id.
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
+    std::unordered_map<name_hash, database_group*>
+        m_group_of_hash; ///< Keyed by the hash of the group's name.
 };
 
 } // namespace greengagehitch
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "wire/name_hash.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -89,6 +91,33 @@
                     m_codec.encode({m_identity.name, m_identity.incarnation, std::move(message)}));
 }
 
+void membership_service::send_to_zone_peers(peer_message message)
+{
+    auto const datagram = m_codec.encode({m_identity.name, m_identity.incarnation, std::move(message)});
+    for (auto const& [name, peer] : m_peers) {
+        if (peer.availability_zone == m_identity.availability_zone && peer.address.port != 0) {
+            m_send_datagram(peer.address, datagram);
+        }
+    }
+}
+
+peer_state& membership_service::peer_named(std::string const& name)
+{
+    auto const [found, is_new] = m_peers.try_emplace(name);
+    if (is_new) {
+        found->second.name = name;
+        m_name_of_hash[hash_name(name)] = name;
+    }
+    return found->second;
+}
+
+std::string const& membership_service::name_of(name_hash vm) const
+{
+    static std::string const unknown;
+    auto const found = m_name_of_hash.find(vm);
+    return found == m_name_of_hash.end() ? unknown : found->second;
+}
+
 void membership_service::handle_datagram(std::string const& datagram)
 {
     auto const envelope = m_codec.try_decode(datagram);
@@ -96,8 +125,7 @@
         ++m_rejected_datagrams;
         return;
     }
-    auto& peer = m_peers[envelope->sender];
-    peer.name = envelope->sender;
+    auto& peer = peer_named(envelope->sender);
     peer.last_received_at = m_kernel.now();
     if (peer.incarnation != envelope->sender_incarnation) {
         peer.incarnation = envelope->sender_incarnation;
@@ -162,6 +190,18 @@
     return 2 * reachable_vms > known;
 }
 
+bool membership_service::accepts_work(peer_state const& peer) const
+{
+    return !peer.is_leaving && (peer.is_listed || is_reachable(peer));
+}
+
+std::size_t membership_service::fleet_size() const
+{
+    auto const peers = std::count_if(m_peers.begin(), m_peers.end(),
+                                     [this](auto const& each) { return accepts_work(each.second); });
+    return static_cast<std::size_t>(peers) + (m_is_leaving ? 0 : 1);
+}
+
 std::vector<std::string> membership_service::live_vms() const
 {
     std::vector<std::string> names;
@@ -169,7 +209,7 @@
         names.push_back(m_identity.name);
     }
     for (auto const& [name, peer] : m_peers) {
-        if (!peer.is_leaving && (peer.is_listed || is_reachable(peer))) {
+        if (accepts_work(peer)) {
             names.push_back(name);
         }
     }
@@ -242,8 +282,7 @@
         if (record.name == m_identity.name) {
             continue;
         }
-        auto& peer = m_peers[record.name];
-        peer.name = record.name;
+        auto& peer = peer_named(record.name);
         peer.is_listed = true;
         peer.processor_share = record.processor_share;
         peer.is_leaving = peer.is_leaving || record.state == vm_state::leaving;
@@ -336,11 +375,10 @@
     if (reported.vm == m_identity.name || reported.port == 0) {
         return;
     }
-    auto& peer = m_peers[reported.vm];
+    auto& peer = peer_named(reported.vm);
     if (peer.last_received_at) {
         return;
     }
-    peer.name = reported.vm;
     peer.availability_zone = reported.availability_zone;
     peer.address = {reported.host, reported.port};
 }
@@ -377,10 +415,14 @@
 void membership_service::remove_silent_peers()
 {
     auto const now = m_kernel.now();
-    std::erase_if(m_peers, [now](auto const& entry) {
+    std::erase_if(m_peers, [this, now](auto const& entry) {
         auto const& peer = entry.second;
-        return !peer.is_listed && peer.last_received_at &&
-               now - *peer.last_received_at > silent_peer_retention;
+        auto const is_removed =
+            !peer.is_listed && peer.last_received_at && now - *peer.last_received_at > silent_peer_retention;
+        if (is_removed) {
+            m_name_of_hash.erase(hash_name(peer.name));
+        }
+        return is_removed;
     });
 }
 
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "kernel/kernel.h"
@@ -71,6 +72,8 @@
     /// Sends a message to a peer. Does nothing when the peer or its address is unknown. Datagrams may be
     /// lost, duplicated or delayed.
     void send(std::string const& peer, peer_message message);
+    /// Sends a message to all VMs of this VM's availability zone.
+    void send_to_zone_peers(peer_message message);
 
     /// Handles a received datagram. Forged and malformed datagrams are dropped.
     void handle_datagram(std::string const& datagram);
@@ -121,11 +124,14 @@
     std::vector<std::string> live_vms() const;
 
     /// Number of VMs that accept work, including this one unless it is shutting down.
-    std::size_t fleet_size() const { return live_vms().size(); }
+    std::size_t fleet_size() const;
 
     /// True once the platform's list has been read.
     bool has_list() const { return m_has_list; }
 
+    /// Returns the name of the peer with this hash, or an empty string when no such peer is known.
+    std::string const& name_of(name_hash vm) const;
+
     /// Returns the availability zone of a VM, or an empty string when it is unknown.
     std::string availability_zone_of(std::string const& vm) const;
 
@@ -147,6 +153,8 @@
         return peer_message(Message{}).index();
     }
 
+    peer_state& peer_named(std::string const& name);
+    bool accepts_work(peer_state const& peer) const;
     void poll_list();
     void read_list();
     void handle_list(std::vector<vm_record> const& records);
@@ -164,7 +172,8 @@
     peer_codec m_codec;
     membership_timing m_timing;
     std::function<void(endpoint const&, std::string)> m_send_datagram;
-    std::map<std::string, peer_state> m_peers; ///< Keyed by VM name.
+    std::map<std::string, peer_state> m_peers;                 ///< Keyed by VM name.
+    std::unordered_map<name_hash, std::string> m_name_of_hash; ///< Names of the peers, keyed by their hash.
     /// Keyed by the index of the message type in peer_message.
     std::map<std::size_t, std::function<void(peer_state const&, peer_message const&)>> m_handlers;
     std::function<void(heartbeat&)> m_fill_heartbeat;
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -66,7 +66,9 @@
         added->name = fmt::format("vm-{}", i);
         added->index = i;
         added->zone = m_shape.zones[i];
-        added->address = {fmt::format("10.0.0.{}", i + 1), peer_port};
+        added->address = {fmt::format("10.0.{}.{}", i / 250, i % 250 + 1), peer_port};
+        m_vm_of_name[added->name] = added.get();
+        m_vm_of_host[added->address.host] = added.get();
         m_vms.push_back(std::move(added));
     }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
@@ -204,22 +206,14 @@
 
 session_fleet::virtual_vm* session_fleet::find_vm(std::string const& name)
 {
-    for (auto const& each : m_vms) {
-        if (each->name == name) {
-            return each.get();
-        }
-    }
-    return nullptr;
+    auto const found = m_vm_of_name.find(name);
+    return found == m_vm_of_name.end() ? nullptr : found->second;
 }
 
 session_fleet::virtual_vm* session_fleet::find_vm(endpoint const& address)
 {
-    for (auto const& each : m_vms) {
-        if (each->address == address) {
-            return each.get();
-        }
-    }
-    return nullptr;
+    auto const found = m_vm_of_host.find(address.host);
+    return found == m_vm_of_host.end() ? nullptr : found->second;
 }
 
 session_vm_hooks session_fleet::make_hooks(std::size_t index)
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "session_vm/session_vm.h"
@@ -137,6 +138,8 @@
     std::set<std::string> m_draining; ///< Ids of the draining members.
     served_configuration m_configuration;
     std::vector<std::unique_ptr<virtual_vm>> m_vms;
+    std::unordered_map<std::string, virtual_vm*> m_vm_of_name;
+    std::unordered_map<std::string, virtual_vm*> m_vm_of_host; ///< Keyed by the host of the VM's address.
     std::map<std::string, store_entry> m_store;
     std::uint64_t m_store_version = 1;
     std::map<std::string, std::uint64_t> m_fences; ///< Highest fence seen, keyed by group.
