platform: Pass documents of the store from VM to VM

Change: document_exchange passes the rows from the VM that read them to its zone peers over the channels between VMs; the store is read after two requests in vain. While no VM of a zone reaches the store, its VMs try one after the other, and the first that succeeds reports at once.

Ruled out: one feed for the whole fleet (its age over two hops passes the 2.7 s after which VMs read for themselves).

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -184,6 +184,16 @@
     m_channels.send(vm, address_of(vm), encode_relay_message(std::move(message)));
 }
 
+void broker_service::send_message(std::string const& vm, relay_message const& message)
+{
+    m_channels.send(vm, address_of(vm), encode_relay_message(message));
+}
+
+void broker_service::reply_message(channel_id to, relay_message const& message)
+{
+    m_channels.reply(to, encode_relay_message(message));
+}
+
 void broker_service::handle_reply(std::string const& vm, std::string const& message)
 {
     m_health[vm].last_received_at = m_kernel.now();
@@ -196,6 +206,10 @@
     if (auto* const reply = std::get_if<relay_reply>(&*decoded)) {
         handle_relay_reply(vm, std::move(*reply));
     }
+    else if (auto const* const document = std::get_if<document_reply>(&*decoded);
+             document != nullptr && m_on_document_reply) {
+        m_on_document_reply(*document);
+    }
 }
 
 void broker_service::handle_relay_reply(std::string const& vm, relay_reply reply)
@@ -262,6 +276,10 @@
     else if (auto* const request = std::get_if<relay_request>(&*decoded)) {
         run_for_peer(from, std::move(*request));
     }
+    else if (auto const* const document = std::get_if<document_request>(&*decoded);
+             document != nullptr && m_on_document_request) {
+        m_on_document_request(from, *document);
+    }
 }
 
 void broker_service::run_for_peer(channel_id from, relay_request message)
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -59,6 +59,18 @@
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
+    /// Sends a message that belongs to no request to a member.
+    void send_message(std::string const& vm, relay_message const& message);
+    void reply_message(channel_id to, relay_message const& message);
+
+    /// Sets the functions that handle requests for documents and the replies to this VM's requests.
+    void set_document_handlers(std::function<void(channel_id, document_request const&)> on_request,
+                               std::function<void(document_reply const&)> on_reply)
+    {
+        m_on_document_request = std::move(on_request);
+        m_on_document_reply = std::move(on_reply);
+    }
+
     // Called when a message arrives on a connection between VMs, or when such a connection is lost.
     void handle_request(channel_id from, std::string const& message);
     void handle_reply(std::string const& vm, std::string const& message);
@@ -118,6 +130,8 @@
     std::size_t m_peer_requests_running = 0;
     std::uint64_t m_next_request_id = 1;
     std::uint64_t m_next_connection_id = 1;
+    std::function<void(channel_id, document_request const&)> m_on_document_request;
+    std::function<void(document_reply const&)> m_on_document_reply;
     std::uint64_t m_relayed = 0; ///< Number of requests sent to brokers.
     std::uint64_t m_served = 0;  ///< Number of requests run for peers.
 };
--- a/libraries/brokers/relay_messages.h
+++ b/libraries/brokers/relay_messages.h
@@ -10,6 +10,14 @@
 
 namespace greengagehitch {
 
+enum class document_kind;
+
+} // namespace greengagehitch
+
+MSGPACK_ADD_ENUM(greengagehitch::document_kind)
+
+namespace greengagehitch {
+
 /// Asks a broker to run a request at a member.
 struct relay_request {
     std::uint64_t request_id = 0; ///< Chosen by the sender and repeated in the reply.
@@ -40,7 +48,25 @@
     MSGPACK_DEFINE(is_reply)
 };
 
-using relay_message = std::variant<relay_request, relay_reply, relay_release, relay_ping>;
+/// Documents of the platform's store that VMs pass to each other.
+enum class document_kind { configuration, member_directory };
+
+/// Asks a VM for its copy of a document.
+struct document_request {
+    std::uint64_t request_id = 0; ///< Chosen by the sender and repeated in the reply.
+    document_kind kind = document_kind::configuration;
+    MSGPACK_DEFINE(request_id, kind)
+};
+
+/// Answers a document_request.
+struct document_reply {
+    std::uint64_t request_id = 0;
+    std::string content; ///< Empty when the VM has no copy.
+    MSGPACK_DEFINE(request_id, content)
+};
+
+using relay_message =
+    std::variant<relay_request, relay_reply, relay_release, relay_ping, document_request, document_reply>;
 
 std::string encode_relay_message(relay_message const& message);
 absl::StatusOr<relay_message> try_decode_relay_message(std::string_view bytes);
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -23,6 +23,10 @@
 constexpr std::uint32_t max_reported_age_ms = 1'000'000;
 /// Time without confirmation after which a VM reads the configuration from the store itself.
 constexpr duration configuration_age_timeout = std::chrono::milliseconds(2'700);
+/// Additional time for each zone peer that comes before this VM by name, and its maximum. Keyed work must
+/// still be served when the last VM has read the store.
+constexpr duration reader_patience_step = std::chrono::milliseconds(120);
+constexpr duration max_reader_patience = std::chrono::milliseconds(1'200);
 /// Time for which a reply to a store_status_request is accepted.
 constexpr duration sent_request_retention = std::chrono::seconds(10);
 /// Period at which a VM sends a store_status_request to the VM that reads the store for its zone.
@@ -51,8 +55,8 @@
             handle_store_status_request(peer, request);
         });
     m_membership->on_message<store_status_reply>(
-        [this](peer_state const& /*peer*/, store_status_reply const& reply) {
-            handle_store_status_reply(reply);
+        [this](peer_state const& peer, store_status_reply const& reply) {
+            handle_store_status_reply(peer, reply);
         });
     m_published_at = m_kernel.now();
     m_kernel.start_periodic(tick_period, [this] { tick(); });
@@ -89,6 +93,11 @@
         has_changes ||
         std::exchange(m_reported_leaving, m_membership->is_leaving()) != m_membership->is_leaving() ||
         std::exchange(m_reported_has_list, m_membership->has_list()) != m_membership->has_list();
+    // Peers learn at once which VM of the zone reaches the store again, so that they need not try themselves.
+    auto const age = m_fleet->configuration_age();
+    auto const has_store = age && *age <= std::chrono::milliseconds(store_contact_ms);
+    has_changes = has_changes || (!std::exchange(m_had_store, has_store) && has_store &&
+                                  first_vm_with_store(true) == m_membership->identity().name);
     if (now - m_published_at >= period) {
         m_demands = m_rates->publish(now - m_published_at);
         m_published_at = now;
@@ -269,7 +278,7 @@
     m_reports[peer.name] = {report, m_kernel.now()};
     m_has_new_reports = true;
     m_rates->handle_vm_report(peer.name, report);
-    refresh_if_behind(report.configuration_version, report.member_directory_digest,
+    refresh_from_peer(peer.name, report.configuration_version, report.member_directory_digest,
                       report.configuration_age_ms);
     for (auto const& entry : report.leaders) {
         if (auto* const group = m_groups->find_group(entry.group)) {
@@ -299,8 +308,7 @@
     if (report.availability_zone == m_membership->identity().availability_zone) {
         return;
     }
-    refresh_if_behind(report.configuration_version, report.member_directory_digest,
-                      report.configuration_age_ms);
+    refresh_from_zone(report, vms);
     for (auto const& entry : report.assessments) {
         if (auto* const group = m_groups->find_group(entry.leader.group)) {
             apply_leader_report(*group, entry.leader, entry.suspects != 0);
@@ -308,17 +316,52 @@
     }
 }
 
-void report_service::refresh_if_behind(std::uint64_t peer_version, std::uint32_t peer_directory_digest,
-                                       std::uint32_t configuration_age_ms)
+void report_service::refresh_from_peer(std::string const& vm, std::uint64_t version,
+                                       std::uint32_t directory_digest, std::uint32_t configuration_age_ms)
 {
     auto const configuration = m_fleet->configuration();
-    auto const version = configuration ? configuration->version : 0;
-    if (peer_version > version && m_read_configuration) {
-        m_read_configuration();
+    if (version > (configuration ? configuration->version : 0) && m_read_configuration) {
+        m_read_configuration(vm);
+    }
+    // Only the store reader's copy of the directory is known to be the newest of the zone.
+    auto const is_newest = configuration_age_ms <= store_contact_ms && vm == first_vm_with_store(true);
+    if (directory_digest != m_fleet->directory_digest() && is_newest && m_read_directory) {
+        m_read_directory(vm);
+    }
+}
+
+void report_service::refresh_from_zone(zone_report const& report, std::vector<std::string> const& vms)
+{
+    auto const configuration = m_fleet->configuration();
+    auto const has_newer_version =
+        report.configuration_version > (configuration ? configuration->version : 0);
+    auto const has_other_directory = report.member_directory_digest != m_fleet->directory_digest() &&
+                                     report.configuration_age_ms <= store_contact_ms;
+    if (!has_newer_version && !has_other_directory) {
+        return;
+    }
+    std::string vm;
+    if (first_vm_with_store(true) != m_membership->identity().name) {
+        // The store reader of this zone passes the change on.
+        return;
+    }
+    auto const age = m_fleet->configuration_age();
+    if (!age || *age > configuration_age_timeout) {
+        for (auto const& name : vms) {
+            auto const is_first_with_store =
+                std::find(report.vms_with_store.begin(), report.vms_with_store.end(), hash_name(name)) !=
+                report.vms_with_store.end();
+            if (is_first_with_store) {
+                vm = name;
+                break;
+            }
+        }
+    }
+    if (has_newer_version && m_read_configuration) {
+        m_read_configuration(vm);
     }
-    if (peer_directory_digest != m_fleet->directory_digest() && configuration_age_ms <= store_contact_ms &&
-        m_read_directory) {
-        m_read_directory();
+    if (has_other_directory && m_read_directory) {
+        m_read_directory(vm);
     }
 }
 
@@ -348,11 +391,12 @@
                                           report.configuration_age_ms, report.member_directory_digest});
 }
 
-void report_service::handle_store_status_reply(store_status_reply const& reply)
+void report_service::handle_store_status_reply(peer_state const& peer, store_status_reply const& reply)
 {
     auto const sent_request = m_sent_requests.find(reply.number);
     auto const configuration = m_fleet->configuration();
-    refresh_if_behind(reply.configuration_version, reply.member_directory_digest, reply.configuration_age_ms);
+    refresh_from_peer(peer.name, reply.configuration_version, reply.member_directory_digest,
+                      reply.configuration_age_ms);
     if (sent_request == m_sent_requests.end() || !configuration ||
         reply.configuration_age_ms >= max_reported_age_ms ||
         reply.configuration_version != configuration->version) {
@@ -376,8 +420,23 @@
 bool report_service::reads_configuration_for_zone() const
 {
     auto const age = m_fleet->configuration_age();
-    return !age || *age > configuration_age_timeout ||
-           first_vm_with_store(true) == m_membership->identity().name;
+    if (!age) {
+        return true;
+    }
+    // While no VM of the zone reaches the store, its VMs try one after the other.
+    auto const patience = std::min<duration>(
+        max_reader_patience, reader_patience_step * static_cast<duration::rep>(rank_in_zone()));
+    return *age > configuration_age_timeout + patience ||
+           (*age <= std::chrono::milliseconds(store_contact_ms) &&
+            first_vm_with_store(true) == m_membership->identity().name);
+}
+
+std::size_t report_service::rank_in_zone() const
+{
+    auto const& own = m_membership->identity().name;
+    return static_cast<std::size_t>(std::count_if(m_reports.begin(), m_reports.end(), [&](auto const& each) {
+        return each.first < own && !each.second.report.is_leaving && is_recent(each.second);
+    }));
 }
 
 bool report_service::reads_directory_for_fleet() const
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -50,9 +50,12 @@
     /// contact, or its configuration has not been confirmed for too long.
     bool reads_directory_for_fleet() const;
 
-    /// Sets the functions that read the configuration and the member directory from the store at once. They
-    /// are called when a peer has newer state.
-    void set_read_hooks(std::function<void()> read_configuration, std::function<void()> read_directory)
+    /// Called with the VM that has the newer state, or with an empty name when the store must be read.
+    using read_hook = std::function<void(std::string const& vm)>;
+
+    /// Sets the functions that get the configuration and the member directory. They are called when a peer
+    /// has newer state.
+    void set_read_hooks(read_hook read_configuration, read_hook read_directory)
     {
         m_read_configuration = std::move(read_configuration);
         m_read_directory = std::move(read_directory);
@@ -93,13 +96,19 @@
     /// Recomputes the shares of the rates when the number of VMs or zones that share them has changed.
     void divide_rates();
     vm_report make_report() const;
-    /// Reads the configuration or the member directory from the store at once if a peer has newer state.
-    void refresh_if_behind(std::uint64_t peer_version, std::uint32_t peer_directory_digest,
+    /// Gets the configuration or the member directory if `vm`, a zone peer, has newer state.
+    void refresh_from_peer(std::string const& vm, std::uint64_t version, std::uint32_t directory_digest,
                            std::uint32_t configuration_age_ms);
+    /// Gets them if another zone has newer state. The store reader of this zone reads the store; the others
+    /// get them from the store reader, or from a VM of the other zone if no VM of this zone reaches the
+    /// store.
+    void refresh_from_zone(zone_report const& report, std::vector<std::string> const& vms);
+    /// Number of zone peers in contact whose names come before this VM's.
+    std::size_t rank_in_zone() const;
     /// Asks the VM that reads the store for this zone to confirm the configuration version.
     void request_store_status();
     void handle_store_status_request(peer_state const& peer, store_status_request const& request);
-    void handle_store_status_reply(store_status_reply const& reply);
+    void handle_store_status_reply(peer_state const& peer, store_status_reply const& reply);
     /// Returns the first by name of the VMs that can reach the store, including this one. Considers only the
     /// VMs of this zone if `only_own_zone` is set.
     std::string first_vm_with_store(bool only_own_zone) const;
@@ -144,11 +153,12 @@
     std::optional<zone_exchange> m_zones;          ///< Set when the service starts.
     bool m_reported_leaving = false;
     bool m_reported_has_list = false;
+    bool m_had_store = false; ///< Whether the store was reached recently when changes were last checked.
     std::size_t m_last_sharing_count = 0; ///< Number of VMs and other zones when the rates were last divided.
     /// Incarnations of the reachable zone peers, which have received a first report, keyed by VM name.
     std::map<std::string, std::uint64_t> m_reported_incarnations;
-    std::function<void()> m_read_configuration;
-    std::function<void()> m_read_directory;
+    read_hook m_read_configuration;
+    read_hook m_read_directory;
 };
 
 } // namespace greengagehitch
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -17,7 +17,7 @@
 /// Time for which an echo of a heartbeat is accepted.
 constexpr duration sent_heartbeat_retention = std::chrono::seconds(10);
 /// Maximum rate of reads of the platform's VM list by the whole fleet, per second.
-constexpr double list_reads_per_second = 10;
+constexpr double list_reads_per_second = 4;
 /// Up to this number of peers, each heartbeat is sent to all of them. With more peers it is sent to randomly
 /// chosen ones.
 constexpr std::size_t gossip_fanout = 7;
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -10,7 +10,7 @@
 
 /// Period of heartbeats, which only make VMs known to each other; reports also show that a VM is reachable.
 constexpr duration heartbeat_period = std::chrono::seconds(2);
-constexpr duration vm_list_period = std::chrono::milliseconds(11'500);
+constexpr duration vm_list_period = std::chrono::seconds(30);
 /// Time within which two reports from a VM of another zone should have been received.
 constexpr duration peer_reachability_timeout = std::chrono::milliseconds(2'600);
 
@@ -28,6 +28,7 @@
     m_kernel.add(std::make_unique<fleet_state>(m_kernel));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
+    m_kernel.add(std::make_unique<document_exchange>(m_kernel));
     m_kernel.add(
         std::make_unique<group_registry>(m_kernel, m_hooks.connections, settings.deposes_replaced_leaders));
     m_kernel.add(std::make_unique<report_service>(m_kernel));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "failover/takeover_service.h"
+#include "fleet/document_exchange.h"
 #include "fleet/report_service.h"
 #include "kernel/kernel.h"
 #include "membership/membership_service.h"
@@ -57,6 +58,10 @@
     session_engine& sessions() { return *m_sessions; }
     fleet_state& fleet() { return *m_fleet; }
     broker_service& brokers() { return m_kernel.find<broker_service>(broker_service::service_name); }
+    document_exchange& documents()
+    {
+        return m_kernel.find<document_exchange>(document_exchange::service_name);
+    }
     report_service& reports() { return m_kernel.find<report_service>(report_service::service_name); }
 
     /// Returns the state of all services for operators.
