members: Keep more idle connections where accounts take turns

Cause: a connection serves one account for life, and a broker closed those beyond half of the limit after 1.5 s without use. Pattern in the test: more accounts than kept connections, each with a statement every few seconds.

Change: idle connections are kept up to 80 % of the limit. The rest, and the reserve of the other VMs, stay for a successor while a member still counts the connections of a VM that lost power (3 s).

Ruled out: preferring one replica for each account (the zone's own member is cheaper in bytes between zones).

--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -13,10 +13,12 @@
 /// Maximum number of connections to a member if the configuration sets none for its group.
 constexpr std::size_t default_connection_limit = 4;
 constexpr duration idle_limit = std::chrono::seconds(20);
-/// The connection limit divided by this is the number of idle connections that a broker keeps. The others
-/// stay available to a successor, since a member counts the connections of a VM that lost power until it
-/// detects the loss seconds later.
-constexpr std::size_t kept_idle_divisor = 2;
+/// Share of the connection limit, in percent, up to which a broker keeps idle connections. The others stay
+/// available to a successor, since a member counts the connections of a VM that lost power until it detects
+/// the loss seconds later. A connection serves one account only, so fewer would be reopened for each
+/// statement where there are more accounts than connections.
+constexpr std::size_t kept_idle_percent = 80;
+constexpr std::size_t percent = 100;
 /// Idle time after which connections beyond the kept number are closed.
 constexpr duration surplus_idle_limit = std::chrono::milliseconds(1'500);
 /// Interval at which idle connections are closed. It bounds the time until a VM that is no longer the broker
@@ -40,7 +42,8 @@
                 continue;
             }
             dispatcher->trim(idle_limit);
-            dispatcher->trim_surplus(dispatcher->connection_limit() / kept_idle_divisor, surplus_idle_limit);
+            dispatcher->trim_surplus(dispatcher->connection_limit() * kept_idle_percent / percent,
+                                     surplus_idle_limit);
         }
     });
 }
