kernel: Run periodic work of a VM together

Cause: an idle VM woke up about fifty times a second: four services ran ticks of 100 ms with phases of their own, brokers were checked every 60 ms without a pending request, and each datagram was received into a new buffer of the largest size.

Change: periodic callbacks share the VM's phase, so that those with commensurate periods run in one wake-up; brokers are checked only while requests are pending; the receive buffer is kept.

Ruled out: longer ticks, which would delay suspicions.

--- a/libraries/adapters/datagram_socket.cpp
+++ b/libraries/adapters/datagram_socket.cpp
@@ -29,13 +29,13 @@
 
 void datagram_socket::receive_datagrams()
 {
-    std::string buffer(max_datagram_size, '\0');
+    m_buffer.resize(max_datagram_size);
     while (true) {
-        auto const size = ::recv(m_socket->impl()->sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        auto const size = ::recv(m_socket->impl()->sockfd(), m_buffer.data(), m_buffer.size(), MSG_DONTWAIT);
         if (size < 0) {
             return;
         }
-        m_datagram_handler(buffer.substr(0, static_cast<std::size_t>(size)));
+        m_datagram_handler(m_buffer.substr(0, static_cast<std::size_t>(size)));
     }
 }
 
--- a/libraries/adapters/datagram_socket.h
+++ b/libraries/adapters/datagram_socket.h
@@ -34,6 +34,7 @@
     log_sink m_log;
     std::function<void(std::string const&)> m_datagram_handler;
     std::optional<Poco::Net::DatagramSocket> m_socket;
+    std::string m_buffer; ///< Receives one datagram at a time.
 };
 
 } // namespace greengagehitch
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -29,7 +29,6 @@
 void broker_service::start()
 {
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
-    m_kernel.start_periodic(check_period, [this] { check_pending_requests(); });
 }
 
 Json::Value broker_service::dump() const
@@ -180,6 +179,7 @@
         late.done(make_failed_reply(late.commands, member_error::timed_out));
     });
     ++m_relayed;
+    schedule_check();
     relay_request message{request_id, group, member, connection_id, std::move(request)};
     m_channels.send(vm, address_of(vm), encode_relay_message(std::move(message)));
 }
@@ -318,6 +318,18 @@
     found->second.dispatcher->run(std::move(message.request), std::move(reply));
 }
 
+void broker_service::schedule_check()
+{
+    if (m_pending.empty() || std::exchange(m_has_check_timer, true)) {
+        return;
+    }
+    m_kernel.start_timer(check_period, [this] {
+        m_has_check_timer = false;
+        check_pending_requests();
+        schedule_check();
+    });
+}
+
 void broker_service::check_pending_requests()
 {
     auto const now = m_kernel.now();
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -111,6 +111,8 @@
     void handle_relay_reply(std::string const& vm, relay_reply reply);
     pinned_connection_pointer make_pinned_connection(std::string const& vm, std::string const& group,
                                                      std::string const& member, std::uint64_t connection_id);
+    /// Checks the brokers periodically while requests are pending.
+    void schedule_check();
     void check_pending_requests();
     void exclude_route(std::string const& member, std::string const& vm);
     bool is_down(std::string const& vm, peer_state const& peer) const;
@@ -127,6 +129,7 @@
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
+    bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
     std::uint64_t m_next_request_id = 1;
     std::uint64_t m_next_connection_id = 1;
--- a/libraries/kernel/kernel.cpp
+++ b/libraries/kernel/kernel.cpp
@@ -4,6 +4,13 @@
 
 namespace greengagehitch {
 
+namespace {
+
+/// Phases of periodic callbacks are chosen below this, which is above all periods.
+constexpr duration max_phase = std::chrono::minutes(1);
+
+} // namespace
+
 kernel::kernel(kernel_hooks hooks) : m_hooks(std::move(hooks)) {}
 
 kernel::~kernel()
@@ -26,12 +33,19 @@
     *repeat = [this, period, callback = std::move(callback), weak = std::weak_ptr(repeat)] {
         callback();
         if (auto const next = weak.lock()) {
-            start_timer(period, [next] { (*next)(); });
+            start_timer(time_to_next(period), [next] { (*next)(); });
         }
     };
-    auto const first_delay =
-        duration(static_cast<duration::rep>(random_below(static_cast<std::uint64_t>(period.count()))));
-    start_timer(first_delay, [repeat] { (*repeat)(); });
+    start_timer(time_to_next(period), [repeat] { (*repeat)(); });
+}
+
+duration kernel::time_to_next(duration period)
+{
+    if (!m_phase) {
+        m_phase =
+            duration(static_cast<duration::rep>(random_below(static_cast<std::uint64_t>(max_phase.count()))));
+    }
+    return period - (now().time_since_epoch() + *m_phase) % period;
 }
 
 void kernel::log(log_level level, std::string_view service, std::string_view message,
--- a/libraries/kernel/kernel.h
+++ b/libraries/kernel/kernel.h
@@ -47,8 +47,8 @@
     timer_id start_timer(duration delay, std::function<void()> callback);
     void cancel_timer(timer_id timer) { m_hooks.cancel_timer(timer); }
 
-    /// Runs `callback` every `period` until the kernel is destroyed. The first delay is a random part of the
-    /// period, so that the VMs of a fleet do not all run it at the same time.
+    /// Runs `callback` every `period` until the kernel is destroyed. Callbacks whose periods are multiples of
+    /// each other run together, so that an idle VM seldom wakes up, but VMs run them at different times.
     void start_periodic(duration period, std::function<void()> callback);
 
     void log(log_level level, std::string_view service, std::string_view message,
@@ -90,9 +90,13 @@
     Json::Value dump() const;
 
 private:
+    /// Returns the time until the next run of callbacks with this period.
+    duration time_to_next(duration period);
+
     service* find_service(std::string_view name) const;
 
     kernel_hooks m_hooks;
+    std::optional<duration> m_phase; ///< Offset of periodic callbacks; chosen at random for each VM.
     std::shared_ptr<bool> m_lifetime = std::make_shared<bool>(true);
     std::vector<std::unique_ptr<service>> m_services;
 };
--- a/tests/sessions/document_exchange_tests.cpp
+++ b/tests/sessions/document_exchange_tests.cpp
@@ -12,7 +12,8 @@
     document_exchange_fixture()
     {
         fleet.clock().run_for(4s);
-        fleet.vm(0).documents().set_source(document_kind::configuration, [] { return std::string("content"); });
+        fleet.vm(0).documents().set_source(document_kind::configuration,
+                                           [] { return std::string("content"); });
     }
 
     /// Lets VM 1 ask VM 0 for a document and runs the clock until the request has ended.
