--- a/tests/limits/lender_choice_tests.cpp
+++ b/tests/limits/lender_choice_tests.cpp
@@ -7,8 +7,8 @@
 
 using namespace greengagehitch;
 
-/// All VMs must agree on the lender of an account, whatever order they learned of each other in: a choice that
-/// was updated step by step equals the one from the whole list.
+/// All VMs must agree on the lender of an account, whatever order they learned of each other in: a choice
+/// that was updated step by step equals the one from the whole list.
 Test(lender_choice, vms_that_join_and_leave_give_the_choice_from_the_whole_list)
 {
     lender_choice choice;
