membership: Drop datagrams of processes that have ended

Change: the last four incarnations of a peer are remembered, and their datagrams are dropped.

Ruled out: ordering incarnations, which are random and stay so, since a VM keeps no counter.

Test membership/delayed_datagram_of_an_ended_process_is_dropped failed before.

--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -24,6 +24,8 @@
 /// Number of randomly chosen peers in one period of a larger fleet. A change reaches all VMs after a number
 /// of periods that grows with the logarithm of the fleet size.
 constexpr std::size_t large_fleet_fanout = 2;
+/// Number of earlier incarnations of a peer whose delayed datagrams are recognized.
+constexpr std::size_t max_former_incarnations = 4;
 /// Largest number of other VMs that a heartbeat reports.
 constexpr std::size_t max_identity_reports = 2;
 
@@ -126,8 +128,20 @@
         return;
     }
     auto& peer = peer_named(envelope->sender);
+    if (std::find(peer.former_incarnations.begin(), peer.former_incarnations.end(),
+                  envelope->sender_incarnation) != peer.former_incarnations.end()) {
+        // The datagram was delayed; its sender has ended and restarted since.
+        ++m_rejected_datagrams;
+        return;
+    }
     peer.last_received_at = m_kernel.now();
     if (peer.incarnation != envelope->sender_incarnation) {
+        if (peer.incarnation != 0) {
+            peer.former_incarnations.push_back(peer.incarnation);
+        }
+        if (peer.former_incarnations.size() > max_former_incarnations) {
+            peer.former_incarnations.pop_front();
+        }
         peer.incarnation = envelope->sender_incarnation;
         peer.last_sequence = 0;
         peer.is_leaving = false;
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -39,8 +40,10 @@
     std::string availability_zone;
     endpoint address;
     std::uint64_t incarnation = 0; ///< 0 until a message of the peer was received.
-    bool is_listed = false;        ///< True when the platform's list contains the peer.
-    bool is_leaving = false;       ///< True when the peer is shutting down.
+    /// Incarnations of processes with the peer's name that have ended; the newest last.
+    std::deque<std::uint64_t> former_incarnations;
+    bool is_listed = false;  ///< True when the platform's list contains the peer.
+    bool is_leaving = false; ///< True when the peer is shutting down.
     /// Processor time of the peer, as a fraction of one core, from the platform's list; 0 until listed.
     double processor_share = 0;
     std::optional<monotonic_time> last_received_at; ///< Receive time of the last datagram from the peer.
--- /dev/null
+++ b/tests/membership/membership_tests.cpp
@@ -0,0 +1,64 @@
+#include <criterion/criterion.h>
+
+#include "base/digest.h"
+#include "membership/membership_service.h"
+
+using namespace greengagehitch;
+
+namespace {
+
+constexpr auto secret = "secret";
+
+/// Membership of one VM, to which a test passes the datagrams of a peer.
+struct membership_fixture {
+    static kernel_hooks make_kernel_hooks()
+    {
+        kernel_hooks hooks;
+        hooks.now = [] { return monotonic_time{}; };
+        hooks.random = [] { return std::uint64_t{0}; };
+        hooks.start_timer = [](duration, std::function<void()>) { return timer_id::none; };
+        hooks.cancel_timer = [](timer_id) {};
+        hooks.log = [](log_record const&) {};
+        return hooks;
+    }
+
+    void receive(std::uint64_t incarnation, bool is_leaving)
+    {
+        heartbeat message;
+        message.sender = {"vm-2", "a", incarnation, "10.0.0.2", 1, is_leaving};
+        message.is_reply = true;
+        membership.handle_datagram(peer_codec(secret).encode({"vm-2", incarnation, std::move(message)}));
+    }
+
+    kernel core{make_kernel_hooks()};
+    platform_hooks platform;
+    membership_service membership{core,
+                                  platform,
+                                  {"vm-1", "a", {"10.0.0.1", 1}, 7, 1},
+                                  peer_codec(secret),
+                                  [](endpoint const&, std::string const&) {}};
+};
+
+} // namespace
+
+/// Guards against state of a process that has ended: its last datagram, "leaving", arrives after those of the
+/// process that was started in its place.
+Test(membership, delayed_datagram_of_an_ended_process_is_dropped)
+{
+    membership_fixture fixture;
+    fixture.receive(1, false);
+    fixture.receive(2, false);
+    fixture.receive(1, true);
+    auto const& peer = fixture.membership.peers().at("vm-2");
+    cr_assert(peer.incarnation == 2);
+    cr_assert(!peer.is_leaving);
+}
+
+Test(membership, restarted_process_that_serves_again_is_no_longer_leaving)
+{
+    membership_fixture fixture;
+    fixture.receive(1, true);
+    cr_assert(fixture.membership.peers().at("vm-2").is_leaving);
+    fixture.receive(2, false);
+    cr_assert(!fixture.membership.peers().at("vm-2").is_leaving);
+}
