members: End queries of groups without members, and wait out unknown leaders

Cause, found by reading the change: a query of an empty group never called back, so that requests waiting for a proof would wait until their time limit; a takeover of a group whose old leader this VM never knew did not wait for proofs to expire.

Change: the query of an empty group fails at once; every takeover without a confirmed step-down waits.

Ruled out: treating an unknown old leader as stopped, since other VMs may know and use it.

Tests: database_group/query_of_a_group_without_members_ends fails on the code before (it did not end), and two of what proves a leader.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -324,7 +324,7 @@
 bool takeover_service::is_old_leader_out_of_use(std::string const& name)
 {
     auto* const running = find_takeover(name);
-    if (m_deposes_replaced_leaders || running->is_old_leader_stopped || running->old_leader.empty()) {
+    if (m_deposes_replaced_leaders || running->is_old_leader_stopped) {
         return true;
     }
     auto const now = m_kernel.now();
@@ -464,6 +464,7 @@
     fields["fence"] = Json::UInt64(find_takeover(group)->fence);
     fields["answer"] = status.ok() ? "accepted" : std::string(status.message());
     log("platform answered the promotion order", group, std::move(fields));
+    // Earlier attempts were not answered and may still be carried out.
     if (find_takeover(group)->order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status))) {
         m_unanswered_orders.erase(group);
     }
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -319,6 +319,10 @@
             std::exchange(state->done, nullptr)(is_proven);
         }
     };
+    if (m_members.empty()) {
+        m_kernel.start_timer(duration::zero(), [state] { state->done(false); });
+        return;
+    }
     std::vector<std::string> ids;
     for (auto const& [id, member] : m_members) {
         ids.push_back(id);
--- /dev/null
+++ b/tests/members/database_group_tests.cpp
@@ -0,0 +1,91 @@
+#include <criterion/criterion.h>
+
+#include "members/database_group.h"
+#include "virtual_clock.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+
+namespace {
+
+/// Group whose members answer status requests as the test sets them.
+struct database_group_fixture {
+    kernel_hooks make_hooks()
+    {
+        kernel_hooks hooks;
+        hooks.now = [this] { return clock.now(); };
+        hooks.random = [] { return std::uint64_t{0}; };
+        hooks.start_timer = [this](duration delay, std::function<void()> callback) {
+            return clock.start_timer(delay, std::move(callback));
+        };
+        hooks.cancel_timer = [this](timer_id timer) { clock.cancel_timer(timer); };
+        hooks.log = [](log_record const&) {};
+        return hooks;
+    }
+
+    void run(member_entry const& member, reply_callback const& done)
+    {
+        member_answer answer;
+        answer.replication = statuses[member.id];
+        clock.start_timer(1ms, [done, answer] { done({{answer}, nullptr}); });
+    }
+
+    void add_members(std::vector<std::string> const& ids)
+    {
+        std::vector<member_entry> entries;
+        for (auto const& id : ids) {
+            member_entry entry;
+            entry.id = id;
+            entries.push_back(entry);
+        }
+        group.set_members(entries);
+    }
+
+    /// Returns whether the replicas prove that member "a" leads.
+    bool is_leader_proven()
+    {
+        std::optional<bool> result;
+        group.query_replicas("a", [&result](bool is_proven) { result = is_proven; });
+        clock.run_for(1s);
+        cr_assert(result.has_value(), "the query did not end");
+        return *result;
+    }
+
+    standin::virtual_clock clock{1};
+    kernel core{make_hooks()};
+    std::map<std::string, replication_status> statuses;
+    database_group group{"group",
+                         {core, "zone",
+                          [this](member_entry const& member, member_request const&,
+                                 reply_callback const& done) { run(member, done); },
+                          [](member_entry const&) {}, [](member_entry const&) {}}};
+};
+
+} // namespace
+
+Test(database_group, replica_that_receives_in_the_leaders_term_proves_the_leader)
+{
+    database_group_fixture fixture;
+    fixture.add_members({"a", "b", "c"});
+    fixture.statuses["a"] = {member_role::primary, 3, {}, 0};
+    fixture.statuses["b"] = {member_role::replica, 3, {}, 4};
+    fixture.statuses["c"] = {member_role::replica, 3, {}, 0};
+    cr_assert(fixture.is_leader_proven());
+}
+
+Test(database_group, stopped_replicas_and_replicas_of_a_newer_term_prove_nothing)
+{
+    database_group_fixture fixture;
+    fixture.add_members({"a", "b", "c"});
+    fixture.statuses["a"] = {member_role::primary, 3, {}, 0};
+    fixture.statuses["b"] = {member_role::replica, 3, {}, 4};
+    fixture.statuses["c"] = {member_role::replica, 4, {}, 0};
+    cr_assert(!fixture.is_leader_proven());
+}
+
+/// Requests that wait for a proof must not wait forever when the directory becomes empty.
+Test(database_group, query_of_a_group_without_members_ends)
+{
+    database_group_fixture fixture;
+    cr_assert(!fixture.is_leader_proven());
+}
