--- a/tests/membership/membership_tests.cpp
+++ b/tests/membership/membership_tests.cpp
@@ -16,7 +16,7 @@
         kernel_hooks hooks;
         hooks.now = [] { return monotonic_time{}; };
         hooks.random = [] { return std::uint64_t{0}; };
-        hooks.start_timer = [](duration, std::function<void()>) { return timer_id::none; };
+        hooks.start_timer = [](duration, std::function<void()> const&) { return timer_id::none; };
         hooks.cancel_timer = [](timer_id) {};
         hooks.log = [](log_record const&) {};
         return hooks;
