--- a/libraries/adapters/http_client.h
+++ b/libraries/adapters/http_client.h
@@ -31,6 +31,8 @@
 };
 
 using http_response_callback = std::function<void(http_response const&)>;
+/// Sends a request and passes the response, or one with status 0, to the callback.
+using http_call_hook = std::function<void(http_client_request, http_response_callback)>;
 
 /// Client for one HTTP server. Blocking requests run on a few worker threads, each with a persistent
 /// connection of its own; callbacks run on the reactor's thread.
@@ -44,6 +46,13 @@
     http_client& operator=(http_client&&) = delete;
 
     void call(http_client_request call, http_response_callback done);
+    /// Returns a hook that calls call(). The client must outlive it.
+    http_call_hook hook()
+    {
+        return [this](http_client_request request, http_response_callback done) {
+            call(std::move(request), std::move(done));
+        };
+    }
 
 private:
     class worker;
