--- a/libraries/adapters/http_client.cpp
+++ b/libraries/adapters/http_client.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/StreamCopier.h>
+#include <Poco/String.h>
 #include <Poco/URI.h>
 
 namespace greengagehitch {
@@ -16,6 +17,11 @@
 
 } // namespace
 
+bool case_insensitive_less::operator()(std::string const& left, std::string const& right) const
+{
+    return Poco::icompare(left, right) < 0;
+}
+
 /// Connection of one worker thread to the server.
 class http_client::worker {
 public:
--- a/libraries/adapters/http_client.h
+++ b/libraries/adapters/http_client.h
@@ -22,10 +22,15 @@
     duration timeout = std::chrono::seconds(1); ///< Timeout of each step: connecting, sending and receiving.
 };
 
+/// Orders names of HTTP headers, which are case-insensitive.
+struct case_insensitive_less {
+    bool operator()(std::string const& left, std::string const& right) const;
+};
+
 struct http_response {
     int status = 0; ///< HTTP status code; 0 if no complete response was received.
     std::string body;
-    std::map<std::string, std::string> headers;
+    std::map<std::string, std::string, case_insensitive_less> headers;
     monotonic_time sent_at; ///< Time just before the request was sent.
     monotonic_time answered_at;
 };
--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -72,9 +72,13 @@
     value["member"] = row.member;
     value["fence"] = Json::UInt64(row.fence);
     value["claimed_at_ms"] = Json::Int64(row.claimed_at_ms);
-    auto handle_answer = [fence = row.fence,
+    Json::Value fields(value);
+    fields["group"] = group;
+    fields["read_version"] = Json::UInt64(version);
+    auto handle_answer = [this, fence = row.fence, fields = std::move(fields),
                           done = std::move(done)](absl::StatusOr<std::uint64_t> const& put) {
         if (put.ok()) {
+            m_kernel.log(log_level::info, "takeover", "failover lock was acquired", fields);
             done(fence);
         }
         else {
