tests: Reproduce the faults of VMs after a restore of the store

A stand-in of the platform's store in virtual time (reads, conditional writes, feed, eras, restore) and a fleet of 13 VMs with real watchers and clients on it.

Seen: 13 of 13 VMs keep configuration 2 while 3 is confirmed; 9 of 13 get it after more than 3 s; 1,234 whole reads in 10 s by one VM; 11 of 13 VMs do not learn of a draining member; the reader takes a draining member back.

--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -74,7 +74,9 @@
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
         start_vm(i);
     }
-    publish_configuration();
+    if (m_shape.publishes_documents) {
+        publish_configuration();
+    }
 }
 
 session_fleet::~session_fleet()
@@ -97,6 +99,9 @@
     settings.fleet_secret = "secret of the virtual fleet";
     starting.vm = std::make_unique<session_vm>(settings, make_hooks(index));
     starting.vm->start();
+    if (!m_shape.publishes_documents) {
+        return;
+    }
     starting.vm->fleet().set_configuration(m_configuration);
     starting.vm->fleet().set_members(make_directory());
     starting.vm->fleet().confirm_configuration(m_clock.now());
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -24,6 +24,9 @@
     /// One-way network delay between VMs; a request to the store takes as long until its answer arrives.
     duration latency = std::chrono::milliseconds(1);
     virtual_database_group::options group;
+    /// Whether all VMs receive the configuration and the member directory periodically. Otherwise the test
+    /// passes them to fleet_state.
+    bool publishes_documents = true;
 };
 
 /// Simulates VMs that serve sessions, their database groups and the platform's store in virtual time.
--- /dev/null
+++ b/tests/platform/store_restore_tests.cpp
@@ -0,0 +1,122 @@
+#include <criterion/criterion.h>
+
+#include "watched_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+/// Stated limit for a confirmed change to be in force on all VMs.
+constexpr duration configuration_limit = 3s;
+constexpr std::size_t zone_size = 12;
+/// Rows that VMs wrote in the seconds that a restore loses. Nobody writes them again.
+constexpr std::uint64_t lost_writes = 10;
+
+/// Zone of twelve VMs and one VM of another zone.
+struct store_restore_fixture {
+    static std::vector<std::string> zones()
+    {
+        std::vector<std::string> zones(zone_size, "a");
+        zones.emplace_back("b");
+        return zones;
+    }
+
+    /// Makes the store lose the last writes of VMs, the configuration 2 and whatever `lost` wrote. The
+    /// operator writes the configuration again at the store's return.
+    void lose_writes(std::function<void()> const& lost = [] {})
+    {
+        auto const copy = fleet.store.contents();
+        fleet.store.raise_version(lost_writes);
+        fleet.store.put("op", "config", watched_fleet::configuration(2));
+        lost();
+        fleet.clock().run_for(2s);
+        fleet.store.set_available(false);
+        fleet.clock().run_for(1s);
+        fleet.store.restore(copy);
+        fleet.store.put("op", "config", watched_fleet::configuration(2));
+    }
+
+    watched_fleet fleet{zones()};
+};
+
+} // namespace
+
+/// Guards against a change that is never in force: the store counted past the version that a VM had read
+/// before the restore while the VM could not reach it, and assigned a version below that one to the change.
+Test(store_restore, change_below_the_version_read_before_the_restore_is_in_force_in_time)
+{
+    store_restore_fixture fixture;
+    fixture.lose_writes();
+    auto& fleet = fixture.fleet;
+    fleet.store.put("op", "config", watched_fleet::configuration(3));
+    fleet.store.raise_version(2 * lost_writes);
+    fleet.store.set_available(true);
+    fleet.clock().run_for(configuration_limit);
+    auto const late = fleet.vms_without(3);
+    cr_assert(late.empty(), "%s", late.c_str());
+}
+
+/// Guards against a change that reaches most of a zone late: the VM that reads the store for its zone passed
+/// on the configuration with the highest version of the store, which was one from before the restore.
+Test(store_restore, change_with_a_reassigned_version_is_passed_on_within_the_zone)
+{
+    store_restore_fixture fixture;
+    fixture.lose_writes();
+    auto& fleet = fixture.fleet;
+    fleet.store.set_available(true);
+    fleet.clock().run_for(5s);
+    fleet.store.put("op", "config", watched_fleet::configuration(3));
+    fleet.clock().run_for(configuration_limit);
+    auto const late = fleet.vms_without(3);
+    cr_assert(late.empty(), "%s", late.c_str());
+}
+
+/// Guards against a busy loop: a reader that asks for changes after a version that the restored store does
+/// not have asked for the same one again after each read of the whole table.
+Test(store_restore, reader_reads_the_whole_configuration_once_after_a_restore)
+{
+    store_restore_fixture fixture;
+    fixture.lose_writes();
+    auto& fleet = fixture.fleet;
+    auto const before = fleet.store.calls("vm-0", "/rows-get?table=op");
+    fleet.store.set_available(true);
+    fleet.clock().run_for(10s);
+    auto const reads = fleet.store.calls("vm-0", "/rows-get?table=op") - before;
+    cr_assert(reads <= 1, "%zu reads", reads);
+}
+
+/// Guards against new work at a member that leaves: VMs refused the directory of the peer that reads the
+/// store, since its version was lower than that of their own directory from before the restore.
+Test(store_restore, drain_with_a_reassigned_version_is_known_to_all_vms)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fixture.lose_writes(
+        [&fleet] { fleet.store.put("servers", "m-0-c", watched_fleet::member("ready", "primary", 2)); });
+    fleet.store.set_available(true);
+    fleet.clock().run_for(4s);
+    fleet.store.put("servers", "m-0-b", watched_fleet::member("draining", "replica", 2));
+    fleet.clock().run_for(4s);
+    auto const missing = fleet.vms_without_drain("m-0-b");
+    cr_assert(missing.empty(), "%s", missing.c_str());
+}
+
+/// Guards against new work at a member that leaves: the copy from before its last entry showed it as ready,
+/// and the VMs took this for news until the member had written again.
+Test(store_restore, drain_that_the_restore_loses_stays_known)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fixture.lose_writes(
+        [&fleet] { fleet.store.put("servers", "m-0-b", watched_fleet::member("draining", "replica", 2)); });
+    auto const before = fleet.vms_without_drain("m-0-b");
+    cr_assert(before.empty(), "before the restore: %s", before.c_str());
+    fleet.store.set_available(true);
+    for (auto i = 0; i < 20; ++i) {
+        fleet.clock().run_for(100ms);
+        auto const missing = fleet.vms_without_drain("m-0-b");
+        cr_assert(missing.empty(), "%s", missing.c_str());
+    }
+}
