--- a/libraries/fleet/fleet_state.cpp
+++ b/libraries/fleet/fleet_state.cpp
@@ -34,10 +34,10 @@
     return state;
 }
 
-void fleet_state::set_configuration(served_configuration configuration)
+bool fleet_state::set_configuration(served_configuration configuration)
 {
     if (m_configuration && configuration.version <= m_configuration->version) {
-        return;
+        return false;
     }
     Json::Value fields(Json::objectValue);
     fields["version"] = Json::UInt64(configuration.version);
@@ -49,6 +49,7 @@
     for (auto const& observer : m_configuration_observers) {
         observer(*m_configuration);
     }
+    return true;
 }
 
 void fleet_state::confirm_configuration(monotonic_time known_at)
--- a/libraries/fleet/fleet_state.h
+++ b/libraries/fleet/fleet_state.h
@@ -23,8 +23,9 @@
     std::string_view name() const override { return service_name; }
     Json::Value dump() const override;
 
-    /// Makes a configuration version active. Versions that are not newer than the active one are ignored.
-    void set_configuration(served_configuration configuration);
+    /// Makes a configuration version active. Returns false, and changes nothing, if the version is not newer
+    /// than the active one.
+    bool set_configuration(served_configuration configuration);
 
     /// Records that at `known_at` no version newer than the active one existed.
     void confirm_configuration(monotonic_time known_at);
