--- a/libraries/fleet/member_entry.h
+++ b/libraries/fleet/member_entry.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "platform/store_position.h"
 #include "settings/daemon_settings.h"
 
 namespace greengagehitch {
@@ -18,7 +19,8 @@
     bool is_draining = false;
     bool claims_primary = false;  ///< True when the member reports itself as the primary of its group.
     std::uint64_t started_at = 0; ///< Start time; changes when the member restarts with the same id.
-    std::uint64_t change = 0;     ///< Number that increases with each change of the entry.
+    std::uint64_t sequence = 0;   ///< Number by which the member counts its entries since its start.
+    store_position change;        ///< Position at which the store recorded the entry.
 };
 
 /// Directory of all members, keyed by member id.
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -66,13 +66,13 @@
             m_dependencies.member_added(entry);
         }
         auto& member = found->second;
-        auto const is_new_claim = entry.claims_primary && member.claim_change == 0;
+        auto const is_new_claim = entry.claims_primary && !member.claim_change;
         if (is_new_claim) {
             member.claim_change = entry.change;
             member.is_not_leading = false;
         }
         if (!entry.claims_primary) {
-            member.claim_change = 0;
+            member.claim_change.reset();
         }
         member.entry = entry;
     }
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -27,7 +27,7 @@
     duration lag{}; ///< Time by which `applied` was behind the leader's position at `observed_at`.
     std::uint64_t confirmed_term = 0; ///< Term that the member is confirmed to lead; 0 if it is not.
     bool is_not_leading = false;      ///< True after the member reported that it does not lead.
-    std::uint64_t claim_change = 0; ///< Directory change at which the member claimed leadership; 0 for none.
+    std::optional<store_position> claim_change;  ///< Directory change at which the member claimed leadership.
     std::optional<monotonic_time> failing_since; ///< Time of the first failure since the last response.
     std::size_t failures = 0;                    ///< Number of failures since the last response.
     /// Time of the first unanswered commit since the last successful one.
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -173,7 +173,7 @@
             entry.slots = m_shape.group.slots;
             entry.is_draining = m_draining.contains(id);
             entry.claims_primary = group->leader() == id;
-            entry.change = group->term();
+            entry.change = {0, group->term()};
             if (!group->faults(id).is_down) {
                 directory[id] = std::move(entry);
             }
--- a/tests/members/database_group_tests.cpp
+++ b/tests/members/database_group_tests.cpp
@@ -89,3 +89,21 @@
     database_group_fixture fixture;
     cr_assert(!fixture.is_leader_proven());
 }
+
+/// Guards against work at a replaced leader: of two members that claimed to be primary, the one with the
+/// higher version of the store counted as the later one, also when the store had been restored between the
+/// claims.
+Test(database_group, claim_after_a_restore_of_the_store_is_the_later_one)
+{
+    database_group_fixture fixture;
+    member_entry before;
+    before.id = "a";
+    before.claims_primary = true;
+    before.change = {1, 30};
+    member_entry after;
+    after.id = "b";
+    after.claims_primary = true;
+    after.change = {2, 12};
+    fixture.group.set_members({before, after});
+    cr_assert(fixture.group.leader()->entry.id == "b");
+}
--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -26,7 +26,7 @@
 
 Test(member_entry, complete_entry_is_decoded)
 {
-    auto const entry = try_decode_member("i-1", member_document, 8);
+    auto const entry = try_decode_member("i-1", member_document, {1, 8});
     cr_assert(entry.ok());
     cr_assert(entry->group == "g");
     cr_assert((entry->address == endpoint{"10.1.0.9", 8080}));
@@ -44,7 +44,7 @@
                              replace_text(member_document, R"("replica")", R"("witness")"),
                              replace_text(member_document, "10.1.0.9:8080", "somewhere"),
                              std::string("\xff\xfe"), std::string("[]"), std::string()}) {
-        cr_assert(not(try_decode_member("i-1", text, 8).ok()), "%s", text.c_str());
+        cr_assert(not(try_decode_member("i-1", text, {1, 8}).ok()), "%s", text.c_str());
     }
 }
 
