failover: Keep fences and claims valid when the store is restored

Cause: the fence was a counter that only the lock's row remembered. The restored copy lacked the row, so the second holder counted from the beginning; on a platform that checks fences a group could also stay without a leader, as each order was refused for its low fence. The claim was lost too, so a second holder could act while the first still did.

Why this works: a fence is the store's era in the upper bits and the row's version below, or one more than the row's last, so it exceeds all fences of earlier eras, and a row's version is replaced by one write only. A VM does not take a lock that has no claim of the present era until the lifetime of a claim, or where fences are not checked that of a delayed order, has passed since it first saw the era. The first era needs no wait.

--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -1,5 +1,6 @@
 #include "failover/failover_lock.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -13,6 +14,15 @@
 /// holders to act within three seconds of each other; the remaining time covers orders in flight.
 constexpr std::int64_t lock_lifetime_ms = 4'500;
 
+/// Fences consist of an era and, in this number of lower bits, of a version.
+constexpr unsigned fence_version_bits = 32;
+
+/// Lowest fence of the era in which a row was read.
+std::uint64_t first_fence_of_era(table_row const& row)
+{
+    return row.era << fence_version_bits;
+}
+
 std::string row_key(std::string const& group)
 {
     return "takeover/" + group;
@@ -45,6 +55,13 @@
         auto const row = read->value_or(table_row{});
         auto const known = parse(row);
         auto const is_own_lock = known.holder == holder;
+        auto const is_claim_of_era = known.fence >= first_fence_of_era(row);
+        if (row.restored_at && !is_claim_of_era &&
+            m_kernel.now() - *row.restored_at <
+                (checks_fences ? std::chrono::milliseconds(lock_lifetime_ms) : max_order_delay)) {
+            done(absl::AbortedError("the store may have lost the claim of another holder"));
+            return;
+        }
         if (!is_own_lock && !known.holder.empty() &&
             row.read_at_ms - known.claimed_at_ms < lock_lifetime_ms) {
             done(absl::AbortedError("another VM holds the failover lock"));
@@ -57,7 +74,11 @@
             done(absl::AbortedError("an order of the previous holder may still be carried out"));
             return;
         }
-        auto const fence = is_own_lock && known.member == member ? known.fence : known.fence + 1;
+        // The row's version makes the fence unique within the era, and the era makes it exceed those that the
+        // store has lost.
+        auto const fence = is_own_lock && is_claim_of_era && known.member == member
+                               ? known.fence
+                               : std::max(known.fence + 1, first_fence_of_era(row) | row.version);
         write(group, row.version, {holder, member, fence, row.read_at_ms}, done);
     };
     m_platform.read_row(row_key(group),
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -24,8 +24,10 @@
     failover_lock(kernel& kernel, platform_hooks const& platform) : m_kernel(kernel), m_platform(platform) {}
 
     /// Acquires the lock for `holder` in order to promote `member`, or renews it. The fence grows whenever
-    /// the holder or the member changes. Unless the platform `checks_fences`, another holder does not get the
-    /// lock for another member while an order of the previous holder may still be carried out.
+    /// the holder or the member changes, also when the store was restored and has lost earlier fences. After
+    /// a restore, the lock is not given while a holder whose claim may be lost can still act. Unless the
+    /// platform `checks_fences`, another holder does not get the lock for another member while an order of
+    /// the previous holder may still be carried out.
     void acquire(std::string const& holder, std::string const& group, std::string const& member,
                  bool checks_fences, lock_callback done);
 
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -406,7 +406,7 @@
             }
             if (!fence.ok()) {
                 end_takeover(group,
-                             absl::IsAborted(fence.status()) ? "another VM holds the failover lock"
+                             absl::IsAborted(fence.status()) ? std::string(fence.status().message())
                                                              : "store did not confirm the failover lock",
                              true);
                 return;
--- a/libraries/platform/platform_hooks.h
+++ b/libraries/platform/platform_hooks.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include "base/enum_names.h"
+#include "base/time.h"
 
 namespace greengagehitch {
 
@@ -20,6 +21,10 @@
     std::string value;
     std::uint64_t version = 0;
     std::int64_t read_at_ms = 0; ///< Time of the read on the store's steady clock; 0 if not reported.
+    std::uint64_t era = 0;       ///< Era of the store; see store_position.
+    /// Latest time, by this VM's clock, at which the store can have been restored from an older copy; no
+    /// value if it never was.
+    std::optional<monotonic_time> restored_at;
 };
 
 enum class vm_state { live, leaving };
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -12,7 +12,7 @@
     failover_lock_fixture()
     {
         hooks.read_row = [this](std::string const& key, auto done) {
-            done(std::optional(table_row{key, value, version, store_time_ms}));
+            done(std::optional(table_row{key, value, version, store_time_ms, era, restored_at}));
         };
         hooks.put_row = [this](std::string const&, std::uint64_t expected, std::string const& written,
                                auto done) {
@@ -25,10 +25,25 @@
         };
     }
 
-    static kernel_hooks make_kernel_hooks()
+    /// Lets the store lose all that was written to the row.
+    void restore()
+    {
+        value.clear();
+        version = 0;
+        ++era;
+        restored_at = now;
+    }
+
+    void pass(duration time)
+    {
+        now += time;
+        store_time_ms += std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
+    kernel_hooks make_kernel_hooks()
     {
         kernel_hooks hooks;
-        hooks.now = [] { return monotonic_time{}; };
+        hooks.now = [this] { return now; };
         hooks.log = [](log_record const&) {};
         return hooks;
     }
@@ -42,6 +57,9 @@
         return result;
     }
 
+    monotonic_time now{1h};
+    std::uint64_t era = 1;
+    std::optional<monotonic_time> restored_at;
     kernel core{make_kernel_hooks()};
     platform_hooks hooks;
     std::string value;
@@ -79,3 +97,37 @@
     fixture.store_time_ms += 3'000;
     cr_assert(fixture.acquire("vm-3", "member-b", false).ok());
 }
+
+/// Guards against two holders with the same fence: the store was restored to a copy without the first
+/// holder's claim, and the second one counted from the beginning again.
+Test(failover_lock, fence_after_a_restore_of_the_store_exceeds_those_that_it_lost)
+{
+    for (auto const checks_fences : {true, false}) {
+        failover_lock_fixture fixture;
+        cr_assert(fixture.acquire("vm-1", "member-a", checks_fences).ok());
+        auto const lost = fixture.acquire("vm-1", "member-b", checks_fences);
+        cr_assert(lost.ok());
+        fixture.restore();
+        fixture.pass(8s);
+        auto const next = fixture.acquire("vm-2", "member-c", checks_fences);
+        cr_assert(next.ok());
+        cr_assert(*next > *lost, "%lu after %lu", *next, *lost);
+        auto const renewed = fixture.acquire("vm-2", "member-c", checks_fences);
+        cr_assert(*renewed == *next);
+    }
+}
+
+/// Guards against a second holder while the first still acts: the store was restored to a copy without the
+/// first holder's claim, so the lock seemed to be free.
+Test(failover_lock, second_holder_waits_for_a_claim_that_a_restore_of_the_store_may_have_lost)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "member-a", true).ok());
+    fixture.restore();
+    fixture.pass(4s);
+    cr_assert(absl::IsAborted(fixture.acquire("vm-2", "member-b", true).status()));
+    cr_assert(absl::IsAborted(fixture.acquire("vm-2", "member-b", false).status()));
+    fixture.pass(1s);
+    cr_assert(absl::IsAborted(fixture.acquire("vm-2", "member-b", false).status()));
+    cr_assert(fixture.acquire("vm-2", "member-b", true).ok());
+}
