failover: Hand over a leader without the answer of a member that has left

Cause: a member that had drained and left stays among the former members for 20 s, and a hand-over waited 11 s for its answer although it may last 2 s, so it was given up and started again until the leader's limit had passed.

Why this works: such a member counts as not running for a hand-over of a draining leader. The rule for members that are not running still applies: 1.3 s for late reports, and the successor must hold the highest position that any VM saw committed. Takeovers of a suspected leader still wait, since a partition may be the reason for the silence.

Evidence: draining_leader_is_replaced_after_another_member_has_drained_and_left fails on the code before and passes now.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -188,6 +188,10 @@
     }
     for (auto const& [id, former] : group.former_members()) {
         targets[id] = former.entry;
+        if (former.entry.is_draining && running->cause == takeover_cause::draining) {
+            // It announced that it would leave, and then left the directory.
+            running->not_running.insert(id);
+        }
     }
     for (auto const& [id, entry] : targets) {
         member_command command;
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -90,6 +90,26 @@
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
 
+/// Guards against work at a draining leader until it ends: the hand-over waited for the answer of a member
+/// that had drained and left a few seconds before, for longer than a hand-over may last.
+Test(takeover, draining_leader_is_replaced_after_another_member_has_drained_and_left)
+{
+    takeover_fixture fixture;
+    auto& group = fixture.fleet.group();
+    auto const first = group.leader();
+    fixture.fleet.drain_member(first);
+    fixture.write_for(4s);
+    group.faults(first).is_down = true;
+    fixture.write_for(4s);
+    auto const second = group.leader();
+    cr_assert(second != first);
+    fixture.fleet.drain_member(second);
+    fixture.write_for(4s);
+    cr_assert(group.leader() != first);
+    cr_assert(group.leader() != second);
+    cr_assert(group.holds_all_acknowledged());
+}
+
 Test(takeover, leader_is_not_replaced_while_the_only_up_to_date_replica_is_missing)
 {
     takeover_fixture fixture;
