--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -43,6 +43,14 @@
     return parsed;
 }
 
+bool failover_lock::may_have_lost_claims(bool checks_fences) const
+{
+    auto const restored_at = m_platform.restored_at ? m_platform.restored_at() : std::nullopt;
+    auto const lifetime =
+        checks_fences ? duration(std::chrono::milliseconds(lock_lifetime_ms)) : max_order_delay;
+    return restored_at && m_kernel.now() - *restored_at < lifetime;
+}
+
 void failover_lock::acquire(std::string const& holder, std::string const& group, std::string const& member,
                             bool checks_fences, lock_callback done)
 {
@@ -56,9 +64,7 @@
         auto const known = parse(row);
         auto const is_own_lock = known.holder == holder;
         auto const is_claim_of_era = known.fence >= first_fence_of_era(row);
-        if (row.restored_at && !is_claim_of_era &&
-            m_kernel.now() - *row.restored_at <
-                (checks_fences ? std::chrono::milliseconds(lock_lifetime_ms) : max_order_delay)) {
+        if (!is_claim_of_era && may_have_lost_claims(checks_fences)) {
             done(absl::AbortedError("the store may have lost the claim of another holder"));
             return;
         }
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -31,6 +31,10 @@
     void acquire(std::string const& holder, std::string const& group, std::string const& member,
                  bool checks_fences, lock_callback done);
 
+    /// True while a claim that the store lost when it was restored may still be valid. The lock is then given
+    /// only if it was claimed since.
+    bool may_have_lost_claims(bool checks_fences) const;
+
 private:
     struct lock_row {
         std::string holder;
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -139,7 +139,9 @@
     auto const with_store = m_reports->peers_with_store();
     auto const own_age = m_fleet->configuration_age();
     auto const has_store = own_age && *own_age < std::chrono::seconds(3);
-    if (!has_store || m_reports->is_cut_off()) {
+    // Replicas that a takeover stops receive nothing until it ends, so it does not start without the lock in
+    // reach.
+    if (!has_store || m_reports->is_cut_off() || m_lock.may_have_lost_claims(m_deposes_replaced_leaders)) {
         return false;
     }
     if (m_held_locks.contains(group.name())) {
--- a/libraries/platform/platform_hooks.h
+++ b/libraries/platform/platform_hooks.h
@@ -22,9 +22,6 @@
     std::uint64_t version = 0;
     std::int64_t read_at_ms = 0; ///< Time of the read on the store's steady clock; 0 if not reported.
     std::uint64_t era = 0;       ///< Era of the store; see store_position.
-    /// Latest time, by this VM's clock, at which the store can have been restored from an older copy; no
-    /// value if it never was.
-    std::optional<monotonic_time> restored_at;
 };
 
 enum class vm_state { live, leaving };
@@ -59,6 +56,9 @@
     std::function<void(std::string name, std::string body, std::function<void(absl::Status)>)> put_object;
     std::function<void(std::string name, std::function<void(absl::StatusOr<std::string>)>)> get_object;
     std::function<void(std::function<void(absl::StatusOr<std::vector<vm_record>>)>)> list_vms;
+    /// Returns the latest time, by this VM's clock, at which the store can have been restored from an older
+    /// copy; no value if it never was. Not set for platforms whose store is never restored.
+    std::function<std::optional<monotonic_time>()> restored_at;
 };
 
 } // namespace greengagehitch
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -12,8 +12,9 @@
     failover_lock_fixture()
     {
         hooks.read_row = [this](std::string const& key, auto done) {
-            done(std::optional(table_row{key, value, version, store_time_ms, era, restored_at}));
+            done(std::optional(table_row{key, value, version, store_time_ms, era}));
         };
+        hooks.restored_at = [this] { return restored_at; };
         hooks.put_row = [this](std::string const&, std::uint64_t expected, std::string const& written,
                                auto done) {
             if (expected != version) {
