fleet: Tell peers the era of the store

Change: the reply with which the reader of a zone confirms the configuration carries the era (a field more at the end; builds of two versions understand each other).

Evidence: vms_that_do_not_read_the_store_learn_of_the_restore_from_peers fails without the field (era 1 on 12 VMs cut off from the store) by construction; it was not run on the code before, which has no such function.

--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -388,11 +388,15 @@
     auto const report = make_report();
     m_membership->send(peer.name,
                        store_status_reply{request.number, report.configuration_version,
-                                          report.configuration_age_ms, report.member_directory_digest});
+                                          report.configuration_age_ms, report.member_directory_digest,
+                                          m_store_era ? m_store_era() : 0});
 }
 
 void report_service::handle_store_status_reply(peer_state const& peer, store_status_reply const& reply)
 {
+    if (m_learn_store_era) {
+        m_learn_store_era(reply.store_era);
+    }
     auto const sent_request = m_sent_requests.find(reply.number);
     auto const configuration = m_fleet->configuration();
     refresh_from_peer(peer.name, reply.configuration_version, reply.member_directory_digest,
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -61,6 +61,15 @@
         m_read_directory = std::move(read_directory);
     }
 
+    /// Sets the functions that return the latest era of the store that this VM saw, and that receive one
+    /// which a peer saw.
+    void set_store_era_hooks(std::function<std::uint64_t()> store_era,
+                             std::function<void(std::uint64_t)> learn_store_era)
+    {
+        m_store_era = std::move(store_era);
+        m_learn_store_era = std::move(learn_store_era);
+    }
+
     /// True when this VM has not received a report of any other zone recently, and has not reached the store
     /// since it received the last one. A network partition of this VM is then more likely than a failure of
     /// all other zones and of the store.
@@ -157,6 +166,8 @@
     std::size_t m_last_sharing_count = 0; ///< Number of VMs and other zones when the rates were last divided.
     /// Incarnations of the reachable zone peers, which have received a first report, keyed by VM name.
     std::map<std::string, std::uint64_t> m_reported_incarnations;
+    std::function<std::uint64_t()> m_store_era;
+    std::function<void(std::uint64_t)> m_learn_store_era;
     read_hook m_read_configuration;
     read_hook m_read_directory;
 };
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -216,7 +216,8 @@
     std::uint64_t configuration_version = 0;
     std::uint32_t configuration_age_ms = 0;    ///< Time since that version was last known to be the newest.
     std::uint32_t member_directory_digest = 0; ///< Digest of the sender's copy of the member directory.
-    MSGPACK_DEFINE(number, configuration_version, configuration_age_ms, member_directory_digest)
+    std::uint64_t store_era = 0;               ///< Latest era of the store that the sender saw.
+    MSGPACK_DEFINE(number, configuration_version, configuration_age_ms, member_directory_digest, store_era)
 };
 
 /// Requests tokens of a client account's rate from a peer.
--- a/tests/platform/store_restore_tests.cpp
+++ b/tests/platform/store_restore_tests.cpp
@@ -120,3 +120,20 @@
         cr_assert(missing.empty(), "%s", missing.c_str());
     }
 }
+
+/// Guards against two holders of a failover lock: a VM that seldom calls the store learned only by its claim
+/// that the store had been restored, and could not tell how long ago.
+Test(store_restore, vms_that_do_not_read_the_store_learn_of_the_restore_from_peers)
+{
+    store_restore_fixture fixture;
+    fixture.lose_writes();
+    auto& fleet = fixture.fleet;
+    for (std::size_t i = 1; i < fleet.vms(); ++i) {
+        fleet.store.set_cut(watched_fleet::name(i), true);
+    }
+    fleet.store.set_available(true);
+    fleet.clock().run_for(3s);
+    for (std::size_t i = 0; i < zone_size; ++i) {
+        cr_assert(fleet.era_at(i) == 2, "vm-%zu knows era %lu", i, fleet.era_at(i));
+    }
+}
--- a/tests/platform/watched_fleet.h
+++ b/tests/platform/watched_fleet.h
@@ -56,6 +56,8 @@
         return active ? active->version : 0;
     }
 
+    std::uint64_t era_at(std::size_t vm) const { return m_watched[vm]->client.era(); }
+
     /// Names of the VMs on which another configuration version is active.
     std::string vms_without(std::uint64_t version)
     {
