platform: Renew the entries of VMs in the list after a restore of the store

Cause: a restore loses the entries of VMs that registered in the lost seconds; they wrote them again only at the next renewal, 25 s later or more, and a VM that started meanwhile did not find them.

Evidence: vms_renew_their_entries_in_the_list_after_a_restore fails without the call (vm-0 is missing after 8 s) and passes with it.

--- a/tests/platform/store_restore_tests.cpp
+++ b/tests/platform/store_restore_tests.cpp
@@ -137,3 +137,18 @@
         cr_assert(fleet.era_at(i) == 2, "vm-%zu knows era %lu", i, fleet.era_at(i));
     }
 }
+
+/// Guards against a fleet that does not know a VM: the restore lost its entry in the list of VMs, which it
+/// wrote again only at the next renewal.
+Test(store_restore, vms_renew_their_entries_in_the_list_after_a_restore)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fleet.store.restore({});
+    fleet.store.put("op", "config", watched_fleet::configuration(1));
+    fleet.clock().run_for(8s);
+    auto const& rows = fleet.store.contents().rows;
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        cr_assert(rows.contains({"greengagehitch-vms", watched_fleet::name(i)}), "vm-%zu", i);
+    }
+}
--- a/tests/platform/watched_fleet.h
+++ b/tests/platform/watched_fleet.h
@@ -94,14 +94,22 @@
               watcher(core, client, fleet.state(index), fleet.m_fleet.vm(index).reports(),
                       fleet.m_fleet.vm(index).documents(),
                       {std::chrono::milliseconds(1'500), std::chrono::milliseconds(600),
-                       std::chrono::milliseconds(2'300)})
+                       std::chrono::milliseconds(2'300)}),
+              adapter(core, client, {name(index), "a", {"10.0.0.1", 7000}, 1, std::chrono::seconds(25)})
         {
+            client.set_era_hook([this](std::uint64_t previous, std::uint64_t) {
+                if (previous != 0) {
+                    adapter.handle_restore();
+                }
+            });
+            adapter.start();
             watcher.start();
         }
 
         kernel core;
         store_client client;
         store_watcher watcher;
+        platform_adapter adapter;
     };
 
     static session_fleet_shape shape_of(std::vector<std::string> zones)
