--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -54,6 +54,10 @@
 
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
+    if (!may_send(added->request)) {
+        refuse(added, member_error::not_started, "availability zone of the member is evacuated");
+        return;
+    }
     if (!added->request.needs_slot) {
         start(added);
         return;
@@ -179,10 +183,24 @@
     });
 }
 
+bool member_dispatcher::may_send(member_request const& request) const
+{
+    auto const is_for_caller = request.keeps_connection || request.needs_slot;
+    return !is_for_caller || !m_options.may_send || m_options.may_send();
+}
+
 void member_dispatcher::send_commands(queued_request_pointer const& queued,
                                       backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
+    if (!may_send(request)) {
+        if (!queued->connection) {
+            m_pool->release(connection);
+        }
+        free_slot(*queued);
+        refuse(queued, member_error::not_started, "availability zone of the member is evacuated");
+        return;
+    }
     auto commands = connection->commands_to_set_values(request.values);
     if (request.prepared) {
         for (auto& prepare : connection->commands_to_prepare(*request.prepared)) {
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -28,6 +28,9 @@
         std::function<void(std::function<void(bool)>)> check_leadership;
         /// Called after a write was committed, with the time at which it was sent.
         std::function<void(monotonic_time sent_at)> on_commit;
+        /// Returns whether statements of callers may be sent to the member, whose availability zone operators
+        /// may evacuate. May be empty if they always may.
+        std::function<bool()> may_send;
     };
 
     member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks, backend_connection_target target,
@@ -62,6 +65,8 @@
     void enqueue(queued_request_pointer const& added);
     duration expected_wait(int priority) const;
     void start_waiting_requests();
+    /// Returns false for a statement of a caller while none may be sent to the member.
+    bool may_send(member_request const& request) const;
     queued_request_pointer take_next();
     void start(queued_request_pointer const& queued);
     /// Sends the request, once the member is proven to be the leader if the request needs this.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -27,7 +27,7 @@
 constexpr duration silent_replica_timeout = std::chrono::seconds(11);
 /// Time after which a takeover is abandoned, so that the replicas can resume receiving from their leader.
 constexpr duration max_takeover_time = std::chrono::seconds(14);
-/// Time limit for replacing a draining leader. The leader still serves, but cannot commit while its
+/// Time limit for replacing a leader that still serves. The leader still serves, but cannot commit while its
 /// replicas are stopped.
 constexpr duration max_handover_time = std::chrono::milliseconds(2'000);
 /// Minimum time between the end of a takeover and the start of the next one for the same group.
@@ -83,7 +83,7 @@
 {
     auto const now = m_kernel.now();
     if (auto* const running = find_takeover(group.name())) {
-        auto const limit = running->cause == takeover_cause::draining && !running->is_promoting
+        auto const limit = is_handover(running->cause) && !running->is_promoting
                                ? max_handover_time
                                : max_takeover_time;
         if (now - running->started_at > limit) {
@@ -123,13 +123,18 @@
     if (assessment.suspects * 2 > assessment.voters) {
         return takeover_cause::suspected;
     }
-    auto const has_successor =
-        std::any_of(group.members().begin(), group.members().end(), [leader](auto const& each) {
-            return each.first != leader->entry.id && !each.second.entry.is_draining;
+    auto const has_successor_where = [&](auto const& accepts) {
+        return std::any_of(group.members().begin(), group.members().end(), [&](auto const& each) {
+            return each.first != leader->entry.id && !each.second.entry.is_draining && accepts(each.second);
         });
-    if (leader->entry.is_draining && has_successor) {
+    };
+    if (leader->entry.is_draining && has_successor_where([](group_member const&) { return true; })) {
         return takeover_cause::draining;
     }
+    if (group.is_evacuated(*leader) &&
+        has_successor_where([&group](group_member const& member) { return !group.is_evacuated(member); })) {
+        return takeover_cause::evacuated;
+    }
     return std::nullopt;
 }
 
@@ -190,7 +195,7 @@
     }
     for (auto const& [id, former] : group.former_members()) {
         targets[id] = former.entry;
-        if (former.entry.is_draining && running->cause == takeover_cause::draining) {
+        if (former.entry.is_draining && is_handover(running->cause)) {
             // It announced that it would leave, and then left the directory.
             running->not_running.insert(id);
         }
@@ -199,9 +204,8 @@
         member_command command;
         command.term = running->term;
         if (id == running->old_leader) {
-            // A draining leader serves until the replicas have stopped and a successor is chosen.
-            auto const still_serves =
-                running->cause == takeover_cause::draining && !running->old_leader_expires_at;
+            // Such a leader serves until the replicas have stopped and a successor is chosen.
+            auto const still_serves = is_handover(running->cause) && !running->old_leader_expires_at;
             if (still_serves || running->is_old_leader_stopped) {
                 continue;
             }
@@ -292,7 +296,7 @@
     auto const& replication = *answer.replication;
     if (member == running->old_leader) {
         running->is_old_leader_stopped = true;
-        running->responses[member] = {replication.received, true};
+        running->responses[member] = {replication.received, true, true};
     }
     else if (replication.role == member_role::primary && replication.term >= running->term) {
         m_groups->group(name).apply_reported_leader(member, replication.term);
@@ -300,8 +304,10 @@
         return;
     }
     else {
-        auto const* const known = m_groups->group(name).find_member(member);
-        running->responses[member] = {replication.received, known == nullptr || known->entry.is_draining};
+        auto& group = m_groups->group(name);
+        auto const* const known = group.find_member(member);
+        running->responses[member] = {replication.received, known == nullptr || known->entry.is_draining,
+                                      known == nullptr || group.is_evacuated(*known)};
     }
     promote_if_chosen(name);
 }
@@ -353,9 +359,9 @@
     auto const old_leader = running.responses.find(running.old_leader);
     auto const has_old_leader = old_leader != running.responses.end();
     auto candidates = running.expected_responders;
-    // The replicas hold all acknowledged commits, so a leader that drains need not lead again.
+    // The replicas hold all acknowledged commits, so a leader that is to be relieved need not lead again.
     auto const may_lead_again =
-        running.cause != takeover_cause::draining ||
+        !is_handover(running.cause) ||
         std::any_of(candidates.begin(), candidates.end(),
                     [&running](std::string const& id) { return !running.responses.contains(id); });
     if (has_old_leader && may_lead_again) {
@@ -378,8 +384,13 @@
         auto const found = running.responses.find(id);
         auto const is_eligible = found != running.responses.end() && found->second.received == furthest &&
                                  group.members().contains(id);
-        if (is_eligible &&
-            (!best || (running.responses.at(*best).is_draining && !found->second.is_draining))) {
+        if (!is_eligible) {
+            continue;
+        }
+        auto const preference = [](member_response const& response) {
+            return std::pair(response.is_draining, response.is_evacuated);
+        };
+        if (!best || preference(found->second) < preference(running.responses.at(*best))) {
             best = id;
         }
     }
@@ -390,7 +401,7 @@
     // replica may lead only once this is ruled out. While that replica or the old leader is unresponsive,
     // both may still be serving callers on the other side of a partition.
     auto const is_leader_silent =
-        running.cause != takeover_cause::draining && !running.not_running.contains(running.old_leader);
+        !is_handover(running.cause) && !running.not_running.contains(running.old_leader);
     auto const elapsed = m_kernel.now() - running.started_at;
     auto const timeout = silent > 0 || is_leader_silent ? silent_replica_timeout : stopped_replica_timeout;
     if (elapsed < timeout) {
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -31,15 +31,22 @@
 /// permanently; after any other error it is unknown whether the platform will carry out the order.
 using promotion_hook = std::function<void(promotion_order const&, std::function<void(absl::Status)>)>;
 
-enum class takeover_cause { suspected, draining, vanished };
+enum class takeover_cause { suspected, draining, vanished, evacuated };
 
 inline constexpr std::array takeover_cause_names{
     enum_name<takeover_cause>{takeover_cause::suspected, "suspected"},
     enum_name<takeover_cause>{takeover_cause::draining, "draining"},
     enum_name<takeover_cause>{takeover_cause::vanished, "vanished"},
+    enum_name<takeover_cause>{takeover_cause::evacuated, "evacuated"},
 };
 
-/// Replaces group leaders that are lost or draining. The VM that runs a takeover stops the replicas from
+/// Returns whether the replaced leader still serves and need not be waited for.
+constexpr bool is_handover(takeover_cause cause)
+{
+    return cause == takeover_cause::draining || cause == takeover_cause::evacuated;
+}
+
+/// Replaces group leaders that are lost, draining or in an evacuated availability zone. The VM that runs a takeover stops the replicas from
 /// receiving and chooses the one with the highest received position. It then acquires the group's failover
 /// lock, which one VM holds at a time, and orders the promotion under the lock's fence.
 class takeover_service : public service {
@@ -62,6 +69,7 @@
     struct member_response {
         log_position received;
         bool is_draining = false;
+        bool is_evacuated = false;
     };
 
     struct unanswered_order {
--- a/libraries/fleet/fleet_state.cpp
+++ b/libraries/fleet/fleet_state.cpp
@@ -31,6 +31,9 @@
         state["configuration_age_ms"] = to_milliseconds(*age);
     }
     state["members"] = Json::UInt64(m_members.size());
+    for (auto const& [zone, evacuation] : m_evacuations.zones()) {
+        state["evacuated_zones"].append(zone);
+    }
     return state;
 }
 
@@ -66,6 +69,65 @@
     }
 }
 
+void fleet_state::apply_evacuation(std::string const& zone, store_position change, bool is_withdrawn)
+{
+    auto const previous = m_evacuations.zones();
+    auto const is_changed = is_withdrawn ? m_evacuations.apply_withdrawal(zone, change)
+                                         : m_evacuations.apply_request(zone, change, m_confirmed_at);
+    if (is_changed) {
+        notify_evacuations(previous, "store");
+    }
+}
+
+void fleet_state::set_evacuations(zone_evacuations::requests_map const& requests, store_position position,
+                                  store_position last_change, std::string const& source)
+{
+    auto const previous = m_evacuations.zones();
+    auto const is_changed = m_evacuations.replace(requests, position, m_confirmed_at, m_kernel.now());
+    m_evacuations.skip_to(last_change);
+    if (is_changed) {
+        notify_evacuations(previous, source);
+    }
+}
+
+void fleet_state::expire_evacuations()
+{
+    auto const previous = m_evacuations.zones();
+    if (m_evacuations.expire(m_kernel.now())) {
+        notify_evacuations(previous, "expiry after the restore of the store");
+    }
+}
+
+void fleet_state::notify_evacuations(std::map<std::string, zone_evacuation> const& previous,
+                                     std::string const& source) const
+{
+    auto const log_change = [&](std::string_view message, std::string const& zone,
+                                zone_evacuation const& evacuation) {
+        Json::Value fields(Json::objectValue);
+        fields["availability_zone"] = zone;
+        fields["store_era"] = Json::UInt64(evacuation.request.era);
+        fields["store_version"] = Json::UInt64(evacuation.request.version);
+        fields["source"] = source;
+        if (evacuation.requested_after) {
+            fields["max_age_ms"] = to_milliseconds(m_kernel.now() - *evacuation.requested_after);
+        }
+        m_kernel.log(log_level::warning, service_name, message, std::move(fields));
+        for (auto const& observer : m_evacuation_observers) {
+            observer(zone, m_evacuations.is_evacuated(zone));
+        }
+    };
+    for (auto const& [zone, evacuation] : m_evacuations.zones()) {
+        if (!previous.contains(zone)) {
+            log_change("evacuation of an availability zone was requested", zone, evacuation);
+        }
+    }
+    for (auto const& [zone, evacuation] : previous) {
+        if (!m_evacuations.is_evacuated(zone)) {
+            log_change("evacuation of an availability zone was withdrawn", zone, evacuation);
+        }
+    }
+}
+
 std::optional<duration> fleet_state::configuration_age() const
 {
     if (!m_confirmed_at || !m_configuration) {
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -88,7 +88,8 @@
     auto const version = configuration ? configuration->version : 0;
     has_changes = has_changes || std::exchange(m_reported_version, version) != version ||
                   std::exchange(m_reported_directory_digest, m_fleet->directory_digest()) !=
-                      m_fleet->directory_digest();
+                      m_fleet->directory_digest() ||
+                  std::exchange(m_reported_evacuations, own_evacuations()) != own_evacuations();
     has_changes =
         has_changes ||
         std::exchange(m_reported_leaving, m_membership->is_leaving()) != m_membership->is_leaving() ||
@@ -172,6 +173,7 @@
     auto const configuration = m_fleet->configuration();
     report.configuration_version = configuration ? configuration->version : 0;
     report.member_directory_digest = m_fleet->directory_digest();
+    report.evacuations = own_evacuations();
     report.sender = m_membership->own_identity_report();
     report.is_leaving = m_membership->is_leaving();
     auto const age = m_fleet->configuration_age();
@@ -214,6 +216,7 @@
     report.configuration_version = own_report.configuration_version;
     report.configuration_age_ms = own_report.configuration_age_ms;
     report.member_directory_digest = own_report.member_directory_digest;
+    report.evacuations = own_report.evacuations;
     report.vms.push_back(hash_name(own.name));
     if (own_report.configuration_age_ms <= store_contact_ms) {
         report.vms_with_store.push_back(report.vms.front());
@@ -228,6 +231,7 @@
             continue;
         }
         report.vms.push_back(vm);
+        report.evacuations = std::max(report.evacuations, entry.report.evacuations);
         if (entry.report.configuration_age_ms <= store_contact_ms) {
             report.vms_with_store.push_back(vm);
         }
@@ -279,7 +283,7 @@
     m_has_new_reports = true;
     m_rates->handle_vm_report(peer.name, report);
     refresh_from_peer(peer.name, report.configuration_version, report.member_directory_digest,
-                      report.configuration_age_ms);
+                      report.configuration_age_ms, report.evacuations);
     for (auto const& entry : report.leaders) {
         if (auto* const group = m_groups->find_group(entry.group)) {
             apply_leader_report(*group, entry, entry.is_suspected);
@@ -317,10 +321,13 @@
 }
 
 void report_service::refresh_from_peer(std::string const& vm, std::uint64_t version,
-                                       std::uint32_t directory_digest, std::uint32_t configuration_age_ms)
+                                       std::uint32_t directory_digest, std::uint32_t configuration_age_ms,
+                                       evacuation_position const& evacuations)
 {
     auto const configuration = m_fleet->configuration();
-    if (version > (configuration ? configuration->version : 0) && m_read_configuration) {
+    auto const is_newer =
+        version > (configuration ? configuration->version : 0) || evacuations > own_evacuations();
+    if (is_newer && m_read_configuration) {
         m_read_configuration(vm);
     }
     // Only the store reader's copy of the directory is known to be the newest of the zone.
@@ -334,7 +341,8 @@
 {
     auto const configuration = m_fleet->configuration();
     auto const has_newer_version =
-        report.configuration_version > (configuration ? configuration->version : 0);
+        report.configuration_version > (configuration ? configuration->version : 0) ||
+        report.evacuations > own_evacuations();
     auto const has_other_directory = report.member_directory_digest != m_fleet->directory_digest() &&
                                      report.configuration_age_ms <= store_contact_ms;
     if (!has_newer_version && !has_other_directory) {
@@ -365,6 +373,12 @@
     }
 }
 
+evacuation_position report_service::own_evacuations() const
+{
+    auto const change = m_fleet->evacuations().last_change();
+    return {change.era, change.version};
+}
+
 void report_service::request_store_status()
 {
     auto const now = m_kernel.now();
@@ -389,7 +403,7 @@
     m_membership->send(peer.name,
                        store_status_reply{request.number, report.configuration_version,
                                           report.configuration_age_ms, report.member_directory_digest,
-                                          m_store_era ? m_store_era() : 0});
+                                          m_store_era ? m_store_era() : 0, report.evacuations});
 }
 
 void report_service::handle_store_status_reply(peer_state const& peer, store_status_reply const& reply)
@@ -400,10 +414,10 @@
     auto const sent_request = m_sent_requests.find(reply.number);
     auto const configuration = m_fleet->configuration();
     refresh_from_peer(peer.name, reply.configuration_version, reply.member_directory_digest,
-                      reply.configuration_age_ms);
+                      reply.configuration_age_ms, reply.evacuations);
     if (sent_request == m_sent_requests.end() || !configuration ||
         reply.configuration_age_ms >= max_reported_age_ms ||
-        reply.configuration_version != configuration->version) {
+        reply.configuration_version != configuration->version || reply.evacuations > own_evacuations()) {
         return;
     }
     // The reply was written after the request was sent, so its content is no older than the request.
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -105,9 +105,11 @@
     /// Recomputes the shares of the rates when the number of VMs or zones that share them has changed.
     void divide_rates();
     vm_report make_report() const;
-    /// Gets the configuration or the member directory if `vm`, a zone peer, has newer state.
+    /// Gets the configuration with the evacuations, or the member directory, if `vm`, a zone peer, has newer state.
     void refresh_from_peer(std::string const& vm, std::uint64_t version, std::uint32_t directory_digest,
-                           std::uint32_t configuration_age_ms);
+                           std::uint32_t configuration_age_ms, evacuation_position const& evacuations);
+    /// Position of the last change of the evacuations that this VM knows.
+    evacuation_position own_evacuations() const;
     /// Gets them if another zone has newer state. The store reader of this zone reads the store; the others
     /// get them from the store reader, or from a VM of the other zone if no VM of this zone reaches the
     /// store.
@@ -159,6 +161,7 @@
     monotonic_time m_last_request_at;
     std::uint64_t m_reported_version = 0;          ///< Configuration version when changes were last checked.
     std::uint32_t m_reported_directory_digest = 0; ///< Directory digest when changes were last checked.
+    evacuation_position m_reported_evacuations;    ///< Evacuations when changes were last checked.
     std::optional<zone_exchange> m_zones;          ///< Set when the service starts.
     bool m_reported_leaving = false;
     bool m_reported_has_list = false;
--- a/libraries/fleet/zone_exchange.cpp
+++ b/libraries/fleet/zone_exchange.cpp
@@ -31,6 +31,7 @@
     }
     return {report.configuration_version,
             report.member_directory_digest,
+            report.evacuations,
             report.vms,
             report.leaving_vms,
             std::move(suspects),
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -378,6 +378,9 @@
         if (member.entry.is_draining || excluded.contains(id) || member.avoid_until > now) {
             continue;
         }
+        if (is_evacuated(member)) {
+            continue;
+        }
         if (member.failures >= failures_before_probe) {
             // A probe detects the recovery of the member, so that no read is sent to a member that may still
             // fail.
@@ -399,6 +402,19 @@
     return best;
 }
 
+bool database_group::is_evacuated(group_member const& member) const
+{
+    return m_dependencies.is_evacuated && m_dependencies.is_evacuated(member.entry.availability_zone);
+}
+
+bool database_group::may_send_to(std::string const& id) const
+{
+    auto const found = m_members.find(id);
+    return found != m_members.end() &&
+           (!m_dependencies.may_send_to_zone ||
+            m_dependencies.may_send_to_zone(found->second.entry.availability_zone));
+}
+
 bool database_group::is_expected_to_hold(group_member const& member, log_position minimum_position) const
 {
     if (member.applied >= minimum_position || member.confirmed_term != 0) {
@@ -549,6 +565,7 @@
         Json::Value entry(Json::objectValue);
         entry["availability_zone"] = member.entry.availability_zone;
         entry["is_draining"] = member.entry.is_draining;
+        entry["is_evacuated"] = is_evacuated(member);
         entry["claims_primary"] = member.entry.claims_primary;
         entry["proven_term"] = Json::UInt64(member.confirmed_term);
         entry["in_flight"] = Json::UInt64(member.in_flight);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -44,6 +44,11 @@
         std::function<void(member_entry const&, member_request, reply_callback)> run;
         std::function<void(member_entry const&)> member_added;
         std::function<void(member_entry const&)> member_removed;
+        /// Returns whether an availability zone is evacuated. May be empty if none ever is.
+        std::function<bool(std::string const& zone)> is_evacuated{};
+        /// Returns whether a request that only a member of the zone can run may still be sent there. May be
+        /// empty if no zone is ever evacuated.
+        std::function<bool(std::string const& zone)> may_send_to_zone{};
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -86,6 +91,12 @@
     /// Records that a member refused a statement because its queue was too long; reads avoid it briefly.
     void record_overload(std::string const& member);
 
+    /// Returns whether the member's availability zone is evacuated.
+    bool is_evacuated(group_member const& member) const;
+    /// Returns whether requests may be sent to a member, although its availability zone may be about to be
+    /// evacuated. False for unknown members.
+    bool may_send_to(std::string const& member) const;
+
     /// Sends a request to a member through the VM that brokers its connections.
     void run(std::string const& member, member_request request, reply_callback done);
 
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -35,6 +35,8 @@
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_fleet->on_members([this](member_directory const& members) { apply_member_directory(members); });
+    m_fleet->on_evacuation(
+        [this](std::string const& zone, bool is_evacuated) { log_evacuation(zone, is_evacuated); });
     m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_kernel.start_periodic(sweep_period, [this] {
         for (auto const& [member, dispatcher] : m_dispatchers) {
@@ -67,7 +69,9 @@
                 m_brokers->run(member, std::move(request), std::move(done));
             },
             [this](member_entry const& member) { add_member(member); },
-            [this](member_entry const& member) { remove_member(member); }};
+            [this](member_entry const& member) { remove_member(member); },
+            [this](std::string const& zone) { return m_fleet->is_evacuated(zone); },
+            [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); }};
         entry = std::make_unique<database_group>(name, std::move(dependencies));
         m_group_of_hash[hash_name(name)] = entry.get();
     }
@@ -90,6 +94,7 @@
     options.on_open_failed = [this, entry](member_error error) {
         group(entry.group).record_failure(entry.id, error);
     };
+    options.may_send = [this, zone = entry.availability_zone] { return m_fleet->may_send_to_zone(zone); };
     options.on_opened = [this, entry] { group(entry.group).record_response(entry.id); };
     if (!m_deposes_replaced_leaders) {
         guard_leadership(entry, options);
@@ -152,6 +157,32 @@
     return std::max<std::size_t>(1, reserve / std::max<std::size_t>(1, m_membership->fleet_size()));
 }
 
+void group_registry::log_evacuation(std::string const& zone, bool is_evacuated) const
+{
+    Json::Value fields(Json::objectValue);
+    fields["availability_zone"] = zone;
+    fields["is_evacuated"] = is_evacuated;
+    fields["led_groups"] = Json::Value(Json::arrayValue);
+    std::size_t members = 0;
+    for (auto const& [name, group] : m_groups) {
+        for (auto const& [id, member] : group->members()) {
+            members += member.entry.availability_zone == zone ? 1 : 0;
+        }
+        auto const* const leader = group->leader();
+        if (leader != nullptr && leader->entry.availability_zone == zone) {
+            fields["led_groups"].append(name);
+        }
+    }
+    fields["members"] = Json::UInt64(members);
+    if (members == 0 && !m_groups.empty()) {
+        m_kernel.log(log_level::warning, service_name, "no member is listed in the evacuated availability zone",
+                     std::move(fields));
+        return;
+    }
+    m_kernel.log(log_level::info, service_name, "evacuation applies to the members of the availability zone",
+                 std::move(fields));
+}
+
 void group_registry::apply_member_directory(member_directory const& members)
 {
     std::map<std::string, std::vector<member_entry>> by_group;
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -45,6 +45,8 @@
 
 private:
     void apply_member_directory(member_directory const& members);
+    /// Logs the members and the leaders that an evacuation affects.
+    void log_evacuation(std::string const& zone, bool is_evacuated) const;
     void add_member(member_entry const& entry);
     void remove_member(member_entry const& entry);
     void guard_leadership(member_entry const& entry, member_dispatcher::options& options);
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -25,7 +25,7 @@
         m_kernel, m_hooks.platform, std::move(identity),
         peer_codec(hmac_sha256(settings.fleet_secret, "peers")), m_hooks.send_datagram,
         membership_timing{heartbeat_period, peer_reachability_timeout, vm_list_period}));
-    m_kernel.add(std::make_unique<fleet_state>(m_kernel));
+    m_kernel.add(std::make_unique<fleet_state>(m_kernel, settings.evacuation_limit));
     m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
     m_kernel.add(std::make_unique<document_exchange>(m_kernel));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -38,6 +38,9 @@
     /// when it promotes a member.
     bool deposes_replaced_leaders = true;
     rate_bounds rates; ///< Bounds on the operations that are admitted for an account.
+    /// Time from the confirmation of an evacuation's request until the members of the zone must get no more
+    /// requests.
+    duration evacuation_limit = default_evacuation_limit;
 };
 
 /// Complete VM that serves sessions, as one object. It performs no I/O, starts no threads and reads no clock
--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -1,5 +1,7 @@
 #include "session_vm/vm_metrics.h"
 
+#include <utility>
+
 #include <fmt/format.h>
 
 #include "session_vm/session_vm.h"
@@ -43,6 +45,15 @@
         text += fmt::format("greengagehitch_configuration_age_seconds {}\n",
                             std::chrono::duration<double>(*age).count());
     }
+    for (auto const& [zone, evacuation] : vm.fleet().evacuations().zones()) {
+        text += fmt::format("greengagehitch_zone_evacuated{{availability_zone=\"{}\"}} 1\n", zone);
+    }
+    std::size_t leaders_to_move = 0;
+    for (auto const& [name, group] : vm.sessions().groups().groups()) {
+        auto const* const leader = std::as_const(*group).leader();
+        leaders_to_move += leader != nullptr && group->is_evacuated(*leader) ? 1 : 0;
+    }
+    text += fmt::format("greengagehitch_leaders_in_evacuated_zones {}\n", leaders_to_move);
     for (auto const& [name, group] : vm.sessions().groups().groups()) {
         text += fmt::format("greengagehitch_leader_term{{group=\"{}\"}} {}\n", name, group->confirmed_term());
         if (auto const age = group->confirmation_age()) {
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -362,6 +362,14 @@
 
 void client_session::send_in_transaction(session_statement const& statement, int retries)
 {
+    if (!m_engine.groups().group(m_transaction_class.group).may_send_to(m_connection->member)) {
+        if (statement.kind == statement_kind::commit) {
+            roll_back();
+        }
+        refuse(statement, session_error::aborted,
+               "the member's availability zone is evacuated; the transaction is rolled back");
+        return;
+    }
     auto execution = make_execution_request(statement, m_transaction_account);
     if (!execution) {
         return;
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -23,6 +23,8 @@
 constexpr duration overload_retry_delay = std::chrono::milliseconds(250);
 /// Retry delay reported to a caller when the leader is not proven to lead; a takeover takes about as long.
 constexpr duration unproven_refusal_delay = std::chrono::milliseconds(300);
+/// Retry delay reported to a caller when the leader's zone is evacuated; a takeover takes about as long.
+constexpr duration evacuated_refusal_delay = std::chrono::milliseconds(500);
 /// The latency target divided by these is the longest time that a statement may wait in the queue for the
 /// leader or for another member.
 constexpr int leader_queue_divisor = 2;
@@ -158,7 +160,14 @@
     }
     if (needs_leader()) {
         if (auto* const leader = m_group.leader()) {
-            send_attempt(leader->entry.id);
+            if (m_group.may_send_to(leader->entry.id)) {
+                send_attempt(leader->entry.id);
+            }
+            else if (m_in_flight == 0) {
+                refuse(session_error::busy,
+                       "the leader's availability zone is evacuated, and no other member leads the group yet",
+                       evacuated_refusal_delay);
+            }
             return;
         }
         m_group.refresh_leader_position(m_request.client_account);
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -154,6 +154,15 @@
     MSGPACK_DEFINE(group, member, term, highest_term, highest_position, is_suspected, holds_failover_lock)
 };
 
+/// Position in the store's history of the last change of the evacuations; 0 if none was ever requested.
+struct evacuation_position {
+    std::uint64_t era = 0;
+    std::uint64_t version = 0;
+    MSGPACK_DEFINE(era, version)
+
+    auto operator<=>(evacuation_position const&) const = default;
+};
+
 /// State that a VM sends to the other VMs of its availability zone.
 struct vm_report {
     /// Contains the sender's current address, since the platform's list of VMs may be out of date.
@@ -165,8 +174,9 @@
     std::vector<name_hash> reachable_vms; ///< VMs of the zone from which the sender receives messages.
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
+    evacuation_position evacuations; ///< Last change of the evacuations that the sender knows.
     MSGPACK_DEFINE(sender, configuration_version, configuration_age_ms, member_directory_digest, is_leaving,
-                   reachable_vms, demands, leaders)
+                   reachable_vms, demands, leaders, evacuations)
 };
 
 /// Combined assessment of a group's leader by the VMs of one availability zone.
@@ -199,8 +209,9 @@
     std::vector<name_hash> reachable_zones;    ///< Zones whose latest report at the sender has not expired.
     std::vector<zone_demand> demands;
     std::vector<zone_assessment> assessments;
+    evacuation_position evacuations; ///< Last change of the evacuations that any VM of the zone knows.
     MSGPACK_DEFINE(availability_zone, configuration_version, configuration_age_ms, member_directory_digest,
-                   vms, leaving_vms, vms_with_store, reachable_zones, demands, assessments)
+                   vms, leaving_vms, vms_with_store, reachable_zones, demands, assessments, evacuations)
 };
 
 /// Asks the VM that reads the store for its zone for the state that it has read.
@@ -217,7 +228,9 @@
     std::uint32_t configuration_age_ms = 0;    ///< Time since that version was last known to be the newest.
     std::uint32_t member_directory_digest = 0; ///< Digest of the sender's copy of the member directory.
     std::uint64_t store_era = 0;               ///< Latest era of the store that the sender saw.
-    MSGPACK_DEFINE(number, configuration_version, configuration_age_ms, member_directory_digest, store_era)
+    evacuation_position evacuations;           ///< Last change of the evacuations that the sender knows.
+    MSGPACK_DEFINE(number, configuration_version, configuration_age_ms, member_directory_digest, store_era,
+                   evacuations)
 };
 
 /// Requests tokens of a client account's rate from a peer.
