--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -83,9 +83,8 @@
 {
     auto const now = m_kernel.now();
     if (auto* const running = find_takeover(group.name())) {
-        auto const limit = is_handover(running->cause) && !running->is_promoting
-                               ? max_handover_time
-                               : max_takeover_time;
+        auto const limit =
+            is_handover(running->cause) && !running->is_promoting ? max_handover_time : max_takeover_time;
         if (now - running->started_at > limit) {
             end_takeover(group.name(), "takeover exceeded its time limit", true);
         }
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -46,9 +46,10 @@
     return cause == takeover_cause::draining || cause == takeover_cause::evacuated;
 }
 
-/// Replaces group leaders that are lost, draining or in an evacuated availability zone. The VM that runs a takeover stops the replicas from
-/// receiving and chooses the one with the highest received position. It then acquires the group's failover
-/// lock, which one VM holds at a time, and orders the promotion under the lock's fence.
+/// Replaces group leaders that are lost, draining or in an evacuated availability zone. The VM that runs a
+/// takeover stops the replicas from receiving and chooses the one with the highest received position. It then
+/// acquires the group's failover lock, which one VM holds at a time, and orders the promotion under the
+/// lock's fence.
 class takeover_service : public service {
 public:
     static constexpr std::string_view service_name = "takeover";
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -105,7 +105,8 @@
     /// Recomputes the shares of the rates when the number of VMs or zones that share them has changed.
     void divide_rates();
     vm_report make_report() const;
-    /// Gets the configuration with the evacuations, or the member directory, if `vm`, a zone peer, has newer state.
+    /// Gets the configuration with the evacuations, or the member directory, if `vm`, a zone peer, has newer
+    /// state.
     void refresh_from_peer(std::string const& vm, std::uint64_t version, std::uint32_t directory_digest,
                            std::uint32_t configuration_age_ms, evacuation_position const& evacuations);
     /// Position of the last change of the evacuations that this VM knows.
--- a/libraries/fleet/zone_evacuations.h
+++ b/libraries/fleet/zone_evacuations.h
@@ -12,15 +12,15 @@
 /// Evacuation of one availability zone as operators requested it.
 struct zone_evacuation {
     store_position request; ///< Position at which the store recorded the request.
-    /// Latest time at which the evacuation is known not to have been requested yet. Its absence means that the
-    /// request may be of any age.
+    /// Latest time at which the evacuation is known not to have been requested yet. Its absence means that
+    /// the request may be of any age.
     std::optional<monotonic_time> requested_after;
     /// Time at which a restored store was first read that does not have the request.
     std::optional<monotonic_time> missing_since;
 };
 
-/// Set of the evacuated availability zones. The set is complete up to the position of the last change that was
-/// applied, so that changes may arrive from the store and from peers in any order.
+/// Set of the evacuated availability zones. The set is complete up to the position of the last change that
+/// was applied, so that changes may arrive from the store and from peers in any order.
 class zone_evacuations {
 public:
     /// Zones with the position of their request.
--- a/libraries/fleet/zone_exchange.h
+++ b/libraries/fleet/zone_exchange.h
@@ -50,11 +50,11 @@
 
 private:
     /// The part of a report whose changes are sent at once: configuration version, directory digest,
-    /// evacuations, VMs, VMs that are shutting down, and, for each group, the number of suspecting VMs and the
-    /// holder of the failover lock.
+    /// evacuations, VMs, VMs that are shutting down, and, for each group, the number of suspecting VMs and
+    /// the holder of the failover lock.
     using urgent_state =
-        std::tuple<std::uint64_t, std::uint32_t, evacuation_position, std::vector<name_hash>, std::vector<name_hash>,
-                   std::vector<std::uint32_t>, std::vector<name_hash>>;
+        std::tuple<std::uint64_t, std::uint32_t, evacuation_position, std::vector<name_hash>,
+                   std::vector<name_hash>, std::vector<std::uint32_t>, std::vector<name_hash>>;
 
     static urgent_state urgent_state_of(zone_report const& report);
     std::vector<std::string> choose_receivers(std::string const& zone);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -64,7 +64,8 @@
     auto& entry = m_groups[name];
     if (!entry) {
         database_group::dependencies dependencies{
-            m_kernel, m_membership->identity().availability_zone,
+            m_kernel,
+            m_membership->identity().availability_zone,
             [this](member_entry const& member, member_request request, reply_callback done) {
                 m_brokers->run(member, std::move(request), std::move(done));
             },
@@ -175,8 +176,8 @@
     }
     fields["members"] = Json::UInt64(members);
     if (members == 0 && !m_groups.empty()) {
-        m_kernel.log(log_level::warning, service_name, "no member is listed in the evacuated availability zone",
-                     std::move(fields));
+        m_kernel.log(log_level::warning, service_name,
+                     "no member is listed in the evacuated availability zone", std::move(fields));
         return;
     }
     m_kernel.log(log_level::info, service_name, "evacuation applies to the members of the availability zone",
--- a/tests/platform/watched_fleet.h
+++ b/tests/platform/watched_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,6 +34,22 @@
     fleet_state& state(std::size_t vm) { return m_fleet.vm(vm).fleet(); }
     static std::string name(std::size_t vm) { return "vm-" + std::to_string(vm); }
 
+    /// Starts a VM again, which has forgotten everything.
+    void restart(std::size_t vm)
+    {
+        m_watched[vm].reset();
+        m_fleet.kill_vm(vm);
+        m_fleet.start_vm(vm);
+        m_watched[vm] = std::make_unique<watched_vm>(*this, vm);
+    }
+
+    /// Number of log lines with this message that the adapters of all VMs have written.
+    std::size_t log_count(std::string const& message) const
+    {
+        auto const found = m_log_counts.find(message);
+        return found == m_log_counts.end() ? 0 : found->second;
+    }
+
     /// Configuration with this version, whose only class of work names the version.
     static std::string configuration(std::uint64_t version)
     {
@@ -89,7 +106,8 @@
                   [&fleet](duration delay, std::function<void()> callback) {
                       return fleet.clock().start_timer(delay, std::move(callback));
                   },
-                  [&fleet](timer_id timer) { fleet.clock().cancel_timer(timer); }, [](log_record const&) {}}),
+                  [&fleet](timer_id timer) { fleet.clock().cancel_timer(timer); },
+                  [&fleet](log_record const& record) { ++fleet.m_log_counts[std::string(record.message)]; }}),
               client(fleet.store.hook(name(index)), fleet.store.hook(name(index)), std::chrono::seconds(1)),
               watcher(core, client, fleet.state(index), fleet.m_fleet.vm(index).reports(),
                       fleet.m_fleet.vm(index).documents(),
@@ -121,6 +139,7 @@
     }
 
     session_fleet m_fleet;
+    std::map<std::string, std::size_t> m_log_counts;
 
 public:
     virtual_store store{m_fleet.clock(), std::chrono::milliseconds(4)};
