--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -41,6 +41,11 @@
     for (auto const& [member, chosen] : m_choices) {
         state["brokers"][member] = chosen.vm;
     }
+    for (auto const& [member, registered] : m_dispatchers) {
+        if (registered.dispatcher->connections() != 0) {
+            state["members"][member] = registered.dispatcher->dump();
+        }
+    }
     return state;
 }
 
--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -10,11 +10,14 @@
 /// Number of requests sent to a member beyond its number of slots, so that a slot that becomes free need not
 /// wait for the next request to arrive over the network.
 constexpr std::size_t requests_beyond_slots = 1;
-/// Statements of open transactions run before all others, since a transaction holds resources that other
-/// requests wait for.
-constexpr int transaction_priority = -1;
 constexpr duration rollback_timeout = std::chrono::milliseconds(500);
-constexpr int smoothing_divisor = 16;
+constexpr int smoothing_divisor = 8;
+/// Interval at which waiting requests are tried again if none of them could start.
+constexpr duration start_retry_interval = std::chrono::milliseconds(5);
+/// Longest return time that is assigned to a refused request.
+constexpr duration max_return_delay = std::chrono::milliseconds(1'000);
+/// Minimum interval of the log records on refusals for one member.
+constexpr duration refusal_log_interval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -30,7 +33,7 @@
 
 member_dispatcher::member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks,
                                      backend_connection_target target, options options)
-    : m_kernel(kernel), m_options(std::move(options))
+    : m_kernel(kernel), m_options(std::move(options)), m_member(target.member)
 {
     backend_connection_pool::options pool;
     pool.connection_limit = m_options.connection_limit;
@@ -54,79 +57,184 @@
 
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
-    if (!added->request.needs_slot) {
+    added->id = m_next_id++;
+    auto const is_probe = !added->request.needs_slot && !added->request.keeps_connection;
+    if (is_probe) {
         start(added);
         return;
     }
-    auto const priority = added->connection ? transaction_priority : added->request.priority;
-    auto const limit = std::chrono::milliseconds(added->request.queue_limit_ms);
-    if (expected_wait(priority) > limit) {
-        refuse(added, member_error::not_started,
-               "request is not expected to leave the queue for the member in time");
+    auto const decision = decide(*added);
+    ++m_counters.decisions[static_cast<std::size_t>(decision.result)];
+    if (decision.result != admission_result::admitted) {
+        auto const retry_after = assign_return(added->priority(), decision);
+        log_refusals();
+        // The caller of run() may not expect a reply before run() returns.
+        m_kernel.start_timer(duration::zero(), [dispatcher = shared_from_this(), added, retry_after] {
+            dispatcher->refuse(added, member_error::not_started,
+                               "request is not expected to start at the member in time", retry_after);
+        });
+        return;
+    }
+    if (!added->request.needs_slot) {
+        start(added);
         return;
     }
-    m_waiting[priority].push(added->request.client_account, 1, added);
-    ++m_waiting_count;
-    m_kernel.start_timer(limit, [weak = weak_from_this(), waiting = std::weak_ptr(added)] {
-        auto const dispatcher = weak.lock();
-        auto const late = waiting.lock();
-        if (dispatcher && late && !late->is_started) {
-            late->is_started = true;
-            dispatcher->refuse(late, member_error::not_started,
-                               "request waited too long in the queue for the member");
+    added->queue_wait = decision.queue_wait;
+    added->expected_start = decision.expected_start;
+    auto const limit = std::chrono::milliseconds(added->request.queue_limit_ms);
+    m_queued[added->id] = added;
+    m_waiting.push({added->id, added->request.client_account, added->priority(), added->enqueued_at,
+                    added->enqueued_at + limit});
+    m_kernel.start_timer(limit, [weak = weak_from_this(), id = added->id] {
+        if (auto const dispatcher = weak.lock()) {
+            dispatcher->expire(id);
         }
     });
     start_waiting_requests();
 }
 
-duration member_dispatcher::expected_wait(int priority) const
+admission_decision member_dispatcher::decide(queued_request const& request) const
 {
-    std::size_t ahead = 0;
-    for (auto const& [each, queue] : m_waiting) {
-        if (each <= priority) {
-            ahead += queue.size();
-        }
+    member_load load;
+    load.running = m_slots.occupied(m_kernel.now());
+    load.limit = flight_limit();
+    load.ahead = m_waiting.ahead_of(request.request.client_account, request.priority());
+    load.connection_wait = expected_connection_wait(request);
+    load.wait_correction = m_wait_corrections.factor(request.priority());
+    return decide_admission({request.priority(), std::chrono::milliseconds(request.request.queue_limit_ms),
+                             std::chrono::milliseconds(request.request.time_limit_ms)},
+                            load, m_service_times);
+}
+
+duration member_dispatcher::expected_connection_wait(queued_request const& request) const
+{
+    if (request.connection) {
+        return duration::zero();
     }
-    auto const limit = m_options.slots + requests_beyond_slots;
-    if (m_running + ahead < limit) {
+    switch (m_pool->availability(request.request.client_account)) {
+    case connection_availability::idle:
         return duration::zero();
+    case connection_availability::can_open:
+    case connection_availability::paused:
+        return m_handshake_time;
+    case connection_availability::exhausted: {
+        auto const rounds =
+            1 + (m_pool->waiting() + m_waiting.size()) / std::max<std::size_t>(1, connection_limit());
+        return (m_handshake_time + m_service_times.expected(request.priority())) *
+               static_cast<duration::rep>(rounds);
+    }
     }
-    return m_service_time * static_cast<duration::rep>(m_running + ahead + 1 - limit) /
-           static_cast<duration::rep>(m_options.slots);
+    return duration::zero();
+}
+
+std::uint32_t member_dispatcher::assign_return(int priority, admission_decision const& decision)
+{
+    // Refused callers return one after the other, at the rate at which the member answers.
+    auto const now = m_kernel.now();
+    auto& next = m_next_return_at[priority];
+    auto const step = m_service_times.expected(priority) / static_cast<duration::rep>(flight_limit());
+    next = std::min(std::max(next, now + decision.room_in) + step, now + max_return_delay);
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(next - now).count());
+}
+
+void member_dispatcher::expire(std::uint64_t id)
+{
+    auto const found = m_queued.find(id);
+    if (found == m_queued.end()) {
+        return;
+    }
+    auto const late = found->second;
+    m_queued.erase(found);
+    m_waiting.remove(id);
+    ++m_counters.expired;
+    m_wait_corrections.record(late->priority(), late->queue_wait, m_kernel.now() - late->enqueued_at);
+    log_refusals();
+    refuse(late, member_error::not_started, "request waited too long in the queue for the member");
+}
+
+std::size_t member_dispatcher::flight_limit() const
+{
+    return m_options.slots + requests_beyond_slots;
 }
 
 void member_dispatcher::start_waiting_requests()
 {
-    while (m_running < m_options.slots + requests_beyond_slots) {
-        auto const next = take_next();
-        if (!next) {
-            return;
+    while (try_start_next()) {
+    }
+    if (m_waiting.is_empty() || std::exchange(m_has_start_timer, true)) {
+        return;
+    }
+    m_kernel.start_timer(start_retry_interval, [weak = weak_from_this()] {
+        if (auto const dispatcher = weak.lock()) {
+            dispatcher->m_has_start_timer = false;
+            dispatcher->start_waiting_requests();
         }
-        ++m_running;
-        start(next);
+    });
+}
+
+bool member_dispatcher::try_start_next()
+{
+    if (m_waiting.is_empty()) {
+        return false;
+    }
+    auto const now = m_kernel.now();
+    auto const is_trial = m_slots.occupied(now) >= flight_limit();
+    if (is_trial && !m_slots.allows_trial(now)) {
+        return false;
+    }
+    auto const id = m_waiting.take(
+        now, [this, is_trial](member_queue::entry const& entry) { return condition_of(entry, is_trial); });
+    if (!id) {
+        return false;
+    }
+    if (is_trial) {
+        m_slots.record_trial(now);
+        ++m_counters.trials;
+    }
+    auto const next = m_queued.extract(*id).mapped();
+    auto const waited = now - next->enqueued_at;
+    if (waited + m_service_times.expected(next->priority()) >
+        std::chrono::milliseconds(next->request.time_limit_ms)) {
+        ++m_counters.decisions[static_cast<std::size_t>(admission_result::finish_too_late)];
+        refuse(next, member_error::not_started, "request could not finish in time any more");
+        return true;
     }
+    ++m_counters.started;
+    m_counters.expected_wait += next->expected_start;
+    m_counters.true_wait += waited;
+    m_wait_corrections.record(next->priority(), next->queue_wait, waited);
+    m_slots.start(*id);
+    start(next);
+    return true;
 }
 
-member_dispatcher::queued_request_pointer member_dispatcher::take_next()
+start_condition member_dispatcher::condition_of(member_queue::entry const& entry, bool is_trial) const
 {
-    for (auto& [priority, queue] : m_waiting) {
-        while (auto next = queue.pop()) {
-            --m_waiting_count;
-            if (!(*next)->is_started) {
-                return *next;
-            }
-        }
+    auto const& waiting = *m_queued.at(entry.id);
+    if (is_trial && !waiting.is_repeatable()) {
+        return start_condition::not_now;
+    }
+    if (waiting.connection) {
+        return start_condition::ready;
+    }
+    switch (m_pool->availability(entry.client_account)) {
+    case connection_availability::idle:
+    case connection_availability::can_open:
+        return start_condition::ready;
+    case connection_availability::paused:
+        return start_condition::not_now;
+    case connection_availability::exhausted:
+        return start_condition::no_connection;
     }
-    return nullptr;
+    return start_condition::not_now;
 }
 
 void member_dispatcher::start(queued_request_pointer const& queued)
 {
-    queued->is_started = true;
     if (queued->connection && !*queued->is_pinned) {
         // The transaction was rolled back while the statement waited, and its connection may serve another
         // transaction.
-        free_slot(*queued);
+        free_slot(*queued, false);
         refuse(queued, member_error::connection_lost,
                "transaction was rolled back while the statement waited");
         return;
@@ -135,24 +243,39 @@
         send(queued, queued->connection);
         return;
     }
+    acquire_connection(queued);
+}
+
+void member_dispatcher::acquire_connection(queued_request_pointer const& queued)
+{
     auto const keep_alive = shared_from_this();
+    auto const needs_handshake =
+        m_pool->availability(queued->request.client_account) == connection_availability::can_open;
     auto const request = m_pool->acquire(
         queued->request.client_account, queued->request.values,
-        [this, keep_alive, queued](std::variant<backend_connection_pointer, member_error> result) {
+        [this, keep_alive, queued, needs_handshake,
+         asked_at = m_kernel.now()](std::variant<backend_connection_pointer, member_error> result) {
             if (auto const* const error = std::get_if<member_error>(&result)) {
-                free_slot(*queued);
+                free_slot(*queued, false);
                 refuse(queued, *error, "no connection to the member is available");
                 return;
             }
+            if (needs_handshake) {
+                m_handshake_time += (m_kernel.now() - asked_at - m_handshake_time) / smoothing_divisor;
+            }
             send(queued, std::get<backend_connection_pointer>(result));
         });
+    auto const waited = m_kernel.now() - queued->enqueued_at;
+    auto const limit = std::chrono::milliseconds(queued->request.queue_limit_ms);
     m_kernel.start_timer(
-        std::chrono::milliseconds(queued->request.queue_limit_ms), [this, keep_alive, queued, request] {
+        std::max<duration>(limit - waited, duration::zero()), [this, keep_alive, queued, request] {
             if (!request->is_waiting()) {
                 return;
             }
             request->cancel();
-            free_slot(*queued);
+            free_slot(*queued, false);
+            ++m_counters.expired;
+            log_refusals();
             refuse(queued, m_pool->is_unreachable() ? member_error::refused : member_error::not_started,
                    "no connection to the member became free in time");
         });
@@ -173,7 +296,7 @@
         if (!queued->connection) {
             dispatcher->m_pool->release(connection);
         }
-        dispatcher->free_slot(*queued);
+        dispatcher->free_slot(*queued, false);
         dispatcher->refuse(queued, member_error::unproven_leader,
                            "member is not proven to be the leader of its group");
     });
@@ -194,6 +317,7 @@
         connection->set_changed_in_transaction();
     }
     commands.insert(commands.end(), request.commands.begin(), request.commands.end());
+    m_slots.record_sent(queued->id, m_kernel.now(), m_service_times.expected(queued->priority()));
     connection->send(commands, std::chrono::milliseconds(request.time_limit_ms),
                      [dispatcher = shared_from_this(), queued, connection, setup_count,
                       sent_at = m_kernel.now()](std::vector<member_answer> answers) {
@@ -223,9 +347,9 @@
         m_options.on_commit(sent_at);
     }
     if (queued->request.needs_slot && answers.back().is_ok()) {
-        m_service_time += (m_kernel.now() - sent_at - m_service_time) / smoothing_divisor;
+        m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
-    free_slot(*queued);
+    auto const is_answered = answers.back().is_ok() || is_answer(*answers.back().error);
     member_reply reply;
     auto const is_kept = queued->request.keeps_connection && connection->is_open() &&
                          connection->state() != transaction_state::idle;
@@ -238,6 +362,7 @@
             m_pool->release(connection);
         }
     }
+    free_slot(*queued, is_answered);
     queued->done(std::move(reply));
 }
 
@@ -273,6 +398,7 @@
     }
     if (connection->is_closed() || connection->state() == transaction_state::idle) {
         m_pool->release(connection);
+        start_waiting_requests();
         return;
     }
     std::vector<member_command> commands(1);
@@ -284,31 +410,85 @@
                 connection->close();
             }
             dispatcher->m_pool->release(connection);
+            dispatcher->start_waiting_requests();
         });
 }
 
-void member_dispatcher::free_slot(queued_request const& finished)
+void member_dispatcher::free_slot(queued_request const& finished, bool is_answered)
 {
     if (finished.request.needs_slot) {
-        VERIFY(m_running > 0);
-        --m_running;
+        m_slots.finish(finished.id, is_answered);
         start_waiting_requests();
     }
 }
 
 void member_dispatcher::refuse(queued_request_pointer const& refused, member_error error,
-                               std::string const& text)
+                               std::string const& text, std::uint32_t retry_after_ms)
+{
+    auto const done = std::exchange(refused->done, nullptr);
+    if (!done) {
+        return;
+    }
+    auto reply = make_failed_reply(refused->request.commands.size(), error, text);
+    for (auto& answer : reply.answers) {
+        answer.retry_after_ms = retry_after_ms;
+    }
+    done(std::move(reply));
+}
+
+void member_dispatcher::log_refusals()
+{
+    auto const now = m_kernel.now();
+    if (now - m_logged_at < refusal_log_interval) {
+        return;
+    }
+    Json::Value fields = dump();
+    fields["member"] = m_member;
+    Json::Value refused(Json::objectValue);
+    for (std::size_t i = 0; i < admission_result_names.size(); ++i) {
+        refused[std::string(admission_result_names[i].name)] =
+            Json::UInt64(m_counters.decisions[i] - m_logged_counters.decisions[i]);
+    }
+    refused["expired"] = Json::UInt64(m_counters.expired - m_logged_counters.expired);
+    fields["since_last"] = std::move(refused);
+    fields["started_since_last"] = Json::UInt64(m_counters.started - m_logged_counters.started);
+    m_logged_counters = m_counters;
+    m_logged_at = now;
+    m_kernel.log(log_level::info, "brokers", "member has too little room; requests were refused",
+                 std::move(fields));
+}
+
+Json::Value member_dispatcher::dump() const
 {
-    if (auto const done = std::exchange(refused->done, nullptr)) {
-        done(make_failed_reply(refused->request.commands.size(), error, text));
+    auto const now = m_kernel.now();
+    Json::Value state(Json::objectValue);
+    state["running"] = Json::UInt64(m_slots.occupied(now));
+    state["overdue"] = Json::UInt64(m_slots.overdue(now));
+    state["waiting"] = Json::UInt64(m_waiting.size());
+    state["limit"] = Json::UInt64(flight_limit());
+    state["connections"] = Json::UInt64(connections());
+    state["leased"] = Json::UInt64(m_pool->leased());
+    state["waiting_for_connection"] = Json::UInt64(m_pool->waiting());
+    state["connection_limit"] = Json::UInt64(connection_limit());
+    state["handshake_ms"] = to_milliseconds(m_handshake_time);
+    state["started"] = Json::UInt64(m_counters.started);
+    state["trials"] = Json::UInt64(m_counters.trials);
+    state["expired"] = Json::UInt64(m_counters.expired);
+    for (std::size_t i = 0; i < admission_result_names.size(); ++i) {
+        state["admission"][std::string(admission_result_names[i].name)] =
+            Json::UInt64(m_counters.decisions[i]);
     }
+    auto const started = static_cast<double>(std::max<std::uint64_t>(1, m_counters.started));
+    state["expected_wait_ms"] = to_milliseconds(m_counters.expected_wait) / started;
+    state["true_wait_ms"] = to_milliseconds(m_counters.true_wait) / started;
+    return state;
 }
 
 void member_dispatcher::shut_down()
 {
     m_pool->shut_down();
-    while (auto const next = take_next()) {
-        refuse(next, member_error::refused, "member was removed from the directory");
+    for (auto const id : m_waiting.clear()) {
+        refuse(m_queued.extract(id).mapped(), member_error::refused, "member was removed from the directory");
     }
 }
 
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -4,18 +4,21 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
+#include "brokers/admission.h"
+#include "brokers/member_queue.h"
 #include "brokers/member_request.h"
+#include "brokers/slot_usage.h"
 #include "kernel/kernel.h"
 #include "members/backend_connection_pool.h"
-#include "pool/fair_queue.h"
 
 namespace greengagehitch {
 
 /// Runs requests on this VM's own connections to one member. The number of requests sent to the member at a
-/// time is bounded by its execution slots, so that requests wait in the queue of this VM, which orders them
-/// by priority and then fairly among client accounts. A request that is not expected to start in time is
-/// refused at once.
+/// time is bounded by its execution slots, so that requests wait in the queue of this VM; see member_queue
+/// for their order. A request that waits for a connection holds no slot. A request that is not expected to
+/// start or finish in time is refused at once, with the time after which room is expected.
 class member_dispatcher : public std::enable_shared_from_this<member_dispatcher> {
 public:
     struct options {
@@ -46,24 +49,47 @@
 
     std::size_t connections() const { return m_pool->connections(); }
     std::size_t connection_limit() const { return m_options.connection_limit(); }
-    std::size_t waiting() const { return m_waiting_count; }
+    std::size_t waiting() const { return m_waiting.size(); }
+    Json::Value dump() const;
 
 private:
     struct queued_request {
+        std::uint64_t id = 0;
         member_request request;
         reply_callback done;
         backend_connection_pointer connection; ///< Connection of the open transaction; null if none is open.
         std::shared_ptr<bool const> is_pinned; ///< Whether that transaction still holds the connection.
         monotonic_time enqueued_at;
-        bool is_started = false;
+        duration queue_wait{};     ///< Wait that the member's load suggested when the request was admitted.
+        duration expected_start{}; ///< Wait that was expected then.
+
+        /// Priority of its class in the queue.
+        int priority() const { return connection ? member_queue::transaction_priority : request.priority; }
+        /// Whether it may run again if its answer is lost.
+        bool is_repeatable() const { return !connection && !request.commits_write; }
     };
     using queued_request_pointer = std::shared_ptr<queued_request>;
 
+    struct counters {
+        std::uint64_t started = 0;
+        std::uint64_t trials = 0; ///< Requests started while all slots were held by overdue ones.
+        std::array<std::uint64_t, admission_result_names.size()> decisions{};
+        std::uint64_t expired = 0; ///< Requests that were admitted and then waited for too long.
+        duration expected_wait{};  ///< Sum of the waits expected for the requests that started.
+        duration true_wait{};      ///< Sum of their true waits.
+    };
+
     void enqueue(queued_request_pointer const& added);
-    duration expected_wait(int priority) const;
+    admission_decision decide(queued_request const& request) const;
+    duration expected_connection_wait(queued_request const& request) const;
+    std::uint32_t assign_return(int priority, admission_decision const& decision);
+    void expire(std::uint64_t id);
     void start_waiting_requests();
-    queued_request_pointer take_next();
+    bool try_start_next();
+    start_condition condition_of(member_queue::entry const& entry, bool is_trial) const;
+    std::size_t flight_limit() const;
     void start(queued_request_pointer const& queued);
+    void acquire_connection(queued_request_pointer const& queued);
     /// Sends the request, once the member is proven to be the leader if the request needs this.
     void send(queued_request_pointer const& queued, backend_connection_pointer const& connection);
     void send_commands(queued_request_pointer const& queued, backend_connection_pointer const& connection);
@@ -71,18 +97,28 @@
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
     void return_connection(backend_connection_pointer const& connection);
-    void free_slot(queued_request const& finished);
-    void refuse(queued_request_pointer const& refused, member_error error, std::string const& text);
+    void free_slot(queued_request const& finished, bool is_answered);
+    void refuse(queued_request_pointer const& refused, member_error error, std::string const& text,
+                std::uint32_t retry_after_ms = 0);
+    void log_refusals();
 
     kernel& m_kernel;
     options m_options;
+    std::string m_member;
     std::shared_ptr<backend_connection_pool> m_pool;
-    std::map<int, fair_queue<queued_request_pointer>> m_waiting; ///< Keyed by priority.
-    std::size_t m_waiting_count = 0;
-    std::size_t m_running = 0; ///< Number of requests that hold a slot.
-    /// Moving average of the time from sending a request to its answer, which is used to estimate waiting
-    /// times.
-    duration m_service_time = std::chrono::milliseconds(25);
+    member_queue m_waiting;
+    std::unordered_map<std::uint64_t, queued_request_pointer> m_queued; ///< Waiting requests, keyed by id.
+    slot_usage m_slots;
+    service_times m_service_times;
+    wait_corrections m_wait_corrections;
+    /// Average time from the request for a connection to its lease if a handshake was needed.
+    duration m_handshake_time = std::chrono::milliseconds(20);
+    std::map<int, monotonic_time> m_next_return_at; ///< Time assigned to the last refused, by priority.
+    std::uint64_t m_next_id = 1;
+    bool m_has_start_timer = false;
+    counters m_counters;
+    counters m_logged_counters; ///< Counters at the last log record.
+    monotonic_time m_logged_at;
 };
 
 } // namespace greengagehitch
--- a/libraries/members/backend_connection_pool.cpp
+++ b/libraries/members/backend_connection_pool.cpp
@@ -67,6 +67,30 @@
            m_kernel.now() - *m_unanswered_since > usual_open_time;
 }
 
+connection_availability backend_connection_pool::availability(std::string const& client_account) const
+{
+    std::size_t waiting = 0;
+    std::size_t waiting_of_account = 0;
+    for (auto const& each : m_waiting) {
+        waiting += each->is_waiting() ? 1 : 0;
+        waiting_of_account += each->is_waiting() && each->m_client_account == client_account ? 1 : 0;
+    }
+    auto const idle_of_account = static_cast<std::size_t>(
+        std::count_if(m_idle.begin(), m_idle.end(), [&client_account](auto const& each) {
+            return each->is_open() && each->target().client_account == client_account;
+        }));
+    if (idle_of_account > waiting_of_account) {
+        return connection_availability::idle;
+    }
+    if (m_kernel.now() < m_next_open_at || std::max(m_opening, waiting) >= max_opening) {
+        return connection_availability::paused;
+    }
+    // Idle connections of other accounts can be closed to make room.
+    auto const claimed = m_leased + std::max(m_opening, waiting);
+    return claimed < m_options.connection_limit() ? connection_availability::can_open
+                                                  : connection_availability::exhausted;
+}
+
 void backend_connection_pool::trim(duration limit)
 {
     auto const now = m_kernel.now();
--- a/libraries/members/backend_connection_pool.h
+++ b/libraries/members/backend_connection_pool.h
@@ -29,6 +29,14 @@
     backend_connection_callback m_callback;
 };
 
+/// How a request for a connection would fare at this moment.
+enum class connection_availability {
+    idle,      ///< An idle connection of the account is free.
+    can_open,  ///< A handshake could begin.
+    paused,    ///< Handshakes are delayed, since enough are in progress or the last one failed.
+    exhausted, ///< All connections are in use.
+};
+
 using backend_connection_request_pointer = std::shared_ptr<backend_connection_request>;
 
 /// Connections to one member. Each connection belongs to one client account for its whole life, and the total
@@ -59,6 +67,8 @@
     /// Returns true if no connection is open and opening one has taken longer than a handshake usually takes.
     bool is_unreachable() const;
 
+    connection_availability availability(std::string const& client_account) const;
+
     std::size_t connections() const { return m_idle.size() + m_leased + m_opening; }
     std::size_t leased() const { return m_leased; }
     std::size_t waiting() const { return m_waiting.size(); }
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -126,9 +126,12 @@
     std::optional<log_position> position; ///< Applied position of the member.
     /// Set in answers to status, stop_receiving, resume_receiving and step_down.
     std::optional<replication_status> replication;
+    /// Time after which room for the command is expected, in milliseconds; set with not_started, 0 if
+    /// unknown.
+    std::uint32_t retry_after_ms = 0;
 
     bool is_ok() const { return !error.has_value(); }
-    MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication)
+    MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication, retry_after_ms)
 };
 
 /// Target of a connection, and the client account that uses it.
--- /dev/null
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -0,0 +1,163 @@
+// Load patterns at the broker of one member: burst, hot account, handshake storm with more accounts than
+// connections, and lost answers.
+
+#include <criterion/criterion.h>
+
+#include "brokers/member_dispatcher.h"
+#include "virtual_clock.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+
+namespace {
+
+constexpr duration service_time = 20ms;
+constexpr duration handshake_time = 12ms;
+
+struct dispatcher_fixture {
+    explicit dispatcher_fixture(std::size_t connection_limit = 8)
+    {
+        member_dispatcher::options options;
+        options.connection_limit = [connection_limit] { return connection_limit; };
+        options.slots = 2;
+        dispatcher = std::make_shared<member_dispatcher>(core, connections, backend_connection_target{},
+                                                         std::move(options));
+    }
+
+    kernel_hooks make_kernel_hooks()
+    {
+        kernel_hooks hooks;
+        hooks.now = [this] { return clock.now(); };
+        hooks.random = [] { return std::uint64_t{0}; };
+        hooks.start_timer = [this](duration delay, std::function<void()> callback) {
+            return clock.start_timer(delay, std::move(callback));
+        };
+        hooks.cancel_timer = [this](timer_id timer) { clock.cancel_timer(timer); };
+        hooks.log = [](log_record const&) {};
+        return hooks;
+    }
+
+    /// Member that answers each command after `service_time`, or not at all while it loses answers.
+    backend_connection_hooks make_connection_hooks()
+    {
+        backend_connection_hooks hooks;
+        hooks.open = [this](backend_connection_target const&, backend_connection_events const& events) {
+            auto const id = backend_connection_id{++opened};
+            answered[id] = events.answered;
+            clock.start_timer(handshake_time, [events] { events.opened({}); });
+            return id;
+        };
+        hooks.send = [this](backend_connection_id id, std::vector<member_command> const& commands) {
+            if (loses_answer && loses_answer()) {
+                return;
+            }
+            clock.start_timer(service_time, [this, id, count = commands.size()] {
+                for (std::size_t i = 0; i < count; ++i) {
+                    answered[id]({});
+                }
+            });
+        };
+        hooks.close = [](backend_connection_id) {};
+        return hooks;
+    }
+
+    struct outcome {
+        std::size_t served = 0;
+        std::size_t refused = 0;
+        std::uint32_t longest_return_ms = 0;
+    };
+
+    void run(std::string const& account, duration queue_limit = 200ms, int priority = 0)
+    {
+        member_request request;
+        request.client_account = account;
+        request.commands.resize(1);
+        request.time_limit_ms = 1'000;
+        request.queue_limit_ms = static_cast<std::uint32_t>(queue_limit / 1ms);
+        request.priority = priority;
+        dispatcher->run(std::move(request), [this, account](member_reply const& reply) {
+            auto& outcome = outcomes[account];
+            auto const& answer = reply.answers.front();
+            answer.is_ok() ? ++outcome.served : ++outcome.refused;
+            outcome.longest_return_ms = std::max(outcome.longest_return_ms, answer.retry_after_ms);
+        });
+    }
+
+    standin::virtual_clock clock{1};
+    kernel core{make_kernel_hooks()};
+    backend_connection_hooks connections{make_connection_hooks()};
+    std::uint64_t opened = 0;
+    std::function<bool()> loses_answer;
+    std::map<backend_connection_id, std::function<void(member_answer)>> answered;
+    std::map<std::string, outcome> outcomes;
+    std::shared_ptr<member_dispatcher> dispatcher;
+};
+
+} // namespace
+
+Test(member_dispatcher, burst_is_refused_in_part_and_told_to_return_in_turn)
+{
+    dispatcher_fixture fixture;
+    for (int i = 0; i < 100; ++i) {
+        fixture.run("hot");
+    }
+    cr_assert(fixture.outcomes["hot"].refused == 0, "refused before run() returned");
+    fixture.clock.run_for(1ms);
+    auto const at_once = fixture.outcomes["hot"].refused;
+    fixture.clock.run_for(1s);
+    auto const& outcome = fixture.outcomes["hot"];
+    cr_assert(outcome.served + outcome.refused == 100);
+    // Two slots and one request beyond them answer 150 requests a second.
+    cr_assert(outcome.served >= 20 && outcome.served <= 40, "%zu served", outcome.served);
+    cr_assert(at_once >= outcome.refused * 9 / 10, "%zu refused late", outcome.refused - at_once);
+    cr_assert(outcome.longest_return_ms >= 300 && outcome.longest_return_ms <= 1'000);
+}
+
+Test(member_dispatcher, hot_account_does_not_starve_another)
+{
+    dispatcher_fixture fixture;
+    for (int i = 0; i < 200; ++i) {
+        for (int j = 0; j < 5; ++j) {
+            fixture.run("hot");
+        }
+        if (i % 5 == 0) {
+            fixture.run("other");
+        }
+        fixture.clock.run_for(5ms);
+    }
+    fixture.clock.run_for(1s);
+    cr_assert(fixture.outcomes["other"].refused == 0, "%zu refused", fixture.outcomes["other"].refused);
+    cr_assert(fixture.outcomes["hot"].served > 80);
+}
+
+Test(member_dispatcher, handshake_storm_does_not_hold_the_slots)
+{
+    dispatcher_fixture fixture(4);
+    fixture.run("connected");
+    fixture.clock.run_for(100ms);
+    for (int i = 0; i < 20; ++i) {
+        fixture.run("account " + std::to_string(i));
+        fixture.run("connected", 400ms);
+    }
+    fixture.clock.run_for(1s);
+    std::size_t served = 0;
+    for (auto const& [account, outcome] : fixture.outcomes) {
+        served += outcome.served;
+    }
+    cr_assert(fixture.outcomes["connected"].served >= 15, "%zu served", fixture.outcomes["connected"].served);
+    cr_assert(served > fixture.outcomes["connected"].served + 3, "no other account was served");
+}
+
+Test(member_dispatcher, lost_answers_do_not_hold_the_slots)
+{
+    dispatcher_fixture fixture(100);
+    std::size_t sent = 0;
+    fixture.loses_answer = [&sent] { return ++sent % 3 != 0; };
+    for (int i = 0; i < 100; ++i) {
+        fixture.run("account");
+        fixture.clock.run_for(20ms);
+    }
+    fixture.clock.run_for(2s);
+    // One request in three is answered if all are sent.
+    cr_assert(fixture.outcomes["account"].served >= 25, "%zu served", fixture.outcomes["account"].served);
+}
