--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -273,6 +273,7 @@
     refill(bucket, limit->second, m_kernel.now());
     if (bucket.waiting.empty() && bucket.tokens >= 1) {
         bucket.tokens -= 1;
+        ++bucket.use.admitted;
         done(std::nullopt);
         return;
     }
@@ -385,6 +386,7 @@
         auto const spare = std::max(0.0, std::floor(bucket.tokens - kept));
         grant.tokens = static_cast<std::uint32_t>(std::min(spare, static_cast<double>(request.wanted)));
         bucket.tokens -= grant.tokens;
+        bucket.use.lent += grant.tokens;
     }
     m_membership->send(peer, std::move(grant));
 }
@@ -410,6 +412,7 @@
         bucket.no_fleet_lender_request_before = m_kernel.now() + empty_fleet_grant_pause;
     }
     bucket.tokens += grant.tokens;
+    bucket.use.borrowed += grant.tokens;
     serve_waiting(grant.client_account, bucket);
     if (bucket.requests.empty() && !bucket.waiting.empty() &&
         !ask_fleet_lender(grant.client_account, bucket)) {
@@ -429,6 +432,7 @@
     }
     while (!bucket.waiting.empty() && bucket.tokens >= 1) {
         bucket.tokens -= 1;
+        ++bucket.use.admitted;
         auto const done = std::move(bucket.waiting.front().done);
         bucket.waiting.pop_front();
         done(std::nullopt);
@@ -438,6 +442,7 @@
 void rate_shares::refuse_waiting(std::string const& client_account, bucket& bucket)
 {
     auto const wait = time_to_token(client_account, bucket);
+    bucket.use.refused += bucket.waiting.size();
     log_refusal(client_account, bucket, bucket.waiting.size());
     for (auto const& each : std::exchange(bucket.waiting, {})) {
         each.done(wait);
@@ -476,9 +481,30 @@
         bucket.waiting.pop_front();
         done(wait);
     }
+    bucket.use.refused += waited - bucket.waiting.size();
     log_refusal(client_account, bucket, waited - bucket.waiting.size());
 }
 
+void rate_shares::log_use(std::string const& client_account, bucket& bucket, duration period) const
+{
+    auto const use = std::exchange(bucket.use, {});
+    if (use.refused + use.borrowed + use.lent + use.admitted == 0) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["client_account"] = client_account;
+    fields["period_ms"] = to_milliseconds(period);
+    fields["admitted"] = Json::UInt64(use.admitted);
+    fields["refused"] = Json::UInt64(use.refused);
+    fields["borrowed"] = Json::UInt64(use.borrowed);
+    fields["lent"] = Json::UInt64(use.lent);
+    fields["tokens"] = bucket.tokens;
+    fields["part"] = bucket.share;
+    fields["rate"] = sustained_rate(m_fleet->configuration()->limits.at(client_account));
+    fields["capacity"] = fleet_bucket_capacity(m_fleet->configuration()->limits.at(client_account));
+    m_kernel.log(log_level::info, service_name, "use of the client account's rate", std::move(fields));
+}
+
 std::vector<account_demand> rate_shares::publish(duration period)
 {
     std::vector<account_demand> demands;
@@ -486,6 +512,7 @@
     // The peers have received the previously published demands by now.
     for (auto& [account, bucket] : m_buckets) {
         auto const sample = static_cast<double>(std::exchange(bucket.arrivals, 0)) / seconds(period);
+        log_use(account, bucket, period);
         bucket.published_demand = bucket.demand;
         bucket.demand += smoothing * (sample - bucket.demand);
         if (bucket.demand < min_demand) {
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -77,6 +77,14 @@
     double tolerated_operations = 20; ///< Further tolerance, in operations per window.
 };
 
+/// Operations and tokens of one client account at one VM.
+struct rate_use {
+    std::size_t admitted = 0; ///< Operations that received a token.
+    std::size_t refused = 0;  ///< Operations that were refused.
+    std::size_t borrowed = 0; ///< Tokens that peers granted.
+    std::size_t lent = 0;     ///< Tokens that were granted to peers.
+};
+
 /// Called without a value when an operation is admitted, and otherwise with the time after which a token is
 /// expected to be available.
 using admission_callback = std::function<void(std::optional<duration>)>;
@@ -129,6 +137,8 @@
         double tokens = 0;
         monotonic_time refilled_at;  ///< Time up to which tokens have been added.
         std::size_t arrivals = 0;    ///< Number of operations since the last publication.
+        /// What happened to operations and tokens since the last publication.
+        rate_use use;
         double demand = 0;           ///< Smoothed number of operations per second.
         double published_demand = 0; ///< Demand that the peers have received, in operations per second.
         double share = 0;            ///< Share of the account's rate that this VM uses.
@@ -188,6 +198,8 @@
     void refuse_waiting(std::string const& client_account, bucket& bucket);
     /// Refuses the operations that have waited for the longest allowed time.
     void refuse_overdue(std::string const& client_account, bucket& bucket);
+    /// Logs and clears what happened since the last publication.
+    void log_use(std::string const& client_account, bucket& bucket, duration period) const;
     void log_refusal(std::string const& client_account, bucket const& bucket, std::size_t refused) const;
     duration time_to_token(std::string const& client_account, bucket const& bucket) const;
 
