--- /dev/null
+++ b/libraries/limits/rate_contacts.cpp
@@ -0,0 +1,151 @@
+#include "limits/rate_contacts.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr double hundredths_per_unit = 100;
+/// Number of report lifetimes after which a silent peer or zone is forgotten.
+constexpr int retained_lifetimes = 4;
+
+template <typename Demands>
+rate_division::demands_map decode_demands(Demands const& reported)
+{
+    rate_division::demands_map demands;
+    for (auto const& each : reported) {
+        demands[each.client_account] = static_cast<double>(each.operations) / hundredths_per_unit;
+    }
+    return demands;
+}
+
+bool contains(std::vector<name_hash> const& names, std::string const& name)
+{
+    return std::find(names.begin(), names.end(), hash_name(name)) != names.end();
+}
+
+} // namespace
+
+bool rate_contacts::handle_vm_report(std::string const& peer, vm_report const& report)
+{
+    auto& entry = m_peers[peer];
+    entry.received_at = m_kernel.now();
+    entry.receives_from_this_vm = contains(report.reachable_vms, m_membership.identity().name);
+    entry.demands = decode_demands(report.demands);
+    return std::exchange(entry.is_leaving, report.is_leaving) != report.is_leaving;
+}
+
+void rate_contacts::handle_zone_report(zone_report const& report, std::vector<std::string> const& vms)
+{
+    auto& entry = m_zones[report.availability_zone];
+    entry.received_at = m_kernel.now();
+    entry.receives_from_this_vm = contains(report.reachable_zones, m_membership.identity().availability_zone);
+    entry.demands = decode_demands(report.demands);
+    entry.vms = vms;
+}
+
+void rate_contacts::divide(demands_map const& own_demands)
+{
+    remove_silent();
+    m_division.reset(m_membership.fleet_size());
+    m_division.add_own_demands(own_demands);
+    m_zone_peers_in_contact = 0;
+    m_other_zones_in_contact = 0;
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer)) {
+            ++m_zone_peers_in_contact;
+            m_division.add_zone_peer(peer.demands);
+        }
+    }
+    for (auto const& [zone, state] : m_zones) {
+        if (is_own_zone(zone)) {
+            if (m_kernel.now() - state.received_at <= m_report_lifetime) {
+                m_division.set_reported_zone_demands(state.demands);
+            }
+        }
+        else if (is_in_contact(state)) {
+            ++m_other_zones_in_contact;
+            m_division.add_other_zone(state.vms.size(), state.demands);
+        }
+    }
+    set_lenders();
+}
+
+void rate_contacts::remove_silent()
+{
+    auto const is_silent = [this](auto const& each) {
+        return m_kernel.now() - each.second.received_at > retained_lifetimes * m_report_lifetime;
+    };
+    std::erase_if(m_peers, is_silent);
+    std::erase_if(m_zones, is_silent);
+}
+
+void rate_contacts::set_lenders()
+{
+    // A VM that is shutting down hands its role over before it ends.
+    std::vector<std::string> candidates;
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer) && !peer.is_leaving) {
+            candidates.push_back(name);
+        }
+    }
+    if (!m_membership.is_leaving() || candidates.empty()) {
+        candidates.push_back(m_membership.identity().name);
+    }
+    m_zone_lenders.set_vms(candidates);
+    for (auto& [zone, state] : m_zones) {
+        if (!is_own_zone(zone) && is_in_contact(state) && !state.vms.empty()) {
+            candidates.insert(candidates.end(), state.vms.begin(), state.vms.end());
+            state.lenders.set_vms(state.vms);
+        }
+    }
+    m_fleet_lenders.set_vms(std::move(candidates));
+}
+
+double rate_contacts::share_of(std::string const& client_account, double capacity)
+{
+    // The number of VMs that share the rate is unknown until the platform's list of VMs has been read.
+    if (!m_membership.has_list()) {
+        return 0;
+    }
+    auto const& own = m_membership.identity().name;
+    return m_division.share_of(client_account, capacity,
+                               {fleet_lender(client_account) == own, zone_lender(client_account) == own});
+}
+
+std::string const& rate_contacts::fleet_lender(std::string const& client_account)
+{
+    return m_fleet_lenders.choose(client_account);
+}
+
+std::string const& rate_contacts::zone_lender(std::string const& client_account)
+{
+    return m_zone_lenders.choose(client_account);
+}
+
+std::vector<std::string> rate_contacts::other_zone_lenders(std::string const& client_account)
+{
+    std::vector<std::string> lenders;
+    for (auto& [zone, state] : m_zones) {
+        if (!is_own_zone(zone) && is_in_contact(state) && !state.vms.empty()) {
+            state.lenders.set_vms(state.vms);
+            lenders.push_back(state.lenders.choose(client_account));
+        }
+    }
+    return lenders;
+}
+
+void rate_contacts::add_zone_peer_demands(demands_map& total) const
+{
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer)) {
+            for (auto const& [account, demand] : peer.demands) {
+                total[account] += demand;
+            }
+        }
+    }
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/limits/rate_contacts.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "kernel/kernel.h"
+#include "limits/lender_choice.h"
+#include "limits/rate_division.h"
+#include "membership/membership_service.h"
+#include "wire/peer_messages.h"
+
+namespace greengagehitch {
+
+/// The VMs and zones with which this VM divides the rates of the client accounts, as of their reports.
+class rate_contacts {
+public:
+    using demands_map = rate_division::demands_map;
+
+    rate_contacts(kernel& kernel, membership_service& membership) : m_kernel(kernel), m_membership(membership)
+    {
+    }
+
+    /// Sets how long a peer or zone counts as in contact after its last report.
+    void set_report_lifetime(duration lifetime) { m_report_lifetime = lifetime; }
+
+    /// Records the demands in the report of another VM of this zone. Returns true when the peer has started
+    /// or withdrawn its shutdown since its last report, which changes the lenders.
+    bool handle_vm_report(std::string const& peer, vm_report const& report);
+
+    /// Records the demands in the report of a zone, which may be this VM's own. `vms` are the names of the
+    /// zone's VMs.
+    void handle_zone_report(zone_report const& report, std::vector<std::string> const& vms);
+
+    /// Chooses the lenders, and divides the rates, among the VMs in contact. `own_demands` are those that
+    /// this VM has published.
+    void divide(demands_map const& own_demands);
+
+    /// Returns the share of the account's rate that this VM owns, in [0, 1]. `capacity` is the number of
+    /// tokens that all owners may hold.
+    double share_of(std::string const& client_account, double capacity);
+
+    /// Returns the VM that lends to the zone lenders.
+    std::string const& fleet_lender(std::string const& client_account);
+    /// Returns the VM that lends to the VMs of this zone.
+    std::string const& zone_lender(std::string const& client_account);
+    /// Returns the zone lenders of the other zones in contact.
+    std::vector<std::string> other_zone_lenders(std::string const& client_account);
+
+    /// Adds the demands that the zone peers in contact have published.
+    void add_zone_peer_demands(demands_map& total) const;
+
+    /// Numbers of zone peers and of other zones that were in contact at the last division.
+    std::size_t zone_peers() const { return m_zone_peers_in_contact; }
+    std::size_t other_zones() const { return m_other_zones_in_contact; }
+    /// Number of zone peers whose reports are kept.
+    std::size_t known_peers() const { return m_peers.size(); }
+
+private:
+    struct peer_demands {
+        demands_map demands;                ///< Operations per second, keyed by client account.
+        bool receives_from_this_vm = false; ///< True when the peer's report lists this VM as reachable.
+        bool is_leaving = false;
+        monotonic_time received_at;
+    };
+
+    struct zone_state {
+        std::vector<std::string> vms;
+        demands_map demands; ///< Operations per second, keyed by client account.
+        /// True when the zone's report lists this VM's zone as reachable.
+        bool receives_from_this_vm = false;
+        monotonic_time received_at;
+        lender_choice lenders;
+    };
+
+    /// True when a recent report shows that messages arrive in both directions.
+    template <typename Entry>
+    bool is_in_contact(Entry const& entry) const
+    {
+        return entry.receives_from_this_vm && m_kernel.now() - entry.received_at <= m_report_lifetime;
+    }
+    bool is_own_zone(std::string const& zone) const
+    {
+        return zone == m_membership.identity().availability_zone;
+    }
+    /// Removes peers and zones that have not reported for so long that they count as replaced.
+    void remove_silent();
+    void set_lenders();
+
+    kernel& m_kernel;
+    membership_service& m_membership;
+    std::map<std::string, peer_demands> m_peers; ///< Zone peers, keyed by VM name.
+    std::map<std::string, zone_state> m_zones;   ///< Keyed by availability zone.
+    duration m_report_lifetime = std::chrono::seconds(3);
+    std::size_t m_zone_peers_in_contact = 0;
+    std::size_t m_other_zones_in_contact = 0;
+    rate_division m_division;
+    lender_choice m_zone_lenders;
+    lender_choice m_fleet_lenders;
+};
+
+} // namespace greengagehitch
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -8,25 +8,11 @@
 
 namespace {
 
-/// Fraction of the rate that is divided equally, so that a VM without demand can serve a first operation.
-constexpr double equal_share = 0.25;
-/// Fraction of an account's rate that its fleet lender holds for VMs that run out of tokens.
-constexpr double fleet_lender_share = 0.25;
-/// Fraction of a zone's share that the account's zone lender holds for its zone peers.
-constexpr double zone_lender_share = 0.35;
-/// Smallest bucket capacities, in tokens, of a zone and of a VM. Two operations that arrive together would
-/// exhaust a smaller bucket.
-constexpr double min_zone_capacity = 3;
-constexpr double min_vm_capacity = 2;
-/// Fraction of the operations allowed in a window that is distributed evenly over time. The tolerance covers
-/// the tokens that move between VMs.
-constexpr double sustained_share = 1.0;
-/// Fraction of the tolerance that the buckets of an account may hold together. The rest covers errors of VMs
-/// that compute their shares from different reports.
-constexpr double used_tolerance_share = 0.7;
 /// Time constant of the demand average in seconds, long enough that single operations do not change the
 /// shares.
-constexpr double demand_smoothing_seconds = 4;
+constexpr double demand_smoothing_seconds = 1.5;
+/// Time constant of the average of admitted operations in seconds.
+constexpr double pace_smoothing_seconds = 1;
 /// Demand, in operations per second, below which an account counts as idle.
 constexpr double min_demand = 0.05;
 /// Smallest number of tokens of an idle account that is worth publishing.
@@ -36,113 +22,41 @@
 /// Longest time that an operation waits for a token. A shorter wait is cheaper for the caller than a refusal,
 /// which costs at least one round trip.
 constexpr duration max_wait = std::chrono::milliseconds(40);
+/// Longest time that a lender keeps a request, so that its answer arrives while the operation still waits.
+constexpr duration max_request_wait = std::chrono::milliseconds(25);
 /// Time after which an unanswered token request counts as lost.
-constexpr duration grant_timeout = std::chrono::milliseconds(80);
-/// Longest time, in seconds, after which a refused caller is told to retry.
-constexpr double max_estimate_seconds = 5;
-/// A borrower requests the tokens that it needs for this time. The time is longer for the fleet lender, since
-/// it may be in another zone.
-constexpr double zone_request_seconds = 0.2;
-constexpr double fleet_request_seconds = 0.5;
-/// A lender keeps the tokens that it needs itself for this time.
-constexpr double reserve_seconds = 0.2;
-/// Pauses before the next token request after peers could not grant enough tokens. They keep operations
-/// beyond the rate from causing as many token requests.
-constexpr duration empty_zone_grant_pause = std::chrono::milliseconds(100);
-constexpr duration empty_fleet_grant_pause = std::chrono::milliseconds(300);
+constexpr duration grant_timeout = std::chrono::milliseconds(60);
+/// Shortest time between two looks at waiting operations and requests. Tokens that accrue meanwhile are
+/// granted together.
+constexpr duration min_check_period = std::chrono::milliseconds(5);
+/// A borrower requests the tokens that it needs for this time beyond those for waiting operations. It is
+/// shorter than the lifetime of a lent token, so that few expire.
+constexpr double prefetch_seconds = 0.06;
+/// A lender keeps the tokens that it needs itself for this time when a lender of another zone asks for its
+/// surplus.
+constexpr double reserve_seconds = 0.1;
+/// Times for which a lender is not asked again after it had no tokens, or did not answer. They keep
+/// operations beyond the rate from causing as many token requests.
+constexpr duration empty_lender_pause = std::chrono::milliseconds(80);
+constexpr duration empty_surplus_pause = std::chrono::milliseconds(200);
+constexpr duration silent_lender_pause = std::chrono::milliseconds(300);
+/// Time after which a caller retries when no configuration has been received yet.
+constexpr duration no_configuration_retry = std::chrono::milliseconds(300);
+/// Greatest number of log lines about messages that were ignored.
+constexpr std::size_t max_ignored_lines = 20;
 
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
 }
 
-double demand_in(rate_division::demands_map const& demands, name_hash account)
-{
-    auto const found = demands.find(account);
-    return found == demands.end() ? 0 : found->second;
-}
-
-void add_to(rate_division::demands_map& total, rate_division::demands_map const& added)
-{
-    for (auto const& [account, demand] : added) {
-        total[account] += demand;
-    }
-}
-
 } // namespace
 
-void rate_division::reset(std::size_t fleet_size)
-{
-    *this = {};
-    m_fleet_size = std::max<std::size_t>(1, fleet_size);
-}
-
-void rate_division::add_own_demands(demands_map const& demands)
-{
-    m_own_demands = demands;
-    add_to(m_zone_demands, demands);
-}
-
-void rate_division::add_zone_peer(demands_map const& demands)
-{
-    ++m_zone_peer_count;
-    add_to(m_zone_demands, demands);
-}
-
-void rate_division::add_other_zone(std::size_t vms, demands_map const& demands)
-{
-    m_other_zones_vm_count += vms;
-    ++m_other_zones_count;
-    add_to(m_other_zones_demands, demands);
-}
-
-double rate_division::zone_share(name_hash account) const
-{
-    auto const vms_here = static_cast<double>(1 + m_zone_peer_count);
-    auto const equal = vms_here / (vms_here + static_cast<double>(m_other_zones_vm_count));
-    auto const here = demand_in(m_reported_zone_demands ? *m_reported_zone_demands : m_zone_demands, account);
-    auto const total = here + demand_in(m_other_zones_demands, account);
-    return equal_share * equal + (1 - equal_share) * (total > 0 ? here / total : equal);
-}
-
-double rate_division::vm_share(name_hash account) const
-{
-    auto const equal = 1 / static_cast<double>(1 + m_zone_peer_count);
-    auto const in_zone = demand_in(m_zone_demands, account);
-    return equal_share * equal +
-           (1 - equal_share) * (in_zone > 0 ? demand_in(m_own_demands, account) / in_zone : equal);
-}
-
-double rate_division::fleet_lender_share_of(double capacity) const
-{
-    auto const zones = static_cast<double>(1 + m_other_zones_count);
-    return capacity * (1 - fleet_lender_share) / zones < min_zone_capacity ? 1 : fleet_lender_share;
-}
-
-double rate_division::zone_lender_share_of(double capacity) const
-{
-    return capacity / static_cast<double>(m_fleet_size) < min_vm_capacity ? 1 : zone_lender_share;
-}
-
-double rate_division::share_of(std::string const& client_account, double capacity,
-                               lender_role lender_role) const
-{
-    auto const account = hash_name(client_account);
-    auto const reachable_vms = static_cast<double>(1 + m_zone_peer_count + m_other_zones_vm_count);
-    auto const fleet = std::max(static_cast<double>(m_fleet_size), reachable_vms);
-    auto const held_by_fleet_lender = fleet_lender_share_of(capacity);
-    auto const held_by_zone_lender = zone_lender_share_of(capacity);
-    auto const in_zone = (lender_role.is_zone_lender ? held_by_zone_lender : 0) +
-                         (1 - held_by_zone_lender) * vm_share(account);
-    return reachable_vms / fleet *
-           ((lender_role.is_fleet_lender ? held_by_fleet_lender : 0) +
-            (1 - held_by_fleet_lender) * zone_share(account) * in_zone);
-}
-
 void rate_shares::start()
 {
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
+    m_contacts.emplace(m_kernel, *m_membership);
     m_fleet->on_configuration([this](served_configuration const& configuration) {
         for (auto& [account, bucket] : m_buckets) {
             if (!configuration.limits.contains(account)) {
@@ -153,7 +67,7 @@
             return !configuration.limits.contains(each.first);
         });
         for (auto const& [account, limit] : configuration.limits) {
-            bucket_of(account);
+            set_supply(account, bucket_of(account), m_kernel.now());
         }
     });
     m_membership->on_message<token_request>([this](peer_state const& peer, token_request const& request) {
@@ -170,225 +84,275 @@
     Json::Value state(Json::objectValue);
     for (auto const& [account, bucket] : m_buckets) {
         Json::Value entry(Json::objectValue);
-        entry["tokens"] = bucket.tokens;
+        auto balance = bucket.balance;
+        entry["tokens"] = balance.available(m_kernel.now());
         entry["part"] = bucket.share;
         entry["demand"] = bucket.demand;
+        entry["admitted_per_second"] = bucket.pace;
+        entry["waiting"] = Json::UInt64(bucket.waiting.size());
+        entry["waiting_peers"] = Json::UInt64(bucket.peer_requests.size());
         state[account] = std::move(entry);
     }
     return state;
 }
 
-double rate_shares::share_of(std::string const& client_account, bucket const& bucket) const
+account_limit const* rate_shares::limit_of(std::string const& client_account) const
 {
-    // The number of VMs that share the rate is unknown until the platform's list of VMs has been read.
-    auto const& own = m_membership->identity().name;
-    auto const configuration = m_fleet->configuration();
-    auto const limit = configuration->limits.find(client_account);
-    if (!m_membership->has_list() || limit == configuration->limits.end()) {
-        return 0;
+    auto const& configuration = m_fleet->configuration();
+    if (!configuration) {
+        return nullptr;
     }
-    return m_division.share_of(client_account, fleet_bucket_capacity(limit->second),
-                               {bucket.fleet_lender == own, bucket.zone_lender == own});
+    auto const found = configuration->limits.find(client_account);
+    return found == configuration->limits.end() ? nullptr : &found->second;
 }
 
-bool rate_shares::is_in_contact(std::string const& name) const
+rate_shares::bucket& rate_shares::bucket_of(std::string const& client_account)
 {
-    auto const peer = m_peers.find(name);
-    return peer != m_peers.end() && peer->second.receives_from_this_vm &&
-           m_kernel.now() - peer->second.received_at <= m_report_lifetime;
+    // Tokens accrue from the start of this process; tokens of an earlier process are not assumed.
+    auto const [found, is_new] = m_buckets.try_emplace(client_account, m_started_at);
+    if (is_new) {
+        found->second.share =
+            m_contacts->share_of(client_account, fleet_token_capacity(m_bounds, *limit_of(client_account)));
+        set_supply(client_account, found->second, m_started_at);
+    }
+    return found->second;
 }
 
-bool rate_shares::is_in_contact(zone_state const& zone) const
+void rate_shares::set_supply(std::string const& client_account, bucket& bucket, monotonic_time from)
 {
-    return zone.receives_from_this_vm && m_kernel.now() - zone.received_at <= m_report_lifetime;
+    auto const* const limit = limit_of(client_account);
+    if (limit == nullptr) {
+        return;
+    }
+    auto const rate = sustained_rate(m_bounds, *limit) * bucket.share;
+    // An owner of a small share must be able to hold a whole token.
+    auto const capacity =
+        bucket.share > 0 ? std::max(1.0, fleet_token_capacity(m_bounds, *limit) * bucket.share) : 0;
+    bucket.balance.set_supply(rate, capacity, from);
 }
 
-std::vector<std::string> rate_shares::zone_peers_in_contact() const
+void rate_shares::divide_if_leaving()
 {
-    std::vector<std::string> names;
-    for (auto const& [name, peer] : m_peers) {
-        if (is_in_contact(name)) {
-            names.push_back(name);
-        }
+    if (std::exchange(m_was_leaving, m_membership->is_leaving()) != m_membership->is_leaving()) {
+        divide();
     }
-    return names;
 }
 
-void rate_shares::set_lenders()
+void rate_shares::take(std::string const& client_account, admission_callback done)
 {
-    auto candidates = zone_peers_in_contact();
-    candidates.push_back(m_membership->identity().name);
-    m_zone_lenders.set_vms(candidates);
-    for (auto const& [zone, state] : m_zones) {
-        if (zone != m_membership->identity().availability_zone && is_in_contact(state)) {
-            candidates.insert(candidates.end(), state.vms.begin(), state.vms.end());
-        }
+    if (!m_fleet->configuration()) {
+        done(no_configuration_retry);
+        return;
+    }
+    if (limit_of(client_account) == nullptr) {
+        done(std::nullopt);
+        return;
     }
-    m_fleet_lenders.set_vms(std::move(candidates));
+    divide_if_leaving();
+    auto& bucket = bucket_of(client_account);
+    ++bucket.arrivals;
+    if (bucket.waiting.empty() && bucket.balance.try_take(m_kernel.now())) {
+        ++bucket.use.admitted;
+        done(std::nullopt);
+        return;
+    }
+    bucket.waiting.push_back({m_kernel.now(), std::move(done)});
+    serve(client_account, bucket);
 }
 
-rate_shares::bucket& rate_shares::bucket_of(std::string const& client_account)
+void rate_shares::serve(std::string const& client_account, bucket& bucket)
 {
-    auto const [found, is_new] = m_buckets.try_emplace(client_account);
-    if (is_new) {
-        // Tokens accrue from the start of this process; tokens of an earlier process are not assumed.
-        found->second.refilled_at = m_started_at;
-        found->second.fleet_lender = m_fleet_lenders.choose(client_account);
-        found->second.zone_lender = m_zone_lenders.choose(client_account);
-        found->second.share = share_of(client_account, found->second);
+    serve_operations(bucket);
+    serve_peers(client_account, bucket);
+    auto const is_asking = ask_lenders(client_account, bucket);
+    auto const waiting = static_cast<double>(bucket.waiting.size());
+    if (!is_asking && waiting > 0 && bucket.balance.time_until(waiting, m_kernel.now()) > max_wait) {
+        // The first operations may still get the tokens that accrue in time.
+        auto const wait_for_one = bucket.balance.time_until(1, m_kernel.now());
+        if (wait_for_one > max_wait) {
+            refuse_waiting(client_account, bucket);
+        }
     }
-    return found->second;
+    refuse_overdue(client_account, bucket);
+    schedule_check(client_account, bucket);
 }
 
-double rate_shares::sustained_rate(account_limit const& limit) const
+void rate_shares::serve_operations(bucket& bucket)
 {
-    return sustained_share * (limit.rate + limit.burst / seconds(m_bounds.window));
+    while (!bucket.waiting.empty() && bucket.balance.try_take(m_kernel.now())) {
+        ++bucket.use.admitted;
+        auto const done = std::move(bucket.waiting.front().done);
+        bucket.waiting.pop_front();
+        done(std::nullopt);
+    }
 }
 
-double rate_shares::fleet_bucket_capacity(account_limit const& limit) const
+void rate_shares::serve_peers(std::string const& client_account, bucket& bucket)
 {
-    auto const allowed = limit.rate * seconds(m_bounds.window) + limit.burst;
-    auto const tolerated = m_bounds.tolerated_share * allowed + m_bounds.tolerated_operations;
-    return std::min(allowed, used_tolerance_share * tolerated);
+    auto const now = m_kernel.now();
+    while (!bucket.peer_requests.empty()) {
+        auto const& first = bucket.peer_requests.front();
+        if (now - first.since < max_request_wait && bucket.balance.available(now) < 1) {
+            return;
+        }
+        auto const request = first;
+        bucket.peer_requests.pop_front();
+        grant(client_account, bucket, request, 0);
+    }
 }
 
-void rate_shares::refill(bucket& bucket, account_limit const& limit, monotonic_time now) const
+void rate_shares::grant(std::string const& client_account, bucket& bucket, waiting_request const& request,
+                        double kept)
 {
-    auto const room = std::max(1.0, fleet_bucket_capacity(limit) * bucket.share);
-    auto const added = sustained_rate(limit) * bucket.share * seconds(now - bucket.refilled_at);
-    bucket.tokens = std::min(room, bucket.tokens + added);
-    bucket.refilled_at = now;
+    auto const loan = bucket.balance.lend(request.wanted, kept, m_kernel.now());
+    bucket.use.lent += loan.tokens;
+    m_membership->send(request.peer, token_grant{client_account, request.number, loan.tokens,
+                                                 static_cast<std::uint32_t>(to_microseconds(loan.lifetime))});
 }
 
-void rate_shares::take(std::string const& client_account, admission_callback done)
+void rate_shares::schedule_check(std::string const& client_account, bucket& bucket)
 {
-    auto const configuration = m_fleet->configuration();
-    auto const limit = configuration->limits.find(client_account);
-    if (limit == configuration->limits.end()) {
-        done(std::nullopt);
+    if (bucket.waiting.empty() && bucket.peer_requests.empty()) {
         return;
     }
-    auto& bucket = bucket_of(client_account);
-    ++bucket.arrivals;
-    refill(bucket, limit->second, m_kernel.now());
-    if (bucket.waiting.empty() && bucket.tokens >= 1) {
-        bucket.tokens -= 1;
-        ++bucket.use.admitted;
-        done(std::nullopt);
-        return;
+    auto const now = m_kernel.now();
+    auto next = now + max_wait;
+    if (!bucket.waiting.empty()) {
+        next = std::min(next, bucket.waiting.front().since + max_wait);
     }
-    bucket.waiting.push_back({m_kernel.now(), std::move(done)});
-    auto const wait = time_to_token(client_account, bucket);
-    if (!ask_peers(client_account, bucket) && wait > max_wait) {
-        refuse_waiting(client_account, bucket);
+    if (!bucket.peer_requests.empty()) {
+        next = std::min(next, bucket.peer_requests.front().since + max_request_wait);
+    }
+    auto const to_token = bucket.balance.time_until(1, now);
+    if (to_token < max_wait) {
+        next = std::min(next, now + std::max(min_check_period, to_token));
+    }
+    if (bucket.check_at && *bucket.check_at <= next) {
         return;
     }
-    auto const check = [this, client_account] {
+    bucket.check_at = next;
+    m_kernel.start_timer(std::max(duration::zero(), next - now), [this, client_account, next] {
         auto const found = m_buckets.find(client_account);
-        if (found != m_buckets.end()) {
-            serve_waiting(client_account, found->second);
-            refuse_overdue(client_account, found->second);
+        if (found != m_buckets.end() && found->second.check_at == next) {
+            found->second.check_at.reset();
+            serve(client_account, found->second);
         }
-    };
-    if (wait < max_wait) {
-        m_kernel.start_timer(wait, check);
-    }
-    m_kernel.start_timer(max_wait, check);
+    });
 }
 
-duration rate_shares::time_to_token(std::string const& client_account, bucket const& bucket) const
+double rate_shares::missing_tokens(bucket& bucket) const
 {
-    auto const& limits = m_fleet->configuration()->limits;
-    auto const limit = limits.find(client_account);
-    auto const missing = static_cast<double>(std::max<std::size_t>(1, bucket.waiting.size())) - bucket.tokens;
-    if (limit != limits.end() && bucket.share == 0 && m_membership->has_list()) {
-        // This VM has no share and depends on the lenders, which it asks again after the pause.
-        return std::max<duration>(empty_fleet_grant_pause,
-                                  std::chrono::duration_cast<duration>(std::chrono::duration<double>(
-                                      missing / std::max(1.0, sustained_rate(limit->second)))));
-    }
-    auto const rate = limit == limits.end() ? 0 : sustained_rate(limit->second) * bucket.share;
-    auto const wait = rate > 0 ? std::min(max_estimate_seconds, missing / rate) : max_estimate_seconds;
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(std::max(0.0, wait)));
+    auto missing = static_cast<double>(bucket.waiting.size());
+    for (auto const& each : bucket.peer_requests) {
+        missing += each.wanted;
+    }
+    return missing - std::floor(bucket.balance.available(m_kernel.now()));
 }
 
-bool rate_shares::ask_peers(std::string const& client_account, bucket& bucket)
+void rate_shares::expire_requests(bucket& bucket)
 {
-    if (m_kernel.now() - bucket.last_request_at >= grant_timeout) {
-        // The grants count as lost. Any that still arrive are ignored as unknown.
-        bucket.requests.clear();
-    }
-    if (!bucket.requests.empty()) {
-        return true;
-    }
-    if (m_kernel.now() < bucket.no_request_before) {
-        return false;
-    }
-    bucket.has_asked_fleet_lender = false;
-    return ask_zone_peers(client_account, bucket) || ask_fleet_lender(client_account, bucket);
+    auto const now = m_kernel.now();
+    std::erase_if(bucket.requests, [&](auto const& each) {
+        auto const is_lost = now - each.second.sent_at >= grant_timeout;
+        if (is_lost) {
+            // A grant that still arrives is ignored as unknown.
+            bucket.pauses[each.second.lender] = {now + silent_lender_pause, true};
+        }
+        return is_lost;
+    });
+    std::erase_if(bucket.pauses, [now](auto const& each) { return each.second.until <= now; });
 }
 
-bool rate_shares::ask_zone_peers(std::string const& client_account, bucket& bucket)
+std::vector<std::string> rate_shares::lenders_of(std::string const& client_account, bucket const& bucket)
 {
     auto const& own = m_membership->identity().name;
-    std::string best_lender;
-    std::uint32_t most_tokens = 0;
-    for (auto const& [name, peer] : m_peers) {
-        auto const published_tokens = peer.tokens.find(hash_name(client_account));
-        auto const is_live = m_kernel.now() - peer.received_at <= m_report_lifetime;
-        if (is_live && name != bucket.zone_lender && published_tokens != peer.tokens.end() &&
-            published_tokens->second > most_tokens) {
-            most_tokens = published_tokens->second;
-            best_lender = name;
+    auto const is_silent = [&bucket](std::string const& lender) {
+        auto const pause = bucket.pauses.find(lender);
+        return pause != bucket.pauses.end() && pause->second.is_silent;
+    };
+    auto const& zone_lender = m_contacts->zone_lender(client_account);
+    auto const& fleet_lender = m_contacts->fleet_lender(client_account);
+    std::vector<std::string> lenders;
+    if (zone_lender != own) {
+        lenders.push_back(zone_lender);
+        if (!is_silent(zone_lender)) {
+            return lenders;
         }
     }
-    if (bucket.zone_lender != own) {
-        request_tokens(bucket.zone_lender, client_account, bucket, zone_request_seconds);
+    if (fleet_lender != own && fleet_lender != zone_lender) {
+        lenders.push_back(fleet_lender);
+        if (!is_silent(fleet_lender)) {
+            return lenders;
+        }
     }
-    if (!best_lender.empty()) {
-        request_tokens(best_lender, client_account, bucket, zone_request_seconds);
+    for (auto const& lender : m_contacts->other_zone_lenders(client_account)) {
+        if (lender != fleet_lender && lender != own) {
+            lenders.push_back(lender);
+        }
     }
-    return !bucket.requests.empty();
+    return lenders;
 }
 
-bool rate_shares::ask_fleet_lender(std::string const& client_account, bucket& bucket)
+bool rate_shares::ask_lenders(std::string const& client_account, bucket& bucket)
 {
-    auto const is_useful =
-        bucket.fleet_lender != m_membership->identity().name && bucket.fleet_lender != bucket.zone_lender;
-    if (!is_useful || bucket.has_asked_fleet_lender ||
-        m_kernel.now() < bucket.no_fleet_lender_request_before) {
-        return false;
-    }
-    bucket.has_asked_fleet_lender = true;
-    request_tokens(bucket.fleet_lender, client_account, bucket, fleet_request_seconds);
-    return true;
-}
-
-void rate_shares::request_tokens(std::string const& lender, std::string const& client_account, bucket& bucket,
-                                 double demand_seconds)
-{
-    auto const number = m_next_number++;
-    bucket.requests[number] = lender;
-    bucket.last_request_at = m_kernel.now();
-    auto const wanted =
-        bucket.waiting.size() + static_cast<std::size_t>(std::ceil(bucket.demand * demand_seconds));
-    m_membership->send(lender, token_request{client_account, number, static_cast<std::uint32_t>(wanted)});
+    expire_requests(bucket);
+    auto const missing = missing_tokens(bucket);
+    if (missing < 1 || !bucket.requests.empty()) {
+        return !bucket.requests.empty();
+    }
+    for (auto const& lender : lenders_of(client_account, bucket)) {
+        if (bucket.pauses.contains(lender)) {
+            continue;
+        }
+        auto const number = m_next_number++;
+        auto const wanted =
+            static_cast<std::uint32_t>(missing + std::floor(bucket.demand * prefetch_seconds));
+        bucket.requests[number] = {lender, wanted, m_kernel.now()};
+        m_membership->send(lender, token_request{client_account, number, wanted});
+        return true;
+    }
+    return false;
 }
 
 void rate_shares::handle_token_request(std::string const& peer, token_request const& request)
 {
-    token_grant grant{request.client_account, request.number, 0};
-    auto const& configuration = m_fleet->configuration();
-    if (configuration && configuration->limits.contains(request.client_account)) {
-        auto& bucket = bucket_of(request.client_account);
-        refill(bucket, configuration->limits.at(request.client_account), m_kernel.now());
-        auto const kept = static_cast<double>(bucket.waiting.size()) + bucket.demand * reserve_seconds;
-        auto const spare = std::max(0.0, std::floor(bucket.tokens - kept));
-        grant.tokens = static_cast<std::uint32_t>(std::min(spare, static_cast<double>(request.wanted)));
-        bucket.tokens -= grant.tokens;
-        bucket.use.lent += grant.tokens;
-    }
-    m_membership->send(peer, std::move(grant));
+    auto const* const limit = limit_of(request.client_account);
+    if (limit == nullptr) {
+        // Either VM may have the newer configuration.
+        m_membership->send(peer, token_grant{request.client_account, request.number, 0, 0});
+        return;
+    }
+    if (request.wanted > operations_per_window(m_bounds, *limit)) {
+        log_ignored(peer, request.client_account, request.wanted, "request exceeds the account's window");
+        return;
+    }
+    divide_if_leaving();
+    auto& bucket = bucket_of(request.client_account);
+    auto const& own = m_membership->identity().name;
+    auto const is_zone_peer =
+        m_membership->availability_zone_of(peer) == m_membership->identity().availability_zone;
+    auto const is_lender = m_contacts->fleet_lender(request.client_account) == own ||
+                           (is_zone_peer && m_contacts->zone_lender(request.client_account) == own);
+    if (!is_lender) {
+        // The lender of another zone asks for surplus only; the VMs of this zone come first.
+        auto kept = bucket.demand * reserve_seconds + static_cast<double>(bucket.waiting.size());
+        for (auto const& each : bucket.peer_requests) {
+            kept += each.wanted;
+        }
+        grant(request.client_account, bucket, {peer, request.number, request.wanted, m_kernel.now()}, kept);
+        return;
+    }
+    auto const known = std::find_if(bucket.peer_requests.begin(), bucket.peer_requests.end(),
+                                    [&peer](auto const& each) { return each.peer == peer; });
+    if (known != bucket.peer_requests.end()) {
+        // The peer no longer waits for the answer to its earlier request.
+        known->number = request.number;
+        known->wanted = request.wanted;
+    }
+    else {
+        bucket.peer_requests.push_back({peer, request.number, request.wanted, m_kernel.now()});
+    }
+    serve(request.client_account, bucket);
 }
 
 void rate_shares::handle_grant(std::string const& peer, token_grant const& grant)
@@ -399,92 +363,88 @@
     }
     auto& bucket = found->second;
     // Unknown and repeated grants are dropped: they may be meant for an earlier process with this VM's name.
-    auto const request = bucket.requests.find(grant.number);
-    if (request == bucket.requests.end() || request->second != peer) {
+    auto const entry = bucket.requests.find(grant.number);
+    if (entry == bucket.requests.end() || entry->second.lender != peer) {
         return;
     }
-    bucket.requests.erase(request);
-    auto const lender = m_peers.find(peer);
-    if (grant.tokens == 0 && lender != m_peers.end()) {
-        lender->second.tokens[hash_name(grant.client_account)] = 0;
-    }
-    if (grant.tokens == 0 && peer == bucket.fleet_lender) {
-        bucket.no_fleet_lender_request_before = m_kernel.now() + empty_fleet_grant_pause;
-    }
-    bucket.tokens += grant.tokens;
-    bucket.use.borrowed += grant.tokens;
-    serve_waiting(grant.client_account, bucket);
-    if (bucket.requests.empty() && !bucket.waiting.empty() &&
-        !ask_fleet_lender(grant.client_account, bucket)) {
-        bucket.no_request_before = m_kernel.now() + empty_zone_grant_pause;
-        if (time_to_token(grant.client_account, bucket) > max_wait) {
-            refuse_waiting(grant.client_account, bucket);
-        }
+    auto const request = entry->second;
+    bucket.requests.erase(entry);
+    if (grant.tokens > request.wanted) {
+        log_ignored(peer, grant.client_account, grant.tokens, "grant exceeds the request");
     }
-}
-
-void rate_shares::serve_waiting(std::string const& client_account, bucket& bucket)
-{
-    auto const configuration = m_fleet->configuration();
-    auto const limit = configuration->limits.find(client_account);
-    if (limit != configuration->limits.end()) {
-        refill(bucket, limit->second, m_kernel.now());
+    else if (grant.tokens == 0) {
+        auto const is_own_lender = peer == m_contacts->zone_lender(grant.client_account) ||
+                                   peer == m_contacts->fleet_lender(grant.client_account);
+        bucket.pauses[peer] = {m_kernel.now() + (is_own_lender ? empty_lender_pause : empty_surplus_pause),
+                               false};
     }
-    while (!bucket.waiting.empty() && bucket.tokens >= 1) {
-        bucket.tokens -= 1;
-        ++bucket.use.admitted;
-        auto const done = std::move(bucket.waiting.front().done);
-        bucket.waiting.pop_front();
-        done(std::nullopt);
+    else {
+        // A peer of an older version sends no lifetime.
+        auto const lifetime =
+            grant.lifetime_us == 0
+                ? lent_token_lifetime
+                : std::min<duration>(lent_token_lifetime, std::chrono::microseconds(grant.lifetime_us));
+        bucket.balance.add_borrowed(grant.tokens, request.sent_at + lifetime);
+        bucket.use.borrowed += grant.tokens;
     }
+    serve(grant.client_account, bucket);
 }
 
 void rate_shares::refuse_waiting(std::string const& client_account, bucket& bucket)
 {
-    auto const wait = time_to_token(client_account, bucket);
-    bucket.use.refused += bucket.waiting.size();
-    log_refusal(client_account, bucket, bucket.waiting.size());
-    for (auto const& each : std::exchange(bucket.waiting, {})) {
-        each.done(wait);
+    std::vector<waiting_operation> refused;
+    std::move(bucket.waiting.begin(), bucket.waiting.end(), std::back_inserter(refused));
+    bucket.waiting.clear();
+    refuse(client_account, bucket, refused);
+}
+
+void rate_shares::refuse_overdue(std::string const& client_account, bucket& bucket)
+{
+    std::vector<waiting_operation> refused;
+    while (!bucket.waiting.empty() && m_kernel.now() - bucket.waiting.front().since >= max_wait) {
+        refused.push_back(std::move(bucket.waiting.front()));
+        bucket.waiting.pop_front();
     }
+    refuse(client_account, bucket, refused);
 }
 
-void rate_shares::log_refusal(std::string const& client_account, bucket const& bucket,
-                              std::size_t refused) const
+void rate_shares::refuse(std::string const& client_account, bucket& bucket,
+                         std::vector<waiting_operation> const& operations)
 {
-    if (refused == 0) {
+    if (operations.empty()) {
         return;
     }
+    bucket.use.refused += operations.size();
+    log_refusal(client_account, bucket, operations.size());
+    auto const* const limit = limit_of(client_account);
+    auto const fleet = static_cast<double>(std::max<std::size_t>(1, m_membership->fleet_size()));
+    auto const equal_pace = limit == nullptr ? 0 : sustained_rate(m_bounds, *limit) / fleet;
+    for (auto const& each : operations) {
+        constexpr std::uint64_t random_steps = 1 << 20;
+        auto const spread = static_cast<double>(m_kernel.random_below(random_steps)) / random_steps;
+        each.done(bucket.returns.next(std::max(equal_pace, bucket.pace), spread, m_kernel.now()));
+    }
+}
+
+void rate_shares::log_refusal(std::string const& client_account, bucket& bucket, std::size_t refused)
+{
     Json::Value fields(Json::objectValue);
     fields["client_account"] = client_account;
     fields["refused"] = Json::UInt64(refused);
-    fields["tokens"] = bucket.tokens;
+    fields["tokens"] = bucket.balance.available(m_kernel.now());
     fields["part"] = bucket.share;
-    fields["home"] = bucket.fleet_lender;
-    fields["zone_home"] = bucket.zone_lender;
-    fields["neighbours"] = Json::UInt64(zone_peers_in_contact().size());
-    fields["zones"] = Json::Int64(std::count_if(
-        m_zones.begin(), m_zones.end(), [this](auto const& each) { return is_in_contact(each.second); }));
+    fields["home"] = m_contacts->fleet_lender(client_account);
+    fields["zone_home"] = m_contacts->zone_lender(client_account);
+    fields["neighbours"] = Json::UInt64(m_contacts->zone_peers());
+    fields["zones"] = Json::UInt64(m_contacts->other_zones());
     fields["unanswered"] = Json::UInt64(bucket.requests.size());
-    fields["asked_ms_ago"] = to_milliseconds(m_kernel.now() - bucket.last_request_at);
+    fields["paused_lenders"] = Json::UInt64(bucket.pauses.size());
+    fields["admitted_per_second"] = bucket.pace;
     m_kernel.log(log_level::info, service_name,
                  "operations were refused because the client account exceeds its rate limit",
                  std::move(fields));
 }
 
-void rate_shares::refuse_overdue(std::string const& client_account, bucket& bucket)
-{
-    auto const wait = time_to_token(client_account, bucket);
-    auto const waited = bucket.waiting.size();
-    while (!bucket.waiting.empty() && m_kernel.now() - bucket.waiting.front().since >= max_wait) {
-        auto const done = std::move(bucket.waiting.front().done);
-        bucket.waiting.pop_front();
-        done(wait);
-    }
-    bucket.use.refused += waited - bucket.waiting.size();
-    log_refusal(client_account, bucket, waited - bucket.waiting.size());
-}
-
 void rate_shares::log_use(std::string const& client_account, bucket& bucket, duration period) const
 {
     auto const use = std::exchange(bucket.use, {});
@@ -498,20 +458,37 @@
     fields["refused"] = Json::UInt64(use.refused);
     fields["borrowed"] = Json::UInt64(use.borrowed);
     fields["lent"] = Json::UInt64(use.lent);
-    fields["tokens"] = bucket.tokens;
+    fields["tokens"] = bucket.balance.available(m_kernel.now());
     fields["part"] = bucket.share;
-    fields["rate"] = sustained_rate(m_fleet->configuration()->limits.at(client_account));
-    fields["capacity"] = fleet_bucket_capacity(m_fleet->configuration()->limits.at(client_account));
+    fields["rate"] = sustained_rate(m_bounds, *limit_of(client_account));
+    fields["capacity"] = fleet_token_capacity(m_bounds, *limit_of(client_account));
     m_kernel.log(log_level::info, service_name, "use of the client account's rate", std::move(fields));
 }
 
+void rate_shares::log_ignored(std::string const& peer, std::string const& client_account,
+                              std::uint32_t tokens, std::string_view reason)
+{
+    if (++m_ignored_messages > max_ignored_lines) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["peer"] = peer;
+    fields["client_account"] = client_account;
+    fields["tokens"] = tokens;
+    fields["reason"] = std::string(reason);
+    m_kernel.log(log_level::warning, service_name, "message about tokens was ignored", std::move(fields));
+}
+
 std::vector<account_demand> rate_shares::publish(duration period)
 {
     std::vector<account_demand> demands;
     auto const smoothing = 1 - std::exp(-seconds(period) / demand_smoothing_seconds);
+    auto const pace_smoothing = 1 - std::exp(-seconds(period) / pace_smoothing_seconds);
     // The peers have received the previously published demands by now.
     for (auto& [account, bucket] : m_buckets) {
         auto const sample = static_cast<double>(std::exchange(bucket.arrivals, 0)) / seconds(period);
+        bucket.pace +=
+            pace_smoothing * (static_cast<double>(bucket.use.admitted) / seconds(period) - bucket.pace);
         log_use(account, bucket, period);
         bucket.published_demand = bucket.demand;
         bucket.demand += smoothing * (sample - bucket.demand);
@@ -520,12 +497,13 @@
         }
     }
     divide();
-    for (auto const& [account, bucket] : m_buckets) {
+    for (auto& [account, bucket] : m_buckets) {
+        auto const tokens = bucket.balance.available(m_kernel.now());
         // Peers treat an account that is not published like one without demand and tokens.
-        if (bucket.demand > 0 || bucket.tokens >= min_published_tokens) {
+        if (bucket.demand > 0 || tokens >= min_published_tokens) {
             demands.push_back({hash_name(account),
                                static_cast<std::uint32_t>(std::lround(bucket.demand * hundredths_per_unit)),
-                               static_cast<std::uint32_t>(std::max(0.0, bucket.tokens))});
+                               static_cast<std::uint32_t>(tokens)});
         }
     }
     return demands;
@@ -533,44 +511,23 @@
 
 void rate_shares::handle_vm_report(std::string const& peer, vm_report const& report)
 {
-    auto& entry = m_peers[peer];
-    entry.received_at = m_kernel.now();
-    auto const own_name = hash_name(m_membership->identity().name);
-    entry.receives_from_this_vm = std::find(report.reachable_vms.begin(), report.reachable_vms.end(),
-                                            own_name) != report.reachable_vms.end();
-    entry.demands.clear();
-    entry.tokens.clear();
-    for (auto const& demand : report.demands) {
-        entry.demands[demand.client_account] = static_cast<double>(demand.operations) / hundredths_per_unit;
-        entry.tokens[demand.client_account] = demand.tokens;
+    if (m_contacts->handle_vm_report(peer, report)) {
+        divide();
     }
 }
 
 void rate_shares::handle_zone_report(zone_report const& report, std::vector<std::string> const& vms)
 {
-    auto const own_zone = hash_name(m_membership->identity().availability_zone);
-    auto& entry = m_zones[report.availability_zone];
-    entry.received_at = m_kernel.now();
-    entry.receives_from_this_vm = std::find(report.reachable_zones.begin(), report.reachable_zones.end(),
-                                            own_zone) != report.reachable_zones.end();
-    entry.vms = vms;
-    entry.demands.clear();
-    for (auto const& demand : report.demands) {
-        entry.demands[demand.client_account] = static_cast<double>(demand.operations) / hundredths_per_unit;
-    }
+    m_contacts->handle_zone_report(report, vms);
 }
 
 std::vector<zone_demand> rate_shares::zone_demands() const
 {
-    std::map<name_hash, double> sums;
+    rate_contacts::demands_map sums;
     for (auto const& [account, bucket] : m_buckets) {
         sums[hash_name(account)] += bucket.published_demand;
     }
-    for (auto const& [name, peer] : m_peers) {
-        if (is_in_contact(name)) {
-            add_to(sums, peer.demands);
-        }
-    }
+    m_contacts->add_zone_peer_demands(sums);
     std::vector<zone_demand> demands;
     for (auto const& [account, sum] : sums) {
         auto const operations = static_cast<std::uint32_t>(std::lround(sum * hundredths_per_unit));
@@ -583,39 +540,17 @@
 
 void rate_shares::divide()
 {
-    auto const now = m_kernel.now();
-    m_division.reset(m_membership->fleet_size());
-    std::map<name_hash, double> own;
+    rate_contacts::demands_map own;
     for (auto const& [account, bucket] : m_buckets) {
         own[hash_name(account)] = bucket.published_demand;
     }
-    m_division.add_own_demands(own);
-    for (auto const& [name, peer] : m_peers) {
-        if (is_in_contact(name)) {
-            m_division.add_zone_peer(peer.demands);
-        }
-    }
-    for (auto const& [zone, state] : m_zones) {
-        if (zone == m_membership->identity().availability_zone) {
-            if (now - state.received_at <= m_report_lifetime) {
-                m_division.set_reported_zone_demands(state.demands);
-            }
-        }
-        else if (is_in_contact(state)) {
-            m_division.add_other_zone(state.vms.size(), state.demands);
-        }
-    }
-    set_lenders();
-    auto const configuration = m_fleet->configuration();
+    m_contacts->divide(own);
     for (auto& [account, bucket] : m_buckets) {
-        if (configuration && configuration->limits.contains(account)) {
+        if (auto const* const limit = limit_of(account)) {
+            bucket.share = m_contacts->share_of(account, fleet_token_capacity(m_bounds, *limit));
             // Tokens for the time up to now accrue by the previous share.
-            refill(bucket, configuration->limits.at(account), now);
+            set_supply(account, bucket, m_kernel.now());
         }
-        bucket.refilled_at = now;
-        bucket.fleet_lender = m_fleet_lenders.choose(account);
-        bucket.zone_lender = m_zone_lenders.choose(account);
-        bucket.share = share_of(account, bucket);
     }
 }
 
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -234,7 +234,10 @@
     std::string client_account;
     std::uint64_t number = 0; ///< Number of the token_request that this answers.
     std::uint32_t tokens = 0;
-    MSGPACK_DEFINE(client_account, number, tokens)
+    /// Time in microseconds, from the send time of the request, for which the tokens may be used; 0 for the
+    /// longest time.
+    std::uint32_t lifetime_us = 0;
+    MSGPACK_DEFINE(client_account, number, tokens, lifetime_us)
 };
 
 using peer_message =
