--- a/libraries/limits/rate_division.cpp
+++ b/libraries/limits/rate_division.cpp
@@ -10,7 +10,7 @@
 /// first operation.
 constexpr double equal_share = 0.25;
 /// Fraction of an account's rate that its fleet lender holds for zones that run out of tokens.
-constexpr double fleet_lender_share = 0.25;
+constexpr double fleet_lender_share = 0.1;
 /// Smallest capacity, in tokens, of a zone. Operations that arrive together would exhaust a smaller one.
 constexpr double min_zone_capacity = 3;
 
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -4,7 +4,7 @@
 
 #include <fmt/format.h>
 
-#include "session_fleet.h"
+#include "rate_load.h"
 
 using namespace std::chrono_literals;
 using namespace greengagehitch;
@@ -15,70 +15,6 @@
 constexpr double tolerance = 1e-9;
 constexpr double large_capacity = 1'000;
 
-session_fleet_shape shape_with_rate(double rate)
-{
-    session_fleet_shape shape;
-    shape.rate = rate;
-    return shape;
-}
-
-/// Counts the operations of one account that a fleet admits, in sliding windows.
-class admission_count {
-public:
-    explicit admission_count(virtual_clock& clock) : m_clock(clock) {}
-
-    void record() { m_times.push_back(m_clock.now()); }
-
-    std::size_t max_in(duration window) const
-    {
-        std::size_t most = 0;
-        std::size_t first = 0;
-        for (std::size_t i = 0; i < m_times.size(); ++i) {
-            while (m_times[i] - m_times[first] >= window) {
-                ++first;
-            }
-            most = std::max(most, i - first + 1);
-        }
-        return most;
-    }
-
-    std::size_t total() const { return m_times.size(); }
-
-private:
-    virtual_clock& m_clock;
-    std::vector<monotonic_time> m_times;
-};
-
-/// Requests tokens at randomly chosen VMs of `vms`, on average `per_second` times per second.
-void request_operations(session_fleet& fleet, std::vector<std::size_t> const& vms, double per_second,
-                        duration length, admission_count& admitted, std::size_t& refused)
-{
-    auto& clock = fleet.clock();
-    auto const end = clock.now() + length;
-    auto const mean = std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / per_second));
-    while (clock.now() < end) {
-        auto const vm = vms[clock.random_below(vms.size())];
-        fleet.vm(vm).sessions().rates().take(session_fleet::account_name(0),
-                                             [&admitted, &refused](std::optional<duration> wait) {
-                                                 if (wait) {
-                                                     ++refused;
-                                                 }
-                                                 else {
-                                                     admitted.record();
-                                                 }
-                                             });
-        clock.run_for(clock.random_interval(mean));
-    }
-    clock.run_for(100ms);
-}
-
-/// Returns the number of operations that the default settings allow in a window of five seconds, when the
-/// burst equals the rate.
-double max_operations_in_window(double rate)
-{
-    return (5 * rate + rate) * 1.1 + 20;
-}
-
 } // namespace
 
 Test(rate_division, shares_of_vms_in_contact_sum_to_one)
