--- a/libraries/limits/rate_contacts.cpp
+++ b/libraries/limits/rate_contacts.cpp
@@ -44,6 +44,9 @@
     entry.receives_from_this_vm = contains(report.reachable_zones, m_membership.identity().availability_zone);
     entry.demands = decode_demands(report.demands);
     entry.vms = vms;
+    if (!vms.empty()) {
+        entry.lenders.set_vms(vms);
+    }
 }
 
 void rate_contacts::divide(demands_map const& own_demands)
@@ -98,7 +101,6 @@
     for (auto& [zone, state] : m_zones) {
         if (!is_own_zone(zone) && is_in_contact(state) && !state.vms.empty()) {
             candidates.insert(candidates.end(), state.vms.begin(), state.vms.end());
-            state.lenders.set_vms(state.vms);
         }
     }
     m_fleet_lenders.set_vms(std::move(candidates));
@@ -130,7 +132,6 @@
     std::vector<std::string> lenders;
     for (auto& [zone, state] : m_zones) {
         if (!is_own_zone(zone) && is_in_contact(state) && !state.vms.empty()) {
-            state.lenders.set_vms(state.vms);
             lenders.push_back(state.lenders.choose(client_account));
         }
     }
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -24,8 +24,6 @@
 constexpr duration max_wait = std::chrono::milliseconds(40);
 /// Longest time that a lender keeps a request, so that its answer arrives while the operation still waits.
 constexpr duration max_request_wait = std::chrono::milliseconds(25);
-/// Time after which an unanswered token request counts as lost.
-constexpr duration grant_timeout = std::chrono::milliseconds(60);
 /// Shortest time between two looks at waiting operations and requests. Tokens that accrue meanwhile are
 /// granted together.
 constexpr duration min_check_period = std::chrono::milliseconds(5);
@@ -35,11 +33,10 @@
 /// A lender keeps the tokens that it needs itself for this time when a lender of another zone asks for its
 /// surplus.
 constexpr double reserve_seconds = 0.1;
-/// Times for which a lender is not asked again after it had no tokens, or did not answer. They keep
-/// operations beyond the rate from causing as many token requests.
+/// Times for which a lender is not asked again after it had no tokens, or another zone's had no surplus. They
+/// keep operations beyond the rate from causing as many token requests.
 constexpr duration empty_lender_pause = std::chrono::milliseconds(80);
 constexpr duration empty_surplus_pause = std::chrono::milliseconds(200);
-constexpr duration silent_lender_pause = std::chrono::milliseconds(300);
 /// Time after which a caller retries when no configuration has been received yet.
 constexpr duration no_configuration_retry = std::chrono::milliseconds(300);
 /// Greatest number of log lines about messages that were ignored.
@@ -91,6 +88,9 @@
         entry["admitted_per_second"] = bucket.pace;
         entry["waiting"] = Json::UInt64(bucket.waiting.size());
         entry["waiting_peers"] = Json::UInt64(bucket.peer_requests.size());
+        auto total = bucket.total_use;
+        total += bucket.use;
+        total.add_to(entry);
         state[account] = std::move(entry);
     }
     return state;
@@ -165,13 +165,8 @@
     serve_operations(bucket);
     serve_peers(client_account, bucket);
     auto const is_asking = ask_lenders(client_account, bucket);
-    auto const waiting = static_cast<double>(bucket.waiting.size());
-    if (!is_asking && waiting > 0 && bucket.balance.time_until(waiting, m_kernel.now()) > max_wait) {
-        // The first operations may still get the tokens that accrue in time.
-        auto const wait_for_one = bucket.balance.time_until(1, m_kernel.now());
-        if (wait_for_one > max_wait) {
-            refuse_waiting(client_account, bucket);
-        }
+    if (!is_asking && bucket.balance.time_until(1, m_kernel.now()) > max_wait) {
+        refuse_waiting(client_account, bucket);
     }
     refuse_overdue(client_account, bucket);
     schedule_check(client_account, bucket);
@@ -206,6 +201,7 @@
 {
     auto const loan = bucket.balance.lend(request.wanted, kept, m_kernel.now());
     bucket.use.lent += loan.tokens;
+    bucket.use.unserved += loan.tokens == 0 ? 1 : 0;
     m_membership->send(request.peer, token_grant{client_account, request.number, loan.tokens,
                                                  static_cast<std::uint32_t>(to_microseconds(loan.lifetime))});
 }
@@ -249,69 +245,26 @@
     return missing - std::floor(bucket.balance.available(m_kernel.now()));
 }
 
-void rate_shares::expire_requests(bucket& bucket)
-{
-    auto const now = m_kernel.now();
-    std::erase_if(bucket.requests, [&](auto const& each) {
-        auto const is_lost = now - each.second.sent_at >= grant_timeout;
-        if (is_lost) {
-            // A grant that still arrives is ignored as unknown.
-            bucket.pauses[each.second.lender] = {now + silent_lender_pause, true};
-        }
-        return is_lost;
-    });
-    std::erase_if(bucket.pauses, [now](auto const& each) { return each.second.until <= now; });
-}
-
-std::vector<std::string> rate_shares::lenders_of(std::string const& client_account, bucket const& bucket)
-{
-    auto const& own = m_membership->identity().name;
-    auto const is_silent = [&bucket](std::string const& lender) {
-        auto const pause = bucket.pauses.find(lender);
-        return pause != bucket.pauses.end() && pause->second.is_silent;
-    };
-    auto const& zone_lender = m_contacts->zone_lender(client_account);
-    auto const& fleet_lender = m_contacts->fleet_lender(client_account);
-    std::vector<std::string> lenders;
-    if (zone_lender != own) {
-        lenders.push_back(zone_lender);
-        if (!is_silent(zone_lender)) {
-            return lenders;
-        }
-    }
-    if (fleet_lender != own && fleet_lender != zone_lender) {
-        lenders.push_back(fleet_lender);
-        if (!is_silent(fleet_lender)) {
-            return lenders;
-        }
-    }
-    for (auto const& lender : m_contacts->other_zone_lenders(client_account)) {
-        if (lender != fleet_lender && lender != own) {
-            lenders.push_back(lender);
-        }
-    }
-    return lenders;
-}
-
 bool rate_shares::ask_lenders(std::string const& client_account, bucket& bucket)
 {
-    expire_requests(bucket);
+    auto const now = m_kernel.now();
+    bucket.requests.expire(now);
     auto const missing = missing_tokens(bucket);
-    if (missing < 1 || !bucket.requests.empty()) {
-        return !bucket.requests.empty();
-    }
-    for (auto const& lender : lenders_of(client_account, bucket)) {
-        if (bucket.pauses.contains(lender)) {
-            continue;
-        }
-        auto const number = m_next_number++;
-        auto const wanted =
-            static_cast<std::uint32_t>(missing + std::floor(bucket.demand * prefetch_seconds));
-        bucket.requests[number] = {lender, wanted, m_kernel.now()};
-        m_membership->send(lender, token_request{client_account, number, wanted});
-        return true;
-    }
-    return false;
+    if (missing < 1 || !bucket.requests.is_empty()) {
+        return !bucket.requests.is_empty();
+    }
+    auto const lender =
+        bucket.requests.choose_lender({m_membership->identity().name, m_contacts->zone_lender(client_account),
+                                       m_contacts->fleet_lender(client_account),
+                                       [&] { return m_contacts->other_zone_lenders(client_account); }});
+    if (!lender) {
+        return false;
+    }
+    auto const number = m_next_number++;
+    auto const wanted = static_cast<std::uint32_t>(missing + std::floor(bucket.demand * prefetch_seconds));
+    bucket.requests.add(number, {*lender, wanted, now});
+    m_membership->send(*lender, token_request{client_account, number, wanted});
+    return true;
 }
 
 void rate_shares::handle_token_request(std::string const& peer, token_request const& request)
@@ -362,21 +315,17 @@
         return;
     }
     auto& bucket = found->second;
-    // Unknown and repeated grants are dropped: they may be meant for an earlier process with this VM's name.
-    auto const entry = bucket.requests.find(grant.number);
-    if (entry == bucket.requests.end() || entry->second.lender != peer) {
+    auto const request = bucket.requests.take(grant.number, peer);
+    if (!request) {
         return;
     }
-    auto const request = entry->second;
-    bucket.requests.erase(entry);
-    if (grant.tokens > request.wanted) {
+    if (grant.tokens > request->wanted) {
         log_ignored(peer, grant.client_account, grant.tokens, "grant exceeds the request");
     }
     else if (grant.tokens == 0) {
         auto const is_own_lender = peer == m_contacts->zone_lender(grant.client_account) ||
                                    peer == m_contacts->fleet_lender(grant.client_account);
-        bucket.pauses[peer] = {m_kernel.now() + (is_own_lender ? empty_lender_pause : empty_surplus_pause),
-                               false};
+        bucket.requests.pause(peer, is_own_lender ? empty_lender_pause : empty_surplus_pause, m_kernel.now());
     }
     else {
         // A peer of an older version sends no lifetime.
@@ -384,7 +333,7 @@
             grant.lifetime_us == 0
                 ? lent_token_lifetime
                 : std::min<duration>(lent_token_lifetime, std::chrono::microseconds(grant.lifetime_us));
-        bucket.balance.add_borrowed(grant.tokens, request.sent_at + lifetime);
+        bucket.balance.add_borrowed(grant.tokens, request->sent_at + lifetime);
         bucket.use.borrowed += grant.tokens;
     }
     serve(grant.client_account, bucket);
@@ -437,32 +386,30 @@
     fields["zone_home"] = m_contacts->zone_lender(client_account);
     fields["neighbours"] = Json::UInt64(m_contacts->zone_peers());
     fields["zones"] = Json::UInt64(m_contacts->other_zones());
-    fields["unanswered"] = Json::UInt64(bucket.requests.size());
-    fields["paused_lenders"] = Json::UInt64(bucket.pauses.size());
+    fields["unanswered"] = Json::UInt64(bucket.requests.unanswered());
+    fields["asked_ms_ago"] = to_milliseconds(m_kernel.now() - bucket.requests.asked_at());
+    fields["paused_lenders"] = Json::UInt64(bucket.requests.paused_lenders());
     fields["admitted_per_second"] = bucket.pace;
     m_kernel.log(log_level::info, service_name,
                  "operations were refused because the client account exceeds its rate limit",
                  std::move(fields));
 }
 
-void rate_shares::log_use(std::string const& client_account, bucket& bucket, duration period) const
+void rate_shares::log_use(std::string const& client_account, bucket& bucket, duration period)
 {
-    auto const use = std::exchange(bucket.use, {});
-    if (use.refused + use.borrowed + use.lent + use.admitted == 0) {
+    auto const& use = bucket.use;
+    auto const* const limit = limit_of(client_account);
+    if (use.refused + use.unserved == 0 || limit == nullptr) {
         return;
     }
     Json::Value fields(Json::objectValue);
     fields["client_account"] = client_account;
     fields["period_ms"] = to_milliseconds(period);
-    fields["admitted"] = Json::UInt64(use.admitted);
-    fields["refused"] = Json::UInt64(use.refused);
-    fields["borrowed"] = Json::UInt64(use.borrowed);
-    fields["lent"] = Json::UInt64(use.lent);
+    use.add_to(fields);
     fields["tokens"] = bucket.balance.available(m_kernel.now());
     fields["part"] = bucket.share;
-    fields["rate"] = sustained_rate(m_bounds, *limit_of(client_account));
-    fields["capacity"] = fleet_token_capacity(m_bounds, *limit_of(client_account));
-    m_kernel.log(log_level::info, service_name, "use of the client account's rate", std::move(fields));
+    fields["rate"] = sustained_rate(m_bounds, *limit);
+    m_kernel.log(log_level::info, service_name, "client account used its rate fully", std::move(fields));
 }
 
 void rate_shares::log_ignored(std::string const& peer, std::string const& client_account,
@@ -490,6 +437,7 @@
         bucket.pace +=
             pace_smoothing * (static_cast<double>(bucket.use.admitted) / seconds(period) - bucket.pace);
         log_use(account, bucket, period);
+        bucket.total_use += std::exchange(bucket.use, {});
         bucket.published_demand = bucket.demand;
         bucket.demand += smoothing * (sample - bucket.demand);
         if (bucket.demand < min_demand) {
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -9,22 +9,16 @@
 
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
+#include "limits/lender_requests.h"
 #include "limits/rate_bounds.h"
 #include "limits/rate_contacts.h"
+#include "limits/rate_use.h"
 #include "limits/return_schedule.h"
 #include "limits/token_balance.h"
 #include "membership/membership_service.h"
 
 namespace greengagehitch {
 
-/// Operations and tokens of one client account at one VM.
-struct rate_use {
-    std::size_t admitted = 0; ///< Operations that received a token.
-    std::size_t refused = 0;  ///< Operations that were refused.
-    std::size_t borrowed = 0; ///< Tokens that peers granted.
-    std::size_t lent = 0;     ///< Tokens that were granted to peers.
-};
-
 /// Called without a value when an operation is admitted, and otherwise with the time after which a token is
 /// expected to be available.
 using admission_callback = std::function<void(std::optional<duration>)>;
@@ -86,19 +80,6 @@
         monotonic_time since;
     };
 
-    /// Request of this VM that a lender has not answered.
-    struct sent_request {
-        std::string lender;
-        std::uint32_t wanted = 0;
-        monotonic_time sent_at;
-    };
-
-    /// Lender that is not asked for a while, since it had no tokens or did not answer.
-    struct lender_pause {
-        monotonic_time until;
-        bool is_silent = false;
-    };
-
     struct bucket {
         explicit bucket(monotonic_time now) : balance(now) {}
 
@@ -109,11 +90,11 @@
         double pace = 0;             ///< Operations per second that were admitted recently.
         double share = 0;            ///< Share of the account's rate that this VM owns.
         rate_use use;                ///< Since the last publication.
+        rate_use total_use;          ///< Before the last publication.
         return_schedule returns;
         std::deque<waiting_operation> waiting;
         std::deque<waiting_request> peer_requests;
-        std::map<std::uint64_t, sent_request> requests; ///< Keyed by request number.
-        std::map<std::string, lender_pause> pauses;     ///< Keyed by lender.
+        lender_requests requests;
         /// Time of the next scheduled look at the waiting operations and requests.
         std::optional<monotonic_time> check_at;
     };
@@ -135,9 +116,6 @@
 
     /// Requests missing tokens from the next lender. Returns whether a request is unanswered.
     bool ask_lenders(std::string const& client_account, bucket& bucket);
-    /// Returns the lenders of this VM in the order in which they are asked.
-    std::vector<std::string> lenders_of(std::string const& client_account, bucket const& bucket);
-    void expire_requests(bucket& bucket);
 
     void handle_token_request(std::string const& peer, token_request const& request);
     void handle_grant(std::string const& peer, token_grant const& grant);
@@ -150,8 +128,8 @@
     void refuse(std::string const& client_account, bucket& bucket,
                 std::vector<waiting_operation> const& operations);
     void log_refusal(std::string const& client_account, bucket& bucket, std::size_t refused);
-    /// Logs and clears what happened since the last publication.
-    void log_use(std::string const& client_account, bucket& bucket, duration period) const;
+    /// Logs what happened since the last publication if an operation or a peer was refused.
+    void log_use(std::string const& client_account, bucket& bucket, duration period);
     /// Logs a message of a peer that is ignored, up to a number of lines.
     void log_ignored(std::string const& peer, std::string const& client_account, std::uint32_t tokens,
                      std::string_view reason);
