--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -13,6 +13,12 @@
 /// A broker is chosen again after this time, since VMs start and stop.
 constexpr duration choice_lifetime = std::chrono::milliseconds(150);
 constexpr duration check_period = std::chrono::milliseconds(60);
+/// Period at which the other zones are judged while no request is pending.
+constexpr duration zone_check_period = std::chrono::milliseconds(200);
+/// Time limit of a status request that shows whether a member of a silent zone can be reached.
+constexpr std::uint32_t member_probe_limit_ms = 200;
+/// Placeholder account for requests that are not sent on behalf of a client account.
+constexpr auto no_account = "-";
 /// Time without a message after which a broker with an unanswered request is sent a ping.
 constexpr duration ping_after = std::chrono::milliseconds(120);
 /// Time without a message after which a broker with an unanswered request is considered down.
@@ -29,6 +35,11 @@
 void broker_service::start()
 {
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
+    m_zones.emplace(zone_monitor::dependencies{
+        m_kernel, *m_membership, [this](std::string const& vm) { send_ping(vm); },
+        [this](std::string const& zone) { probe_member_of(zone); },
+        [this](std::string const& zone, bool is_silent) { handle_zone_change(zone, is_silent); }});
+    m_kernel.start_periodic(zone_check_period, [this] { m_zones->check(); });
 }
 
 Json::Value broker_service::dump() const
@@ -38,6 +49,7 @@
     state["served"] = Json::UInt64(m_served);
     state["pending"] = Json::UInt64(m_pending.size());
     state["leases"] = Json::UInt64(m_peer_connections.size());
+    state["zones"] = m_zones->dump();
     for (auto const& [member, chosen] : m_choices) {
         state["brokers"][member] = chosen.vm;
     }
@@ -86,7 +98,8 @@
         }
         for (auto const& [name, peer] : m_membership->peers()) {
             if (accepts_zone(peer.availability_zone) && !peer.is_leaving && !is_down(name, peer) &&
-                m_membership->is_reachable(peer) && !is_excluded(name)) {
+                !m_zones->is_silent(peer.availability_zone) && m_membership->is_reachable(peer) &&
+                !is_excluded(name)) {
                 found.add(name, peer.processor_share);
             }
         }
@@ -132,6 +145,7 @@
     // A member that this VM cannot reach may still be reachable for the next VM in rank.
     found->second.dispatcher->run(std::move(request),
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
+                                      m_zones->record_member_reply(zone_of_member(id), vm, reply);
                                       if (reply.answers.back().error == member_error::refused) {
                                           exclude_route(id, vm);
                                       }
@@ -179,6 +193,7 @@
         late.done(make_failed_reply(late.commands, member_error::timed_out));
     });
     ++m_relayed;
+    m_zones->record_sent(vm);
     schedule_check();
     relay_request message{request_id, group, member, connection_id, std::move(request)};
     m_channels.send(vm, address_of(vm), encode_relay_message(std::move(message)));
@@ -197,6 +212,7 @@
 void broker_service::handle_reply(std::string const& vm, std::string const& message)
 {
     m_health[vm].last_received_at = m_kernel.now();
+    m_zones->record_heard(vm);
     auto decoded = try_decode_relay_message(message);
     if (!decoded.ok()) {
         m_kernel.log(log_level::warning, service_name,
@@ -234,6 +250,7 @@
     }
     member_reply result;
     result.answers = std::move(reply.answers);
+    m_zones->record_member_reply(zone_of_member(answered.member), vm, result);
     if (reply.connection_id != 0) {
         result.connection = make_pinned_connection(vm, {}, answered.member, reply.connection_id);
     }
@@ -326,6 +343,7 @@
     m_kernel.start_timer(check_period, [this] {
         m_has_check_timer = false;
         check_pending_requests();
+        m_zones->check();
         schedule_check();
     });
 }
@@ -349,17 +367,79 @@
             m_kernel.log(log_level::info, service_name,
                          "broker stopped responding; failing its pending requests", std::move(fields));
             m_channels.drop(vm);
-            handle_vm_loss(vm, true);
+            fail_requests_at(vm, true);
             continue;
         }
         if (now - health.pinged_at >= ping_after) {
-            health.pinged_at = now;
-            m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+            m_zones->record_sent(vm);
+            send_ping(vm);
         }
     }
 }
 
+void broker_service::send_ping(std::string const& vm)
+{
+    m_health[vm].pinged_at = m_kernel.now();
+    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+}
+
+void broker_service::probe_member_of(std::string const& zone)
+{
+    std::vector<member_entry const*> members;
+    for (auto const& [id, registered] : m_dispatchers) {
+        if (registered.entry.availability_zone == zone && !registered.entry.is_draining) {
+            members.push_back(&registered.entry);
+        }
+    }
+    if (members.empty()) {
+        return;
+    }
+    auto const member = *members[m_kernel.random_below(members.size())];
+    member_request request;
+    request.client_account = no_account;
+    request.needs_slot = false;
+    request.time_limit_ms = member_probe_limit_ms;
+    request.queue_limit_ms = member_probe_limit_ms;
+    request.commands.resize(1);
+    request.commands[0].kind = command_kind::status;
+    run(member, std::move(request), [](member_reply const&) {});
+}
+
+std::string broker_service::zone_of_member(std::string const& member) const
+{
+    auto const found = m_dispatchers.find(member);
+    return found == m_dispatchers.end() ? std::string() : found->second.entry.availability_zone;
+}
+
+void broker_service::handle_zone_change(std::string const& zone, bool is_silent)
+{
+    m_choices.clear();
+    if (!is_silent) {
+        return;
+    }
+    std::set<std::string> vms;
+    for (auto const& [request_id, pending] : m_pending) {
+        auto const peer = m_membership->peers().find(pending.vm);
+        if (peer != m_membership->peers().end() && peer->second.availability_zone == zone) {
+            vms.insert(pending.vm);
+        }
+    }
+    for (auto const& vm : vms) {
+        m_channels.drop(vm);
+        fail_requests_at(vm, true);
+    }
+}
+
 void broker_service::handle_vm_loss(std::string const& vm, bool was_connected)
+{
+    if (was_connected) {
+        // A reset or a close arrived from the VM's host.
+        m_zones->record_heard(vm);
+    }
+    fail_requests_at(vm, was_connected);
+}
+
+void broker_service::fail_requests_at(std::string const& vm, bool was_connected)
 {
     m_health[vm].lost_at = m_kernel.now();
     m_choices.clear();
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -3,12 +3,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "brokers/member_dispatcher.h"
 #include "brokers/relay_messages.h"
+#include "brokers/zone_monitor.h"
 #include "fleet/member_entry.h"
 #include "kernel/kernel.h"
 #include "membership/membership_service.h"
@@ -56,6 +58,23 @@
     /// Returns true if this VM is the broker of the member; false for unknown members.
     bool is_broker_of(std::string const& member);
 
+    /// True when the VMs of the zone leave messages unanswered.
+    bool is_silent(std::string const& zone) const { return m_zones && m_zones->is_silent(zone); }
+    /// True when neither the VMs nor the members of the zone can be reached.
+    bool is_partitioned(std::string const& zone) const { return m_zones && m_zones->is_partitioned(zone); }
+    /// Time since when all other zones are silent; std::nullopt while one is heard.
+    std::optional<monotonic_time> all_zones_silent_since() const
+    {
+        return m_zones ? m_zones->all_silent_since() : std::nullopt;
+    }
+    /// Time at which all other zones were last found silent; std::nullopt if never.
+    std::optional<monotonic_time> all_zones_silent_until() const
+    {
+        return m_zones ? m_zones->all_silent_until() : std::nullopt;
+    }
+    /// True when this VM reaches no other zone, see zone_monitor.
+    bool is_cut_off() const { return m_zones && m_zones->is_cut_off(); }
+
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
@@ -114,6 +133,11 @@
     /// Checks the brokers periodically while requests are pending.
     void schedule_check();
     void check_pending_requests();
+    void send_ping(std::string const& vm);
+    void probe_member_of(std::string const& zone);
+    void handle_zone_change(std::string const& zone, bool is_silent);
+    void fail_requests_at(std::string const& vm, bool was_connected);
+    std::string zone_of_member(std::string const& member) const;
     void exclude_route(std::string const& member, std::string const& vm);
     bool is_down(std::string const& vm, peer_state const& peer) const;
     endpoint address_of(std::string const& vm) const;
@@ -129,6 +153,7 @@
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
+    std::optional<zone_monitor> m_zones; ///< Set when the service starts.
     bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
     std::uint64_t m_next_request_id = 1;
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -104,6 +104,9 @@
     /// True when the peer had direct or indirect contact within the reachability timeout.
     bool is_reachable(peer_state const& peer) const;
 
+    /// True when the peer is not shutting down and is listed or reachable.
+    bool accepts_work(peer_state const& peer) const;
+
     /// Records that another VM reported a peer as serving.
     void record_indirect_contact(std::string const& peer);
     /// Records a report that a peer is shutting down.
@@ -157,7 +160,6 @@
     }
 
     peer_state& peer_named(std::string const& name);
-    bool accepts_work(peer_state const& peer) const;
     void poll_list();
     void read_list();
     void handle_list(std::vector<vm_record> const& records);
