--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -28,15 +28,15 @@
 constexpr std::size_t suspicion_failures = 2;
 /// Time for which commits at the leader may stay unanswered before it is suspected.
 constexpr duration stuck_commit_time = std::chrono::milliseconds(1'500);
-/// Cost added to the score of a member in another zone, for the round trip and the traffic between zones.
-constexpr duration other_zone_cost = std::chrono::milliseconds(8);
-/// Cost added to the score of the leader, so that its slots stay free for statements that only the leader can
-/// run.
-constexpr duration leader_cost = std::chrono::milliseconds(15);
 /// A latency measurement older than this is capped at `usual_latency`, so that a slow member is tried again.
 constexpr duration latency_lifetime = std::chrono::seconds(1);
 constexpr duration usual_latency = std::chrono::milliseconds(30);
 constexpr int smoothing_divisor = 6;
+/// Share of the recent statements that failed at a member above which the member gets few reads.
+constexpr double grey_failure_share = 0.3;
+constexpr double failure_smoothing = 1.0 / 8;
+/// Time after which a read is tried again at a member that failed many of its recent statements.
+constexpr duration grey_trial_interval = std::chrono::milliseconds(500);
 
 /// Placeholder account for probes that are not sent on behalf of a client account.
 constexpr auto no_account = "-";
@@ -128,6 +128,46 @@
     return found == nullptr ? nullptr : find_member(found->entry.id);
 }
 
+bool database_group::is_unreachable(group_member const& member) const
+{
+    return m_dependencies.is_partitioned && m_dependencies.is_partitioned(member.entry.availability_zone);
+}
+
+bool database_group::fails_to_respond(group_member const& member) const
+{
+    return member.failing_since && member.failures >= suspicion_failures &&
+           m_kernel.now() - *member.failing_since > suspicion_time;
+}
+
+group_member* database_group::reachable_leader()
+{
+    auto* const found = leader();
+    auto const is_reachable = found != nullptr && !is_unreachable(*found) && !fails_to_respond(*found);
+    auto const was_absent = m_absence.is_absent();
+    m_absence.update(is_reachable, m_kernel.now());
+    if (is_reachable == was_absent) {
+        Json::Value fields(Json::objectValue);
+        fields["group"] = m_name;
+        if (found != nullptr) {
+            fields["leader"] = found->entry.id;
+            fields["is_zone_partitioned"] = is_unreachable(*found);
+        }
+        if (!is_reachable) {
+            fields["expected_ms"] = to_milliseconds(expected_leader_wait());
+        }
+        m_kernel.log(log_level::info, "groups",
+                     is_reachable ? "group has a reachable leader again" : "group has no reachable leader",
+                     std::move(fields));
+    }
+    return is_reachable ? found : nullptr;
+}
+
+bool database_group::expects_no_leader_within(duration limit) const
+{
+    auto const is_cut_off = m_dependencies.is_cut_off && m_dependencies.is_cut_off();
+    return leader() != nullptr && (is_cut_off || expected_leader_wait() >= limit);
+}
+
 void database_group::confirm_leader(std::string const& id, log_position position, monotonic_time sent_at)
 {
     auto* const member = find_member(id);
@@ -214,7 +254,7 @@
 
 void database_group::release_waiting()
 {
-    if (m_waiting.empty() || leader() == nullptr) {
+    if (m_waiting.empty() || reachable_leader() == nullptr) {
         return;
     }
     for (auto& [number, each] : std::exchange(m_waiting, {})) {
@@ -234,7 +274,8 @@
     }
     m_kernel.start_timer(search_period, [this] {
         m_is_searching = false;
-        if (!m_waiting.empty() && leader() == nullptr) {
+        release_waiting();
+        if (!m_waiting.empty()) {
             search_leader();
         }
     });
@@ -372,31 +413,51 @@
                                             log_position minimum_position)
 {
     auto const now = m_kernel.now();
-    group_member* best = nullptr;
-    duration best_score{};
-    for (auto& [id, member] : m_members) {
-        if (member.entry.is_draining || excluded.contains(id) || member.avoid_until > now) {
-            continue;
-        }
-        if (member.failures >= failures_before_probe) {
-            // A probe detects the recovery of the member, so that no read is sent to a member that may still
-            // fail.
+    auto const choice = judge_readers(excluded, minimum_position);
+    for (auto const& judged : choice.candidates) {
+        auto& member = m_members.at(judged.id);
+        // A probe detects the recovery of the member, so that no read is sent to a member that may still
+        // fail.
+        if (judged.reason == exclusion_reason::failing || judged.reason == exclusion_reason::partitioned ||
+            (judged.reason == exclusion_reason::lagging &&
+             now - member.observed_at > position_probe_interval)) {
             probe_position(member, client_account);
-            continue;
-        }
-        if (!is_expected_to_hold(member, minimum_position)) {
-            if (now - member.observed_at > position_probe_interval) {
-                probe_position(member, client_account);
-            }
-            continue;
-        }
-        auto const member_score = score(member);
-        if (best == nullptr || member_score < best_score) {
-            best = &member;
-            best_score = member_score;
         }
     }
-    return best;
+    return choice.chosen ? find_member(choice.candidates[*choice.chosen].id) : nullptr;
+}
+
+member_choice database_group::judge_readers(std::set<std::string> const& excluded,
+                                            log_position minimum_position) const
+{
+    std::vector<read_candidate> candidates;
+    for (auto const& [id, member] : m_members) {
+        candidates.push_back(make_candidate(member, excluded.contains(id), minimum_position));
+    }
+    return choose_member(candidates);
+}
+
+read_candidate database_group::make_candidate(group_member const& member, bool is_excluded,
+                                              log_position minimum_position) const
+{
+    auto const now = m_kernel.now();
+    auto const is_old = now - member.latency_measured_at > latency_lifetime;
+    read_candidate candidate;
+    candidate.id = member.entry.id;
+    candidate.is_draining = member.entry.is_draining;
+    candidate.is_excluded = is_excluded;
+    candidate.is_partitioned = is_unreachable(member);
+    candidate.is_avoided = member.avoid_until > now;
+    candidate.must_answer_probe = member.failures >= failures_before_probe;
+    candidate.is_grey =
+        member.failure_share > grey_failure_share && now - member.tried_at < grey_trial_interval;
+    candidate.holds_position = is_expected_to_hold(member, minimum_position);
+    candidate.latency = is_old ? std::min(member.latency, usual_latency) : member.latency;
+    candidate.in_flight = member.in_flight;
+    candidate.slots = member.entry.slots;
+    candidate.is_in_own_zone = member.entry.availability_zone == m_dependencies.availability_zone;
+    candidate.is_leader = member.entry.claims_primary || member.confirmed_term != 0;
+    return candidate;
 }
 
 bool database_group::is_expected_to_hold(group_member const& member, log_position minimum_position) const
@@ -409,25 +470,11 @@
     return existed_at && m_kernel.now() - member.lag >= *existed_at;
 }
 
-duration database_group::score(group_member const& member) const
-{
-    auto const age = m_kernel.now() - member.latency_measured_at;
-    auto const latency = age > latency_lifetime ? std::min(member.latency, usual_latency) : member.latency;
-    auto const slots = static_cast<duration::rep>(std::max<std::size_t>(1, member.entry.slots));
-    auto total = latency + latency * static_cast<duration::rep>(member.in_flight) / slots;
-    if (member.entry.availability_zone != m_dependencies.availability_zone) {
-        total += other_zone_cost;
-    }
-    if (member.entry.claims_primary || member.confirmed_term != 0) {
-        total += leader_cost;
-    }
-    return total;
-}
-
 void database_group::record_sent(std::string const& id)
 {
     if (auto* const member = find_member(id)) {
         ++member->in_flight;
+        member->tried_at = m_kernel.now();
     }
 }
 
@@ -453,6 +500,7 @@
     }
     member->latency += (latency - member->latency) / smoothing_divisor;
     member->latency_measured_at = m_kernel.now();
+    member->failure_share -= member->failure_share * failure_smoothing;
     record_response(id);
 }
 
@@ -474,6 +522,9 @@
 void database_group::record_failure(std::string const& id, member_error error)
 {
     auto* const member = find_member(id);
+    if (member != nullptr && error == member_error::failed) {
+        member->failure_share += (1 - member->failure_share) * failure_smoothing;
+    }
     if (member == nullptr || is_answer(error) || error == member_error::not_started ||
         error == member_error::unproven_leader) {
         return;
@@ -519,12 +570,10 @@
     if (member == nullptr) {
         return false;
     }
-    auto const now = m_kernel.now();
-    if (member->failing_since && member->failures >= suspicion_failures &&
-        now - *member->failing_since > suspicion_time) {
+    if (is_unreachable(*member) || fails_to_respond(*member)) {
         return true;
     }
-    return member->commits_stuck_since && now - *member->commits_stuck_since > stuck_commit_time;
+    return member->commits_stuck_since && m_kernel.now() - *member->commits_stuck_since > stuck_commit_time;
 }
 
 void database_group::handle_reported_suspicion()
@@ -554,6 +603,8 @@
         entry["in_flight"] = Json::UInt64(member.in_flight);
         entry["latency_ms"] = to_milliseconds(member.latency);
         entry["failures"] = Json::UInt64(member.failures);
+        entry["failure_share"] = member.failure_share;
+        entry["is_partitioned"] = is_unreachable(member);
         state["members"][id] = std::move(entry);
     }
     if (auto const age = confirmation_age()) {
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -11,7 +11,9 @@
 #include "brokers/member_request.h"
 #include "fleet/member_entry.h"
 #include "kernel/kernel.h"
+#include "members/leader_absence.h"
 #include "members/leader_position_history.h"
+#include "members/member_choice.h"
 
 namespace greengagehitch {
 
@@ -30,6 +32,8 @@
     std::optional<store_position> claim_change;  ///< Directory change at which the member claimed leadership.
     std::optional<monotonic_time> failing_since; ///< Time of the first failure since the last response.
     std::size_t failures = 0;                    ///< Number of failures since the last response.
+    double failure_share = 0; ///< Moving average over recent statements: 1 failed at the member, 0 did not.
+    monotonic_time tried_at;  ///< Time at which the last statement was sent to the member.
     /// Time of the first unanswered commit since the last successful one.
     std::optional<monotonic_time> commits_stuck_since;
 };
@@ -44,6 +48,11 @@
         std::function<void(member_entry const&, member_request, reply_callback)> run;
         std::function<void(member_entry const&)> member_added;
         std::function<void(member_entry const&)> member_removed;
+        /// Tells whether this VM can reach neither the VMs nor the members of an availability zone. May be
+        /// empty; then no zone is partitioned.
+        std::function<bool(std::string const& zone)> is_partitioned = {};
+        /// Tells whether this VM reaches no other availability zone. May be empty.
+        std::function<bool()> is_cut_off = {};
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -60,6 +69,15 @@
     group_member* leader();
     group_member const* leader() const;
 
+    /// Returns the leader, or null when no leader is known or when this VM suspects that it is unreachable.
+    group_member* reachable_leader();
+    /// Expected time until the leader is reachable.
+    duration expected_leader_wait() const { return m_absence.expected_wait(m_kernel.now()); }
+    /// True when a leader that is reachable is not expected within `limit`. A leader that is only unknown may
+    /// be found by the next probe, but one that is out of reach comes back with a takeover, and for a VM that
+    /// is cut off not before the partition ends.
+    bool expects_no_leader_within(duration limit) const;
+
     /// Id of the member that was last confirmed as leader; empty if no member was confirmed yet.
     std::string const& last_leader() const { return m_last_leader; }
 
@@ -72,7 +90,7 @@
     /// Returns the term of the confirmed leader, or 0 if no leader is confirmed.
     std::uint64_t confirmed_term() const;
 
-    /// Calls `callback` with true once a leader is known, or with false at `deadline`.
+    /// Calls `callback` with true once a leader is reachable, or with false at `deadline`.
     void wait_for_leader(monotonic_time deadline, std::function<void(bool)> callback);
     std::size_t waiting_for_leader() const { return m_waiting.size(); }
 
@@ -83,6 +101,8 @@
     /// have applied `minimum_position`. Members in `excluded` are not chosen.
     group_member* choose_reader(std::string const& client_account, std::set<std::string> const& excluded,
                                 log_position minimum_position);
+    /// Judges all members as readers, without side effects.
+    member_choice judge_readers(std::set<std::string> const& excluded, log_position minimum_position) const;
     /// Records that a member refused a statement because its queue was too long; reads avoid it briefly.
     void record_overload(std::string const& member);
 
@@ -147,7 +167,10 @@
     using probe_callback = std::function<void(member_answer const&, monotonic_time sent_at)>;
     void send_probe(group_member& member, std::string const& client_account, command_kind kind,
                     probe_callback answered);
-    duration score(group_member const& member) const;
+    read_candidate make_candidate(group_member const& member, bool is_excluded,
+                                  log_position minimum_position) const;
+    bool is_unreachable(group_member const& member) const;
+    bool fails_to_respond(group_member const& member) const;
     bool is_expected_to_hold(group_member const& member, log_position minimum_position) const;
     void retire_member(group_member& member);
 
@@ -156,6 +179,7 @@
     kernel& m_kernel;
     std::map<std::string, group_member> m_members;
     leader_position_history m_leader_positions;
+    leader_absence m_absence;
     log_position m_highest_acknowledged;
     std::string m_last_leader;
     std::map<std::string, former_member> m_former_members;
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -62,12 +62,15 @@
     auto& entry = m_groups[name];
     if (!entry) {
         database_group::dependencies dependencies{
-            m_kernel, m_membership->identity().availability_zone,
+            m_kernel,
+            m_membership->identity().availability_zone,
             [this](member_entry const& member, member_request request, reply_callback done) {
                 m_brokers->run(member, std::move(request), std::move(done));
             },
             [this](member_entry const& member) { add_member(member); },
-            [this](member_entry const& member) { remove_member(member); }};
+            [this](member_entry const& member) { remove_member(member); },
+            [this](std::string const& zone) { return m_brokers->is_partitioned(zone); },
+            [this] { return m_brokers->is_cut_off(); }};
         entry = std::make_unique<database_group>(name, std::move(dependencies));
         m_group_of_hash[hash_name(name)] = entry.get();
     }
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -13,6 +13,8 @@
 /// Time that a member gets beyond the statement's timeout, so that its own timeout error arrives first. A
 /// commit without an answer after this time is reported with an unknown outcome.
 constexpr duration commit_answer_margin = std::chrono::milliseconds(30);
+/// Earliest retry reported to a caller while this VM accepts no keys.
+constexpr duration key_refusal_delay = std::chrono::milliseconds(300);
 constexpr int max_busy_retries = 6;
 constexpr duration busy_retry_delay = std::chrono::milliseconds(15);
 
@@ -208,7 +210,8 @@
     if (!m_engine.may_trust_keys()) {
         refuse(statement, session_error::busy,
                "this VM cannot receive key withdrawals at present, so it accepts no keys",
-               std::chrono::milliseconds(500));
+               spread_retry_delay(key_refusal_delay,
+                                  [this](std::uint64_t bound) { return m_kernel.random_below(bound); }));
         return std::nullopt;
     }
     if (found == keys.end()) {
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -18,10 +18,7 @@
 constexpr duration confirmed_position_timeout = std::chrono::milliseconds(40);
 /// Delay before a statement is sent again to a busy leader.
 constexpr duration busy_retry_delay = std::chrono::milliseconds(20);
-/// Retry delay reported to a caller when the leader's queue is too long; several times the time that a
-/// statement spends in the queue.
-constexpr duration overload_retry_delay = std::chrono::milliseconds(250);
-/// Retry delay reported to a caller when the leader is not proven to lead; a takeover takes about as long.
+/// Earliest retry reported to a caller when the leader is not proven to lead.
 constexpr duration unproven_refusal_delay = std::chrono::milliseconds(300);
 /// The latency target divided by these is the longest time that a statement may wait in the queue for the
 /// leader or for another member.
@@ -157,19 +154,11 @@
         return;
     }
     if (needs_leader()) {
-        if (auto* const leader = m_group.leader()) {
+        if (auto* const leader = m_group.reachable_leader()) {
             send_attempt(leader->entry.id);
             return;
         }
-        m_group.refresh_leader_position(m_request.client_account);
-        m_group.wait_for_leader(m_deadline, [self = shared_from_this()](bool is_known) {
-            if (is_known) {
-                self->start_next_attempt();
-            }
-            else if (self->m_in_flight == 0) {
-                self->refuse(session_error::busy, "the group has no leader", std::chrono::milliseconds(300));
-            }
-        });
+        wait_for_leader();
         return;
     }
     if (!required_position()) {
@@ -185,6 +174,25 @@
     send_attempt(member->entry.id);
 }
 
+void statement_execution::wait_for_leader()
+{
+    m_group.refresh_leader_position(m_request.client_account);
+    if (m_in_flight == 0 && m_group.expects_no_leader_within(remaining_time())) {
+        refuse(session_error::busy, "the group has no reachable leader",
+               spread(m_group.expected_leader_wait()));
+        return;
+    }
+    m_group.wait_for_leader(m_deadline, [self = shared_from_this()](bool is_known) {
+        if (is_known) {
+            self->start_next_attempt();
+        }
+        else if (self->m_in_flight == 0) {
+            self->refuse(session_error::busy, "the group has no leader",
+                         self->spread(self->m_group.expected_leader_wait()));
+        }
+    });
+}
+
 void statement_execution::wait_for_confirmed_position()
 {
     auto const now = m_kernel.now();
@@ -408,6 +416,21 @@
     start_next_attempt_after(unreachable_retry_delay);
 }
 
+duration statement_execution::queue_time(std::string const& id) const
+{
+    auto const found = m_group.members().find(id);
+    if (found == m_group.members().end()) {
+        return m_request.work.latency_target;
+    }
+    auto const& member = found->second;
+    return expected_queue_time(member.latency, member.in_flight, member.entry.slots);
+}
+
+duration statement_execution::spread(duration earliest) const
+{
+    return spread_retry_delay(earliest, [this](std::uint64_t bound) { return m_kernel.random_below(bound); });
+}
+
 void statement_execution::log_attempt(std::string const& member, member_error error) const
 {
     Json::Value fields(Json::objectValue);
@@ -446,7 +469,7 @@
             return true;
         }
         if (m_in_flight == 0 && m_kernel.now() - m_request.arrived_at >= m_request.work.latency_target / 2) {
-            refuse(session_error::busy, "the leader's queue is too long", overload_retry_delay);
+            refuse(session_error::busy, "the leader's queue is too long", spread(queue_time(member)));
             return true;
         }
         start_next_attempt_after(busy_retry_delay);
@@ -454,7 +477,7 @@
     case member_error::unproven_leader:
         if (m_in_flight == 0 && m_kernel.now() - m_request.arrived_at >= m_request.work.latency_target / 2) {
             refuse(session_error::busy, "the leader is being replaced or is cut off from its group",
-                   unproven_refusal_delay);
+                   spread(unproven_refusal_delay));
             return true;
         }
         start_next_attempt_after(unproven_retry_delay);
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -9,6 +9,7 @@
 #include "fleet/served_configuration.h"
 #include "kernel/kernel.h"
 #include "members/database_group.h"
+#include "sessions/retry_delay.h"
 #include "sessions/session_answer.h"
 #include "sessions/session_statement.h"
 
@@ -75,6 +76,8 @@
     void start_next_attempt();
     void start_next_attempt_after(duration delay);
     void wait_for_confirmed_position();
+    /// Waits for a reachable leader, or refuses the statement if none is expected before the deadline.
+    void wait_for_leader();
     execution_mode effective_mode() const;
     void send_attempt(std::string const& member);
     /// Makes the request for an attempt. Returns std::nullopt if the confirmed position for a read is too
@@ -87,6 +90,9 @@
     /// Handles an error which guarantees that nothing was run. Returns true if the error was handled or the
     /// statement was answered already; other errors are left to the caller.
     bool handle_retryable_error(std::string const& member, member_error error);
+    /// Expected time until the member has answered the statements in flight there.
+    duration queue_time(std::string const& id) const;
+    duration spread(duration earliest) const;
     void log_attempt(std::string const& member, member_error error) const;
     std::optional<log_position> required_position() const;
     duration remaining_time() const;
