--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -40,6 +40,7 @@
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_rates = &m_kernel.find<rate_shares>(rate_shares::service_name);
     m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
+    m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_zones.emplace(
         m_kernel, *m_membership,
         zone_exchange::hooks{[this] { return make_zone_report(); },
@@ -555,6 +556,18 @@
 
 bool report_service::is_cut_off() const
 {
+    auto const now = m_kernel.now();
+    auto const age = m_fleet->configuration_age();
+    auto const has_lost_store_since = [&](monotonic_time time) { return !age || now - *age <= time; };
+    auto const silent_since = m_brokers->all_zones_silent_since();
+    if (silent_since && has_lost_store_since(*silent_since + zone_contact::answer_limit)) {
+        return true;
+    }
+    // What this VM and its zone peers suspect dates from the partition until new reports have arrived.
+    auto const silent_until = m_brokers->all_zones_silent_until();
+    if (!silent_since && silent_until && now - *silent_until <= max_recent_report_age()) {
+        return true;
+    }
     if (m_zones->reports().empty()) {
         return false;
     }
@@ -562,16 +575,14 @@
     for (auto const& [zone, entry] : m_zones->reports()) {
         received_at = std::max(received_at, entry.received_at);
     }
-    auto const now = m_kernel.now();
-    auto const age = m_fleet->configuration_age();
-    return now - received_at > max_recent_report_age() && (!age || now - *age <= received_at);
+    return now - received_at > max_recent_report_age() && has_lost_store_since(received_at);
 }
 
 std::vector<std::string> report_service::peers_with_store() const
 {
     auto names = zone_peers_with_store();
     for (auto const& [zone, entry] : m_zones->reports()) {
-        if (m_kernel.now() - entry.received_at <= max_recent_report_age()) {
+        if (m_kernel.now() - entry.received_at <= max_recent_report_age() && !m_brokers->is_silent(zone)) {
             names.insert(names.end(), entry.vms_with_store.begin(), entry.vms_with_store.end());
         }
     }
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -70,9 +70,9 @@
         m_learn_store_era = std::move(learn_store_era);
     }
 
-    /// True when this VM has not received a report of any other zone recently, and has not reached the store
-    /// since it received the last one. A network partition of this VM is then more likely than a failure of
-    /// all other zones and of the store.
+    /// True when this VM reaches neither the VMs nor the members of other zones, or when it has not received
+    /// a report of any other zone recently and has not reached the store since it received the last one. A
+    /// network partition of this VM is then more likely than a failure of all other zones and of the store.
     bool is_cut_off() const;
 
     /// Returns the peers that reported recently that they can reach the platform's store.
@@ -143,6 +143,7 @@
     membership_service* m_membership = nullptr;
     rate_shares* m_rates = nullptr;
     group_registry* m_groups = nullptr;
+    broker_service* m_brokers = nullptr;
     std::map<std::string, received_report> m_reports; ///< Latest reports of the zone peers, keyed by VM name.
     using assessments_map = std::unordered_map<name_hash, group_assessment>;
     mutable assessments_map m_zone_peers_assessments;  ///< Keyed by the hash of the group's name.
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -14,6 +14,10 @@
 /// it no new callers.
 constexpr duration readiness_age_limit = std::chrono::milliseconds(3'200);
 
+/// Time from the loss of the other zones until idle sessions are closed. Callers that reconnect earlier may
+/// reach the same VM, as the load balancer has not yet noticed that it is not ready.
+constexpr duration cut_off_close_delay = std::chrono::milliseconds(1'200);
+
 } // namespace
 
 session_engine::session_engine(kernel& kernel, session_engine_settings settings)
@@ -66,7 +70,8 @@
 bool session_engine::is_ready() const
 {
     auto const age = m_fleet->configuration_age();
-    return !is_draining() && age && *age <= readiness_age_limit && !m_fleet->members().empty();
+    return !is_draining() && age && *age <= readiness_age_limit && !m_fleet->members().empty() &&
+           !(m_is_cut_off && m_is_cut_off());
 }
 
 bool session_engine::may_trust_keys() const
@@ -95,11 +100,33 @@
     for (auto* const session : sessions) {
         session->end_idle_transaction(configuration->transaction_idle_limit);
     }
-    if (!is_ready() && m_has_better_peer && m_has_better_peer()) {
+    update_cut_off();
+    auto const has_better_peer = m_has_better_peer && m_has_better_peer();
+    auto const was_cut_off_long = m_cut_off_since && m_kernel.now() - *m_cut_off_since >= cut_off_close_delay;
+    if (!is_ready() && (has_better_peer || was_cut_off_long)) {
         close_idle_batch();
     }
 }
 
+void session_engine::update_cut_off()
+{
+    auto const is_cut_off = m_is_cut_off && m_is_cut_off();
+    if (is_cut_off == m_cut_off_since.has_value()) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["sessions"] = Json::UInt64(m_sessions.size());
+    if (m_cut_off_since) {
+        fields["cut_off_ms"] = to_milliseconds(m_kernel.now() - *m_cut_off_since);
+    }
+    m_kernel.log(log_level::info, service_name,
+                 is_cut_off
+                     ? "VM is cut off from the other availability zones and reports that it is not ready"
+                     : "VM reaches other availability zones again",
+                 std::move(fields));
+    m_cut_off_since = is_cut_off ? std::optional(m_kernel.now()) : std::nullopt;
+}
+
 void session_engine::close_idle_batch()
 {
     auto const count = m_sessions.size() / drain_steps + 1;
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -60,7 +60,8 @@
     void drain(std::function<void()> on_drained);
     bool is_draining() const { return m_drain_started.has_value(); }
 
-    /// Returns true if this VM is not draining, has a recent configuration and knows at least one member.
+    /// Returns true if this VM is not draining, has a recent configuration, knows at least one member and is
+    /// not cut off from the other availability zones.
     bool is_ready() const;
 
     /// Returns true if the configuration is recent enough to accept keys. An older one may still list a key
@@ -71,6 +72,10 @@
     /// sessions that this VM cannot serve.
     void set_has_better_peer(std::function<bool()> predicate) { m_has_better_peer = std::move(predicate); }
 
+    /// Sets the predicate that returns true while this VM reaches no other availability zone, which others
+    /// probably still serve.
+    void set_is_cut_off(std::function<bool()> predicate) { m_is_cut_off = std::move(predicate); }
+
     /// Sets the predicate that returns true while requests of peers are running at this VM. A drain waits for
     /// these requests.
     void set_has_peer_requests(std::function<bool()> predicate)
@@ -93,6 +98,8 @@
     void tick();
     void continue_drain();
     void close_idle_batch();
+    /// Notes since when this VM is cut off, and logs changes.
+    void update_cut_off();
 
     kernel& m_kernel;
     session_engine_settings m_settings;
@@ -103,6 +110,8 @@
     session_counters m_counters;
     std::function<bool()> m_has_better_peer;
     std::function<bool()> m_has_peer_requests;
+    std::function<bool()> m_is_cut_off;
+    std::optional<monotonic_time> m_cut_off_since;
     std::optional<monotonic_time> m_drain_started;
     std::function<void()> m_on_drained;
 };
