--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -446,6 +446,7 @@
     candidate.id = member.entry.id;
     candidate.is_draining = member.entry.is_draining;
     candidate.is_excluded = is_excluded;
+    candidate.is_evacuated = is_evacuated(member);
     candidate.is_partitioned = is_unreachable(member);
     candidate.is_avoided = member.avoid_until > now;
     candidate.must_answer_probe = member.failures >= failures_before_probe;
@@ -460,6 +461,19 @@
     return candidate;
 }
 
+bool database_group::is_evacuated(group_member const& member) const
+{
+    return m_dependencies.is_evacuated && m_dependencies.is_evacuated(member.entry.availability_zone);
+}
+
+bool database_group::may_send_to(std::string const& id) const
+{
+    auto const found = m_members.find(id);
+    return found != m_members.end() &&
+           (!m_dependencies.may_send_to_zone ||
+            m_dependencies.may_send_to_zone(found->second.entry.availability_zone));
+}
+
 bool database_group::is_expected_to_hold(group_member const& member, log_position minimum_position) const
 {
     if (member.applied >= minimum_position || member.confirmed_term != 0) {
@@ -598,6 +612,7 @@
         Json::Value entry(Json::objectValue);
         entry["availability_zone"] = member.entry.availability_zone;
         entry["is_draining"] = member.entry.is_draining;
+        entry["is_evacuated"] = is_evacuated(member);
         entry["claims_primary"] = member.entry.claims_primary;
         entry["proven_term"] = Json::UInt64(member.confirmed_term);
         entry["in_flight"] = Json::UInt64(member.in_flight);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -48,11 +48,16 @@
         std::function<void(member_entry const&, member_request, reply_callback)> run;
         std::function<void(member_entry const&)> member_added;
         std::function<void(member_entry const&)> member_removed;
+        /// Returns whether an availability zone is evacuated. May be empty if none ever is.
+        std::function<bool(std::string const& zone)> is_evacuated{};
+        /// Returns whether a request that only a member of the zone can run may still be sent there. May be
+        /// empty if no zone is ever evacuated.
+        std::function<bool(std::string const& zone)> may_send_to_zone{};
         /// Tells whether this VM can reach neither the VMs nor the members of an availability zone. May be
         /// empty; then no zone is partitioned.
-        std::function<bool(std::string const& zone)> is_partitioned = {};
+        std::function<bool(std::string const& zone)> is_partitioned{};
         /// Tells whether this VM reaches no other availability zone. May be empty.
-        std::function<bool()> is_cut_off = {};
+        std::function<bool()> is_cut_off{};
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -106,6 +111,12 @@
     /// Records that a member refused a statement because its queue was too long; reads avoid it briefly.
     void record_overload(std::string const& member);
 
+    /// Returns whether the member's availability zone is evacuated.
+    bool is_evacuated(group_member const& member) const;
+    /// Returns whether requests may be sent to a member, although its availability zone may be about to be
+    /// evacuated. False for unknown members.
+    bool may_send_to(std::string const& member) const;
+
     /// Sends a request to a member through the VM that brokers its connections.
     void run(std::string const& member, member_request request, reply_callback done);
 
--- a/libraries/members/member_choice.cpp
+++ b/libraries/members/member_choice.cpp
@@ -21,6 +21,9 @@
     if (candidate.is_excluded) {
         return exclusion_reason::excluded;
     }
+    if (candidate.is_evacuated) {
+        return exclusion_reason::evacuated;
+    }
     if (candidate.is_partitioned) {
         return exclusion_reason::partitioned;
     }
--- a/libraries/members/member_choice.h
+++ b/libraries/members/member_choice.h
@@ -15,6 +15,7 @@
     none,
     draining,    ///< The member announced that it will leave.
     excluded,    ///< The statement was tried there already.
+    evacuated,   ///< Operators asked to take all work away from the member's availability zone.
     partitioned, ///< The member's availability zone cannot be reached.
     avoided,     ///< The member failed or refused a statement a short time ago.
     failing,     ///< The member failed repeatedly and must answer a probe first.
@@ -26,6 +27,7 @@
     enum_name<exclusion_reason>{exclusion_reason::none, "none"},
     enum_name<exclusion_reason>{exclusion_reason::draining, "draining"},
     enum_name<exclusion_reason>{exclusion_reason::excluded, "excluded"},
+    enum_name<exclusion_reason>{exclusion_reason::evacuated, "evacuated"},
     enum_name<exclusion_reason>{exclusion_reason::partitioned, "partitioned"},
     enum_name<exclusion_reason>{exclusion_reason::avoided, "avoided"},
     enum_name<exclusion_reason>{exclusion_reason::failing, "failing"},
@@ -38,6 +40,7 @@
     std::string id;
     bool is_draining = false;
     bool is_excluded = false;
+    bool is_evacuated = false;
     bool is_partitioned = false;
     bool is_avoided = false;
     bool must_answer_probe = false;
--- a/tests/members/member_choice_tests.cpp
+++ b/tests/members/member_choice_tests.cpp
@@ -59,14 +59,15 @@
 
 Test(member_choice, members_that_may_not_be_used_are_named_with_their_reason)
 {
-    std::vector<read_candidate> candidates(7);
+    std::vector<read_candidate> candidates(8);
     candidates[0].is_draining = true;
     candidates[1].is_excluded = true;
-    candidates[2].is_partitioned = true;
-    candidates[3].is_avoided = true;
-    candidates[4].must_answer_probe = true;
-    candidates[5].is_grey = true;
-    candidates[6].holds_position = false;
+    candidates[2].is_evacuated = true;
+    candidates[3].is_partitioned = true;
+    candidates[4].is_avoided = true;
+    candidates[5].must_answer_probe = true;
+    candidates[6].is_grey = true;
+    candidates[7].holds_position = false;
     auto const choice = choose_member(candidates);
     cr_assert(!choice.chosen);
     for (std::size_t i = 0; i < candidates.size(); ++i) {
