--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -72,7 +72,9 @@
             [this](member_entry const& member) { add_member(member); },
             [this](member_entry const& member) { remove_member(member); },
             [this](std::string const& zone) { return m_fleet->is_evacuated(zone); },
-            [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); }};
+            [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); },
+            [this](std::string const& zone) { return m_brokers->is_partitioned(zone); },
+            [this] { return m_brokers->is_cut_off(); }};
         entry = std::make_unique<database_group>(name, std::move(dependencies));
         m_group_of_hash[hash_name(name)] = entry.get();
     }
