--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -21,6 +21,8 @@
 constexpr duration vm_exclusion_time = std::chrono::milliseconds(600);
 /// Time for which a VM that could not reach a member is not chosen as the broker of that member.
 constexpr duration route_exclusion_time = std::chrono::milliseconds(1'500);
+/// Time for which the next broker of a member is told that the member could not be reached.
+constexpr duration absence_memory = std::chrono::seconds(3);
 /// Time for the round trip to the broker, in addition to the time limits of the request.
 constexpr duration relay_margin = std::chrono::milliseconds(60);
 
@@ -54,6 +56,7 @@
     m_dispatchers.erase(member);
     m_choices.erase(member);
     m_excluded_routes.erase(member);
+    m_absent_at.erase(member);
 }
 
 bool broker_service::is_broker_of(std::string const& member)
@@ -117,6 +120,7 @@
 void broker_service::run(member_entry const& member, member_request request, reply_callback done)
 {
     auto const vm = choose(member.id, member.availability_zone);
+    request.was_member_absent = was_absent(member.id);
     if (vm != m_membership->identity().name) {
         relay(vm, member.group, member.id, 0, std::move(request), std::move(done));
         return;
@@ -143,6 +147,13 @@
 {
     m_excluded_routes[member][vm] = m_kernel.now() + route_exclusion_time;
     m_choices.erase(member);
+    m_absent_at[member] = m_kernel.now();
+}
+
+bool broker_service::was_absent(std::string const& member) const
+{
+    auto const found = m_absent_at.find(member);
+    return found != m_absent_at.end() && m_kernel.now() - found->second < absence_memory;
 }
 
 endpoint broker_service::address_of(std::string const& vm) const
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -114,6 +114,8 @@
     /// Checks the brokers periodically while requests are pending.
     void schedule_check();
     void check_pending_requests();
+    /// Returns whether a broker of the member could not reach it a short time ago.
+    bool was_absent(std::string const& member) const;
     void exclude_route(std::string const& member, std::string const& vm);
     bool is_down(std::string const& vm, peer_state const& peer) const;
     endpoint address_of(std::string const& vm) const;
@@ -125,6 +127,7 @@
     std::map<std::string, choice> m_choices;                    ///< Keyed by member id.
     /// Time until which a VM is not chosen as the broker of a member, keyed by member id and VM name.
     std::map<std::string, std::map<std::string, monotonic_time>> m_excluded_routes;
+    std::map<std::string, monotonic_time> m_absent_at;  ///< Keyed by member id; see was_absent().
     std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     /// Pinned connections of peers, keyed by connection id.
--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -35,9 +35,9 @@
     backend_connection_pool::options pool;
     pool.connection_limit = m_options.connection_limit;
     pool.on_open_failed = m_options.on_open_failed;
-    pool.on_opened = [on_opened = m_options.on_opened](member_answer const&) {
-        if (on_opened) {
-            on_opened();
+    pool.on_opened = [on_contact = m_options.on_contact](member_answer const&) {
+        if (on_contact) {
+            on_contact();
         }
     };
     m_pool = std::make_shared<backend_connection_pool>(kernel, hooks, std::move(target), std::move(pool));
@@ -54,6 +54,9 @@
 
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
+    if (added->request.was_member_absent && m_pool->connections() == 0 && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
     if (!may_send(added->request)) {
         refuse(added, member_error::not_started, "availability zone of the member is evacuated");
         return;
@@ -92,25 +95,61 @@
         }
     }
     auto const limit = m_options.slots + requests_beyond_slots;
+    auto const pace = m_options.warm_up
+                          ? m_options.warm_up->expected_wait(m_unsent + ahead).value_or(duration::zero())
+                          : duration::zero();
     if (m_running + ahead < limit) {
-        return duration::zero();
+        return pace;
     }
-    return m_service_time * static_cast<duration::rep>(m_running + ahead + 1 - limit) /
-           static_cast<duration::rep>(m_options.slots);
+    return std::max(pace, m_service_time * static_cast<duration::rep>(m_running + ahead + 1 - limit) /
+                              static_cast<duration::rep>(m_options.slots));
 }
 
 void member_dispatcher::start_waiting_requests()
 {
-    while (m_running < m_options.slots + requests_beyond_slots) {
+    while (m_running < m_options.slots + requests_beyond_slots && may_start_next()) {
         auto const next = take_next();
         if (!next) {
             return;
         }
         ++m_running;
+        ++m_unsent;
         start(next);
     }
 }
 
+bool member_dispatcher::may_start_next()
+{
+    if (m_waiting_count == 0 || !m_options.warm_up) {
+        return m_waiting_count != 0;
+    }
+    auto const wait = m_options.warm_up->expected_wait(m_unsent);
+    if (!wait) {
+        refuse_waiting("another VM sends the requests to the member while it warms up");
+        return false;
+    }
+    if (*wait == duration::zero()) {
+        return true;
+    }
+    if (!std::exchange(m_has_start_timer, true)) {
+        m_kernel.start_timer(*wait, [weak = weak_from_this()] {
+            if (auto const dispatcher = weak.lock()) {
+                dispatcher->m_has_start_timer = false;
+                dispatcher->start_waiting_requests();
+            }
+        });
+    }
+    return false;
+}
+
+void member_dispatcher::refuse_waiting(std::string const& text)
+{
+    while (auto const next = take_next()) {
+        next->is_started = true;
+        refuse(next, member_error::not_started, text);
+    }
+}
+
 member_dispatcher::queued_request_pointer member_dispatcher::take_next()
 {
     for (auto& [priority, queue] : m_waiting) {
@@ -193,14 +232,18 @@
                                       backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
-    if (!may_send(request)) {
+    auto const is_in_time = may_send(request);
+    if (!is_in_time || (request.needs_slot && m_options.warm_up && !m_options.warm_up->try_take())) {
         if (!queued->connection) {
             m_pool->release(connection);
         }
         free_slot(*queued);
-        refuse(queued, member_error::not_started, "availability zone of the member is evacuated");
+        refuse(queued, member_error::not_started,
+               is_in_time ? "member warms up and gets no further request at present"
+                          : "availability zone of the member is evacuated");
         return;
     }
+    mark_sent(*queued);
     auto commands = connection->commands_to_set_values(request.values);
     if (request.prepared) {
         for (auto& prepare : connection->commands_to_prepare(*request.prepared)) {
@@ -240,6 +283,12 @@
     if (queued->request.commits_write && answers.back().is_ok() && m_options.on_commit) {
         m_options.on_commit(sent_at);
     }
+    if (answers.back().error == member_error::connection_lost && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
+    if (answers.back().is_ok() && m_options.on_contact) {
+        m_options.on_contact();
+    }
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_time += (m_kernel.now() - sent_at - m_service_time) / smoothing_divisor;
     }
@@ -305,8 +354,16 @@
         });
 }
 
-void member_dispatcher::free_slot(queued_request const& finished)
+void member_dispatcher::mark_sent(queued_request& sent)
+{
+    if (sent.request.needs_slot && !std::exchange(sent.is_sent, true)) {
+        --m_unsent;
+    }
+}
+
+void member_dispatcher::free_slot(queued_request& finished)
 {
+    mark_sent(finished);
     if (finished.request.needs_slot) {
         VERIFY(m_running > 0);
         --m_running;
--- a/libraries/brokers/member_request.h
+++ b/libraries/brokers/member_request.h
@@ -30,8 +30,10 @@
     bool needs_proven_leader = false;
     /// Whether success of the last command means that it committed a write.
     bool commits_write = false;
+    /// Whether another VM found shortly before that the member was not running.
+    bool was_member_absent = false;
     MSGPACK_DEFINE(client_account, values, prepared, commands, time_limit_ms, queue_limit_ms, priority,
-                   needs_slot, keeps_connection, needs_proven_leader, commits_write)
+                   needs_slot, keeps_connection, needs_proven_leader, commits_write, was_member_absent)
 };
 
 class pinned_connection;
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -1,6 +1,7 @@
 #include "failover/takeover_service.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "failover/watcher_choice.h"
@@ -306,7 +307,8 @@
         auto& group = m_groups->group(name);
         auto const* const known = group.find_member(member);
         running->responses[member] = {replication.received, known == nullptr || known->entry.is_draining,
-                                      known == nullptr || group.is_evacuated(*known)};
+                                      known == nullptr || group.is_evacuated(*known),
+                                      known != nullptr && group.is_warming_up(*known)};
     }
     promote_if_chosen(name);
 }
@@ -387,7 +389,7 @@
             continue;
         }
         auto const preference = [](member_response const& response) {
-            return std::pair(response.is_draining, response.is_evacuated);
+            return std::tuple(response.is_draining, response.is_evacuated, response.is_warming_up);
         };
         if (!best || preference(found->second) < preference(running.responses.at(*best))) {
             best = id;
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -71,6 +71,7 @@
         log_position received;
         bool is_draining = false;
         bool is_evacuated = false;
+        bool is_warming_up = false;
     };
 
     struct unanswered_order {
--- a/libraries/fleet/member_entry.h
+++ b/libraries/fleet/member_entry.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "base/time.h"
 #include "platform/store_position.h"
 #include "settings/daemon_settings.h"
 
@@ -20,6 +21,7 @@
     bool claims_primary = false;  ///< True when the member reports itself as the primary of its group.
     std::uint64_t started_at = 0; ///< Start time; changes when the member restarts with the same id.
     std::uint64_t sequence = 0;   ///< Number by which the member counts its entries since its start.
+    duration warm_up_left{};      ///< Time for which the member was still slow when it wrote the entry.
     store_position change;        ///< Position at which the store recorded the entry.
 };
 
--- a/libraries/fleet/served_configuration.h
+++ b/libraries/fleet/served_configuration.h
@@ -47,6 +47,8 @@
 struct group_limits {
     std::size_t max_connections = 0;      ///< Connections to each member from all VMs together.
     std::size_t synchronous_replicas = 0; ///< Configured number of synchronous replicas.
+    duration warm_up_time{};              ///< Time after its start for which a member is slow; 0 for none.
+    double warm_up_rate = 0;              ///< Requests per second that a member accepts while it warms up.
 };
 
 /// One version of the operators' configuration, as read from the platform.
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -33,6 +33,8 @@
 /// Cost added to the score of the leader, so that its slots stay free for statements that only the leader can
 /// run.
 constexpr duration leader_cost = std::chrono::milliseconds(15);
+/// Cost added to the score of a member that warms up, so that reads use the others first.
+constexpr duration warming_up_cost = std::chrono::milliseconds(300);
 /// A latency measurement older than this is capped at `usual_latency`, so that a slow member is tried again.
 constexpr duration latency_lifetime = std::chrono::seconds(1);
 constexpr duration usual_latency = std::chrono::milliseconds(30);
@@ -66,6 +68,10 @@
             m_dependencies.member_added(entry);
         }
         auto& member = found->second;
+        if (entry.warm_up_left > duration::zero() && member.warm_at == monotonic_time{}) {
+            // The entry was written earlier, so the member is warm by then.
+            member.warm_at = m_kernel.now() + std::min(entry.warm_up_left, warm_up_time());
+        }
         auto const is_new_claim = entry.claims_primary && !member.claim_change;
         if (is_new_claim) {
             member.claim_change = entry.change;
@@ -415,6 +421,37 @@
             m_dependencies.may_send_to_zone(found->second.entry.availability_zone));
 }
 
+duration database_group::warm_up_time() const
+{
+    return m_dependencies.warm_up_time ? m_dependencies.warm_up_time() : duration::zero();
+}
+
+bool database_group::is_warming_up(group_member const& member) const
+{
+    return warm_up_time() > duration::zero() && (member.is_absent || m_kernel.now() < member.warm_at);
+}
+
+void database_group::record_absence(std::string const& id)
+{
+    auto* const member = find_member(id);
+    if (member == nullptr || warm_up_time() == duration::zero() || std::exchange(member->is_absent, true)) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_name;
+    fields["member"] = id;
+    m_kernel.log(log_level::info, "groups", "member is not running and will have to warm up",
+                 std::move(fields));
+}
+
+void database_group::record_contact(std::string const& id)
+{
+    auto* const member = find_member(id);
+    if (member != nullptr && std::exchange(member->is_absent, false)) {
+        member->warm_at = std::max(member->warm_at, m_kernel.now() + warm_up_time());
+    }
+}
+
 bool database_group::is_expected_to_hold(group_member const& member, log_position minimum_position) const
 {
     if (member.applied >= minimum_position || member.confirmed_term != 0) {
@@ -437,6 +474,9 @@
     if (member.entry.claims_primary || member.confirmed_term != 0) {
         total += leader_cost;
     }
+    if (is_warming_up(member)) {
+        total += warming_up_cost;
+    }
     return total;
 }
 
@@ -566,6 +606,7 @@
         entry["availability_zone"] = member.entry.availability_zone;
         entry["is_draining"] = member.entry.is_draining;
         entry["is_evacuated"] = is_evacuated(member);
+        entry["is_warming_up"] = is_warming_up(member);
         entry["claims_primary"] = member.entry.claims_primary;
         entry["proven_term"] = Json::UInt64(member.confirmed_term);
         entry["in_flight"] = Json::UInt64(member.in_flight);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -32,6 +32,10 @@
     std::size_t failures = 0;                    ///< Number of failures since the last response.
     /// Time of the first unanswered commit since the last successful one.
     std::optional<monotonic_time> commits_stuck_since;
+    monotonic_time warm_at; ///< Time at which the member has certainly warmed up after its start.
+    /// True if the member was not running when this VM last tried to reach it, so that it will have to warm
+    /// up.
+    bool is_absent = false;
 };
 
 /// One database group as observed by this VM: its members, its leader, and the leader's log positions over
@@ -49,6 +53,8 @@
         /// Returns whether a request that only a member of the zone can run may still be sent there. May be
         /// empty if no zone is ever evacuated.
         std::function<bool(std::string const& zone)> may_send_to_zone{};
+        /// Returns the time for which a member is slow after its start. May be empty if members are not.
+        std::function<duration()> warm_up_time{};
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -97,6 +103,14 @@
     /// evacuated. False for unknown members.
     bool may_send_to(std::string const& member) const;
 
+    /// Returns whether the member started a short time ago, or may have, and serves slowly.
+    bool is_warming_up(group_member const& member) const;
+    /// Records that a member is not running. It warms up from the next contact on, unless an entry of its
+    /// next start says otherwise.
+    void record_absence(std::string const& member);
+    /// Records that a connection to a member was opened.
+    void record_contact(std::string const& member);
+
     /// Sends a request to a member through the VM that brokers its connections.
     void run(std::string const& member, member_request request, reply_callback done);
 
@@ -160,6 +174,7 @@
                     probe_callback answered);
     duration score(group_member const& member) const;
     bool is_expected_to_hold(group_member const& member, log_position minimum_position) const;
+    duration warm_up_time() const;
     void retire_member(group_member& member);
 
     std::string m_name;
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 #include "members/leadership_guard.h"
 #include "wire/name_hash.h"
 
@@ -27,6 +29,11 @@
 /// A member's connection limit divided by this is the number of connections reserved for the VMs that are not
 /// its broker.
 constexpr std::size_t reserve_divisor = 6;
+/// Time for which the lease of a member that warms up lasts beyond its usual warm-up, since the member may
+/// not be running yet.
+constexpr duration lease_extra_time = std::chrono::seconds(2);
+/// Share of the allowed requests that is used, since a busy VM sends later than it counts.
+constexpr double used_share_of_allowance = 0.9;
 
 } // namespace
 
@@ -72,7 +79,11 @@
             [this](member_entry const& member) { add_member(member); },
             [this](member_entry const& member) { remove_member(member); },
             [this](std::string const& zone) { return m_fleet->is_evacuated(zone); },
-            [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); }};
+            [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); },
+            [this, name] {
+                auto const* const limits = limits_of(name);
+                return limits == nullptr ? duration::zero() : limits->warm_up_time;
+            }};
         entry = std::make_unique<database_group>(name, std::move(dependencies));
         m_group_of_hash[hash_name(name)] = entry.get();
     }
@@ -94,9 +105,17 @@
     };
     options.on_open_failed = [this, entry](member_error error) {
         group(entry.group).record_failure(entry.id, error);
+        if (error != member_error::too_many_connections) {
+            group(entry.group).record_absence(entry.id);
+        }
     };
+    options.on_connection_lost = [this, entry] { group(entry.group).record_absence(entry.id); };
+    options.warm_up = gate_of(entry);
     options.may_send = [this, zone = entry.availability_zone] { return m_fleet->may_send_to_zone(zone); };
-    options.on_opened = [this, entry] { group(entry.group).record_response(entry.id); };
+    options.on_contact = [this, entry] {
+        group(entry.group).record_response(entry.id);
+        group(entry.group).record_contact(entry.id);
+    };
     if (!m_deposes_replaced_leaders) {
         guard_leadership(entry, options);
     }
@@ -121,14 +140,70 @@
     };
 }
 
-bool group_registry::replicates_synchronously(std::string const& group) const
+group_limits const* group_registry::limits_of(std::string const& group) const
 {
     auto const& configuration = m_fleet->configuration();
     if (!configuration) {
-        return false;
+        return nullptr;
     }
     auto const limits = configuration->groups.find(group);
-    return limits != configuration->groups.end() && limits->second.synchronous_replicas > 0;
+    return limits == configuration->groups.end() ? nullptr : &limits->second;
+}
+
+bool group_registry::replicates_synchronously(std::string const& group) const
+{
+    auto const* const limits = limits_of(group);
+    return limits != nullptr && limits->synchronous_replicas > 0;
+}
+
+std::shared_ptr<warm_up_gate> group_registry::gate_of(member_entry const& entry)
+{
+    auto const address = entry.address.to_string();
+    auto& gate = m_warm_up_gates[address];
+    if (gate) {
+        return gate;
+    }
+    warm_up_gate::hooks hooks;
+    hooks.now = [this] { return m_kernel.now(); };
+    hooks.limit = [this, name = entry.group, address = entry.address] {
+        return warm_up_limit(name, address);
+    };
+    hooks.claim = [this, name = entry.group,
+                   address](std::function<void(std::optional<monotonic_time>)> done) {
+        auto const& self = m_membership->identity();
+        auto const* const limits = limits_of(name);
+        auto const lifetime =
+            (limits == nullptr ? duration::zero() : limits->warm_up_time) + lease_extra_time;
+        m_warm_up_lease.claim(fmt::format("{}/{}", self.name, self.incarnation), address, lifetime,
+                              [this, address, done = std::move(done)](std::optional<monotonic_time> ends_at) {
+                                  Json::Value fields(Json::objectValue);
+                                  fields["address"] = address;
+                                  fields["is_holder"] = ends_at.has_value();
+                                  m_kernel.log(log_level::info, service_name,
+                                               "lease of a member that warms up was claimed",
+                                               std::move(fields));
+                                  done(ends_at);
+                              });
+    };
+    gate = std::make_shared<warm_up_gate>(std::move(hooks));
+    return gate;
+}
+
+std::optional<std::size_t> group_registry::warm_up_limit(std::string const& name, endpoint const& address)
+{
+    auto const* const limits = limits_of(name);
+    if (limits == nullptr || limits->warm_up_time == duration::zero()) {
+        return std::nullopt;
+    }
+    auto const& members = group(name).members();
+    auto const is_warming_up = std::any_of(members.begin(), members.end(), [&](auto const& each) {
+        return each.second.entry.address == address && group(name).is_warming_up(each.second);
+    });
+    if (!is_warming_up) {
+        return std::nullopt;
+    }
+    auto const allowed = limits->warm_up_rate * m_warm_up.rate_factor + m_warm_up.tolerated_requests;
+    return static_cast<std::size_t>(allowed * used_share_of_allowance);
 }
 
 void group_registry::remove_member(member_entry const& entry)
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -9,10 +9,18 @@
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
 #include "members/database_group.h"
+#include "members/warm_up_lease.h"
 #include "membership/membership_service.h"
 
 namespace greengagehitch {
 
+/// Allowance for the requests that all VMs together send to a member that warms up. In any second these are
+/// at most the rate of the member's group x rate_factor + tolerated_requests.
+struct warm_up_bounds {
+    double rate_factor = 1;
+    double tolerated_requests = 0;
+};
+
 /// All database groups in the directory, with this VM's dispatchers for their members. The broker of a member
 /// holds most of the connections that the member accepts. The other VMs may open a few connections, so that
 /// they can reach the member while the broker is lost.
@@ -23,9 +31,9 @@
     /// `deposes_replaced_leaders` tells whether a promotion ends the leadership of the replaced leader.
     /// Otherwise leadership is proven before requests are sent to a leader.
     group_registry(kernel& kernel, backend_connection_hooks const& connection_hooks,
-                   bool deposes_replaced_leaders)
-        : m_kernel(kernel), m_connection_hooks(connection_hooks),
-          m_deposes_replaced_leaders(deposes_replaced_leaders)
+                   platform_hooks const& platform, bool deposes_replaced_leaders, warm_up_bounds warm_up)
+        : m_kernel(kernel), m_connection_hooks(connection_hooks), m_warm_up_lease(kernel, platform),
+          m_deposes_replaced_leaders(deposes_replaced_leaders), m_warm_up(warm_up)
     {
     }
 
@@ -51,10 +59,20 @@
     void remove_member(member_entry const& entry);
     void guard_leadership(member_entry const& entry, member_dispatcher::options& options);
     bool replicates_synchronously(std::string const& group) const;
+    /// Returns the configured limits of a group, or null if there are none.
+    group_limits const* limits_of(std::string const& group) const;
+    std::shared_ptr<warm_up_gate> gate_of(member_entry const& entry);
+    /// Returns the number of requests in a second that the member at an address accepts, or no value if it is
+    /// not warming up.
+    std::optional<std::size_t> warm_up_limit(std::string const& group, endpoint const& address);
 
     kernel& m_kernel;
     backend_connection_hooks const& m_connection_hooks;
+    warm_up_lease m_warm_up_lease;
     bool m_deposes_replaced_leaders;
+    warm_up_bounds m_warm_up;
+    /// Keyed by the address of the member, since a restarted member has another entry for a time.
+    std::map<std::string, std::shared_ptr<warm_up_gate>> m_warm_up_gates;
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
     broker_service* m_brokers = nullptr;
--- a/libraries/settings/yaml_section.cpp
+++ b/libraries/settings/yaml_section.cpp
@@ -97,6 +97,12 @@
     return has(field) ? required_number(field, minimum, maximum) : fallback;
 }
 
+double yaml_section::optional_decimal(std::string const& field, double minimum, double maximum,
+                                      double fallback)
+{
+    return has(field) ? required_decimal(field, minimum, maximum) : fallback;
+}
+
 double yaml_section::required_decimal(std::string const& field, double minimum, double maximum)
 {
     auto const expected = fmt::format("a number from {} to {}", minimum, maximum);
--- a/libraries/settings/yaml_section.h
+++ b/libraries/settings/yaml_section.h
@@ -56,6 +56,7 @@
                                   std::uint64_t fallback);
     /// Reads a decimal number within [minimum, maximum].
     double required_decimal(std::string const& field, double minimum, double maximum);
+    double optional_decimal(std::string const& field, double minimum, double maximum, double fallback);
     /// Reads a duration such as 250ms, 10s or 5m, within [minimum, maximum].
     duration required_duration(std::string const& field, duration minimum, duration maximum);
     duration optional_duration(std::string const& field, duration minimum, duration maximum,
