--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -174,6 +174,12 @@
             entry.is_draining = m_draining.contains(id);
             entry.claims_primary = group->leader() == id;
             entry.change = {0, group->term()};
+            if (group->warm_up_time() > duration::zero() && group->started_at(id) != monotonic_time{}) {
+                auto const started_at = group->started_at(id);
+                entry.started_at = static_cast<std::uint64_t>(to_microseconds(started_at.time_since_epoch()));
+                entry.warm_up_left =
+                    std::max(duration::zero(), started_at + group->warm_up_time() - m_clock.now());
+            }
             if (!group->faults(id).is_down) {
                 directory[id] = std::move(entry);
             }
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -29,6 +29,7 @@
     auto& restarted = m_members.at(id);
     restarted.faults.is_down = false;
     restarted.stopped_at_term = 0;
+    restarted.started_at = m_clock.now();
     std::vector<std::uint64_t> connection_numbers;
     for (auto const& [connection_number, each] : m_connections) {
         if (each->member == id) {
@@ -172,6 +173,12 @@
         if (found == m_connections.end()) {
             return;
         }
+        auto& member = m_members.at(found->second->member);
+        for (auto const& command : commands) {
+            if (needs_slot(*found->second, command) && !member.faults.is_down) {
+                member.arrival_times.push_back(m_clock.now());
+            }
+        }
         auto& queue = found->second->queue;
         queue.insert(queue.end(), commands.begin(), commands.end());
         run_next_command(connection_number);
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -49,6 +49,7 @@
         /// Whether a replaced leader loses its leadership when the new term starts. Otherwise it accepts
         /// transactions until it is ordered to step down, or for a time after it can reach its successor.
         bool deposes_replaced_leader = true;
+        duration warm_up_time{}; ///< Time that a member's directory entry says it is slow after a restart.
     };
 
     virtual_database_group(virtual_clock& clock, std::string name, std::vector<std::string> ids,
@@ -64,6 +65,10 @@
     /// its log; any other member becomes a replica with a copy of the leader's log.
     void restart(std::string const& id);
 
+    /// Time of a member's last restart; the default value if it was never restarted.
+    monotonic_time started_at(std::string const& id) const { return m_members.at(id).started_at; }
+    duration warm_up_time() const { return m_options.warm_up_time; }
+
     /// Makes a member the leader of the next term after the promotion time; does nothing if the member is the
     /// leader or down by then.
     void promote(std::string const& id);
@@ -91,6 +96,11 @@
     std::size_t opened_connections() const { return m_opened_connections; }
     /// Returns the number of statements that members have executed.
     std::size_t statements_run() const { return m_statements_run; }
+    /// Returns the times at which statements of callers arrived at a member.
+    std::vector<monotonic_time> const& arrival_times(std::string const& id) const
+    {
+        return m_members.at(id).arrival_times;
+    }
 
     // Connections of the VMs; the caller chooses the connection numbers.
     void open(std::uint64_t connection_number, backend_connection_target const& target,
@@ -122,6 +132,8 @@
         std::size_t connections = 0;
         std::size_t running_statements = 0; ///< Number of occupied slots.
         member_faults faults;
+        std::vector<monotonic_time> arrival_times;
+        monotonic_time started_at{};
     };
 
     void run_next_command(std::uint64_t connection_number);
