--- a/libraries/brokers/request_pace.cpp
+++ b/libraries/brokers/request_pace.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr duration window = std::chrono::seconds(1);
+/// Stands for a wait without an end where no request is allowed.
+constexpr duration endless_wait = std::chrono::hours(1);
 
 } // namespace
 
@@ -22,7 +24,7 @@
 {
     forget_old(now);
     if (m_limit == 0) {
-        return duration::max();
+        return endless_wait;
     }
     if (m_sent.size() + ahead < m_limit) {
         return duration::zero();
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -37,7 +37,12 @@
         }
     }
     for (auto const connection_number : connection_numbers) {
-        auto const lost_connection = m_connections.at(connection_number);
+        // The VM may close other connections when it learns of a lost one.
+        auto const found = m_connections.find(connection_number);
+        if (found == m_connections.end()) {
+            continue;
+        }
+        auto const lost_connection = found->second;
         close(connection_number);
         lost_connection->events.lost(member_error::connection_lost);
     }
