--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -80,6 +80,8 @@
             [this](member_entry const& member) { remove_member(member); },
             [this](std::string const& zone) { return m_fleet->is_evacuated(zone); },
             [this](std::string const& zone) { return m_fleet->may_send_to_zone(zone); },
+            [this](std::string const& zone) { return m_brokers->is_partitioned(zone); },
+            [this] { return m_brokers->is_cut_off(); },
             [this, name] {
                 auto const* const limits = limits_of(name);
                 return limits == nullptr ? duration::zero() : limits->warm_up_time;
