--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -74,6 +74,42 @@
                       .ok()));
 }
 
+Test(configuration, warm_up_without_a_positive_time_and_rate_is_none)
+{
+    for (auto const* const fields :
+         {R"("cold-start-s":-1,"cold-per-s":12)", R"("cold-start-s":4,"cold-per-s":-2)",
+          R"("cold-start-s":4)", R"("cold-start-s":"4","cold-per-s":12)"}) {
+        auto const decoded = try_decode_configuration(R"({"version":1,"routes":[],"services":[{"name":"g",)" +
+                                                      std::string(fields) + "}]}");
+        cr_assert(decoded.ok());
+        cr_assert(decoded->groups.at("g").warm_up_time == 0s, "%s", fields);
+    }
+    auto const decoded = try_decode_configuration(
+        R"({"version":1,"routes":[],"services":[{"name":"g","cold-start-s":4.0,"cold-per-s":12.0}]})");
+    cr_assert(decoded->groups.at("g").warm_up_time == 4s);
+    cr_assert(decoded->groups.at("g").warm_up_rate == 12);
+}
+
+Test(platform_settings, bounds_of_evacuation_and_warm_up_are_optional)
+{
+    std::string const text = "vm: {name: a, availability_zone: z, processor_share: 1}\n"
+                             "listen: {callers: '127.0.0.1:1', probes: '127.0.0.1:2', peers: '127.0.0.1:3'}\n"
+                             "platform: {store: '127.0.0.1:4', orders: '127.0.0.1:5'}\n"
+                             "limits:\n  key_withdrawal: 5s\n  shutdown: 6s\n  rate_window: 5s\n"
+                             "  rate_tolerance_share: 0.1\n  rate_tolerance_operations: 20\n";
+    auto const without = try_parse_platform_settings(text, "boot.yaml");
+    cr_assert(without.ok(), "%s", std::string(without.status().message()).c_str());
+    cr_assert(without->evacuation_limit == default_evacuation_limit);
+    cr_assert(without->warm_up.rate_factor == 1);
+    auto const with = try_parse_platform_settings(
+        text + "  evacuation: 7000ms\n  warm_up_rate_factor: 1.5\n  warm_up_tolerance_requests: 5\n",
+        "boot.yaml");
+    cr_assert(with.ok());
+    cr_assert(with->evacuation_limit == 7s);
+    cr_assert(with->warm_up.rate_factor == 1.5);
+    cr_assert(with->warm_up.tolerated_requests == 5);
+}
+
 Test(platform_settings, errors_name_missing_fields_and_lines_of_unknown_fields)
 {
     auto const parsed = try_parse_platform_settings("vm:\n  name: a\n  colour: red\n", "boot.yaml");
