--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -38,9 +38,9 @@
     backend_connection_pool::options pool;
     pool.connection_limit = m_options.connection_limit;
     pool.on_open_failed = m_options.on_open_failed;
-    pool.on_opened = [on_opened = m_options.on_opened](member_answer const&) {
-        if (on_opened) {
-            on_opened();
+    pool.on_opened = [on_contact = m_options.on_contact](member_answer const&) {
+        if (on_contact) {
+            on_contact();
         }
     };
     m_pool = std::make_shared<backend_connection_pool>(kernel, hooks, std::move(target), std::move(pool));
@@ -57,6 +57,9 @@
 
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
+    if (added->request.was_member_absent && m_pool->connections() == 0 && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
     added->id = m_next_id++;
     auto const is_probe = !added->request.needs_slot && !added->request.keeps_connection;
     if (is_probe) {
@@ -67,6 +70,10 @@
         refuse_later(added, "availability zone of the member is evacuated");
         return;
     }
+    if (added->request.needs_slot && !expected_pace(0)) {
+        refuse_later(added, "another VM sends the requests to the member while it warms up");
+        return;
+    }
     auto const decision = decide(*added);
     ++m_counters.decisions[static_cast<std::size_t>(decision.result)];
     if (decision.result != admission_result::admitted) {
@@ -99,13 +106,23 @@
     load.running = m_slots.occupied(m_kernel.now());
     load.limit = flight_limit();
     load.ahead = m_waiting.ahead_of(request.request.client_account, request.priority());
-    load.connection_wait = expected_connection_wait(request);
+    std::size_t ahead = 0;
+    for (auto const& [priority, count] : load.ahead) {
+        ahead += count;
+    }
+    load.connection_wait =
+        std::max(expected_connection_wait(request), expected_pace(ahead).value_or(duration::zero()));
     load.wait_correction = m_wait_corrections.factor(request.priority());
     return decide_admission({request.priority(), std::chrono::milliseconds(request.request.queue_limit_ms),
                              std::chrono::milliseconds(request.request.time_limit_ms)},
                             load, m_service_times);
 }
 
+std::optional<duration> member_dispatcher::expected_pace(std::size_t ahead) const
+{
+    return m_options.warm_up ? m_options.warm_up->expected_wait(m_unsent + ahead) : duration::zero();
+}
+
 duration member_dispatcher::expected_connection_wait(queued_request const& request) const
 {
     if (request.connection) {
@@ -174,7 +191,7 @@
 
 bool member_dispatcher::try_start_next()
 {
-    if (m_waiting.is_empty()) {
+    if (m_waiting.is_empty() || expected_pace(0) != duration::zero()) {
         return false;
     }
     auto const now = m_kernel.now();
@@ -204,6 +221,7 @@
     m_counters.true_wait += waited;
     m_wait_corrections.record(next->priority(), next->queue_wait, waited);
     m_slots.start(*id);
+    ++m_unsent;
     start(next);
     return true;
 }
@@ -312,14 +330,18 @@
                                       backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
-    if (!may_send(request)) {
+    auto const is_in_time = may_send(request);
+    if (!is_in_time || (request.needs_slot && m_options.warm_up && !m_options.warm_up->try_take())) {
         if (!queued->connection) {
             m_pool->release(connection);
         }
         free_slot(*queued, false);
-        refuse(queued, member_error::not_started, "availability zone of the member is evacuated");
+        refuse(queued, member_error::not_started,
+               is_in_time ? "member warms up and gets no further request at present"
+                          : "availability zone of the member is evacuated");
         return;
     }
+    mark_sent(*queued);
     auto commands = connection->commands_to_set_values(request.values);
     if (request.prepared) {
         for (auto& prepare : connection->commands_to_prepare(*request.prepared)) {
@@ -360,6 +382,12 @@
     if (queued->request.commits_write && answers.back().is_ok() && m_options.on_commit) {
         m_options.on_commit(sent_at);
     }
+    if (answers.back().error == member_error::connection_lost && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
+    if (answers.back().is_ok() && m_options.on_contact) {
+        m_options.on_contact();
+    }
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
@@ -428,8 +456,16 @@
         });
 }
 
-void member_dispatcher::free_slot(queued_request const& finished, bool is_answered)
+void member_dispatcher::mark_sent(queued_request& sent)
+{
+    if (sent.request.needs_slot && !std::exchange(sent.is_sent, true)) {
+        --m_unsent;
+    }
+}
+
+void member_dispatcher::free_slot(queued_request& finished, bool is_answered)
 {
+    mark_sent(finished);
     if (finished.request.needs_slot) {
         m_slots.finish(finished.id, is_answered);
         start_waiting_requests();
