--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -59,7 +59,8 @@
         [this](peer_state const& peer, store_status_reply const& reply) {
             handle_store_status_reply(peer, reply);
         });
-    m_published_at = m_kernel.now();
+    m_started_at = m_kernel.now();
+    m_published_at = m_started_at;
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
 
@@ -583,7 +584,8 @@
         return true;
     }
     if (m_zones->reports().empty()) {
-        return false;
+        // A VM that starts behind a partition has only the assessments of its own zone.
+        return m_zones->has_other_zones() && has_lost_store_since(m_started_at);
     }
     monotonic_time received_at{};
     for (auto const& [zone, entry] : m_zones->reports()) {
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -156,6 +156,7 @@
     std::vector<account_demand> m_demands;
     std::map<std::string, bool> m_suspected; ///< Last reported suspicion of the leader, keyed by group.
     std::function<bool(std::string const&)> m_holds_failover_lock;
+    monotonic_time m_started_at;
     monotonic_time m_published_at;
     std::uint32_t m_last_request_number = 0; ///< Number of the latest store_status_request.
     /// Send times of store_status_requests, keyed by number.
--- a/libraries/fleet/zone_exchange.h
+++ b/libraries/fleet/zone_exchange.h
@@ -48,6 +48,9 @@
     /// Returns the other zones whose reports were received within `lifetime`.
     std::vector<name_hash> reachable_zones(duration lifetime) const;
 
+    /// Returns whether VMs of other availability zones are known, heard or not.
+    bool has_other_zones() const { return !other_zones().empty(); }
+
 private:
     /// The part of a report whose changes are sent at once: configuration version, directory digest,
     /// evacuations, VMs, VMs that are shutting down, and, for each group, the number of suspecting VMs and
--- a/tests/sessions/zone_partition_tests.cpp
+++ b/tests/sessions/zone_partition_tests.cpp
@@ -132,6 +132,24 @@
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
 
+/// A VM that starts behind the cut has no report of other zones, so that its own zone looked like the
+/// majority.
+Test(zone_partition, vms_that_start_behind_the_cut_replace_no_leader)
+{
+    partition_fixture fixture;
+    fixture.load_for(1s);
+    cr_assert(fixture.leader_zone() != "b");
+    fixture.fleet.set_zone_cut("b", true);
+    for (std::size_t const vm : {std::size_t{3}, std::size_t{4}}) {
+        fixture.fleet.kill_vm(vm);
+        fixture.fleet.start_vm(vm);
+    }
+    fixture.load_for(4s);
+    fixture.fleet.set_zone_cut("b", false);
+    fixture.load_for(6s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+}
+
 Test(zone_partition, vms_of_the_cut_zone_leave_rotation_early_and_return_quickly)
 {
     partition_fixture fixture;
