--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -30,6 +30,8 @@
 /// A borrower requests the tokens that it needs for this time beyond those for waiting operations. It is
 /// shorter than the lifetime of a lent token, so that few expire.
 constexpr double prefetch_seconds = 0.06;
+/// A request is for at most the tokens that accrue in the whole fleet within this time.
+constexpr double max_request_seconds = 0.5;
 /// A lender keeps the tokens that it needs itself for this time when a lender of another zone asks for its
 /// surplus.
 constexpr double reserve_seconds = 0.1;
@@ -250,7 +252,8 @@
     auto const now = m_kernel.now();
     bucket.requests.expire(now);
     auto const missing = missing_tokens(bucket);
-    if (missing < 1 || !bucket.requests.is_empty()) {
+    auto const* const limit = limit_of(client_account);
+    if (missing < 1 || limit == nullptr || !bucket.requests.is_empty()) {
         return !bucket.requests.is_empty();
     }
     auto const lender =
@@ -261,7 +264,9 @@
         return false;
     }
     auto const number = m_next_number++;
-    auto const wanted = static_cast<std::uint32_t>(missing + std::floor(bucket.demand * prefetch_seconds));
+    auto const most = std::max(1.0, sustained_rate(m_bounds, *limit) * max_request_seconds);
+    auto const wanted =
+        static_cast<std::uint32_t>(std::min(most, missing + std::floor(bucket.demand * prefetch_seconds)));
     bucket.requests.add(number, {*lender, wanted, now});
     m_membership->send(*lender, token_request{client_account, number, wanted});
     return true;
--- a/tests/limits/rate_load_tests.cpp
+++ b/tests/limits/rate_load_tests.cpp
@@ -148,6 +148,17 @@
     fixture.assert_admitted(begin + 6s);
 }
 
+/// Load pattern: a caller floods one VM with a hundred times the rate of a small account.
+Test(rate_load, flood_of_a_small_account_uses_the_whole_allowance)
+{
+    hot_account_fixture fixture(6);
+    auto const begin = fixture.fleet().clock().now();
+    fixture.demand({7}, 100, 12s);
+    fixture.assert_every_window_is_within_the_bound();
+    fixture.assert_admitted(begin);
+    fixture.assert_admitted(begin + 6s);
+}
+
 /// Load pattern: the callers of a hot account move from zone to zone.
 Test(rate_load, burst_that_moves_between_zones_uses_the_whole_allowance)
 {
