--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -186,6 +186,7 @@
         }
     }
     report.demands = m_demands;
+    report.uptime_ms = m_rates->uptime_ms();
     for (auto const& [name, group] : m_groups->groups()) {
         leader_report entry;
         entry.group = hash_name(name);
@@ -244,6 +245,7 @@
     }
     report.reachable_zones = m_zones->reachable_zones(current_lifetime());
     report.demands = m_rates->zone_demands();
+    m_rates->add_uptimes(report);
     for (auto const& [name, group] : m_groups->groups()) {
         report.assessments.push_back(make_zone_assessment(*group));
     }
--- a/libraries/limits/rate_contacts.cpp
+++ b/libraries/limits/rate_contacts.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr double hundredths_per_unit = 100;
+/// Processes that were started within this time of each other count as started together.
+constexpr duration max_start_difference = std::chrono::seconds(2);
 /// Number of report lifetimes after which a silent peer or zone is forgotten.
 constexpr int retained_lifetimes = 4;
 
@@ -34,6 +36,7 @@
     entry.received_at = m_kernel.now();
     entry.receives_from_this_vm = contains(report.reachable_vms, m_membership.identity().name);
     entry.demands = decode_demands(report.demands);
+    entry.started = decode_start_times(entry.received_at, report.uptime_ms, report.uptime_ms);
     return std::exchange(entry.is_leaving, report.is_leaving) != report.is_leaving;
 }
 
@@ -44,6 +47,8 @@
     entry.receives_from_this_vm = contains(report.reachable_zones, m_membership.identity().availability_zone);
     entry.demands = decode_demands(report.demands);
     entry.vms = vms;
+    entry.started =
+        decode_start_times(entry.received_at, report.shortest_uptime_ms, report.longest_uptime_ms);
     if (!vms.empty()) {
         entry.lenders.set_vms(vms);
     }
@@ -138,6 +143,61 @@
     return lenders;
 }
 
+void rate_contacts::start_times::add(start_times const& other)
+{
+    earliest = std::min(earliest, other.earliest);
+    latest = std::max(latest, other.latest);
+}
+
+rate_contacts::start_times rate_contacts::decode_start_times(monotonic_time received_at,
+                                                             std::uint32_t shortest_uptime_ms,
+                                                             std::uint32_t longest_uptime_ms)
+{
+    return {received_at - std::chrono::milliseconds(longest_uptime_ms),
+            received_at - std::chrono::milliseconds(shortest_uptime_ms)};
+}
+
+std::uint32_t rate_contacts::uptime_ms() const
+{
+    return static_cast<std::uint32_t>(to_microseconds(m_kernel.now() - m_started_at) / 1000);
+}
+
+void rate_contacts::add_uptimes(zone_report& report) const
+{
+    auto const now = m_kernel.now();
+    start_times zone{m_started_at, m_started_at};
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer)) {
+            zone.add(peer.started);
+        }
+    }
+    report.shortest_uptime_ms = static_cast<std::uint32_t>(to_microseconds(now - zone.latest) / 1000);
+    report.longest_uptime_ms = static_cast<std::uint32_t>(to_microseconds(now - zone.earliest) / 1000);
+}
+
+std::optional<duration> rate_contacts::common_uptime() const
+{
+    start_times all{m_started_at, m_started_at};
+    std::size_t vms = 1;
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer)) {
+            ++vms;
+            all.add(peer.started);
+        }
+    }
+    for (auto const& [zone, state] : m_zones) {
+        if (!is_own_zone(zone) && is_in_contact(state)) {
+            vms += state.vms.size();
+            all.add(state.started);
+        }
+    }
+    auto const is_whole = m_membership.has_list() && vms >= m_membership.fleet_size();
+    if (!is_whole || all.latest - all.earliest > max_start_difference || all.latest > m_kernel.now()) {
+        return std::nullopt;
+    }
+    return m_kernel.now() - all.latest;
+}
+
 void rate_contacts::add_zone_peer_demands(demands_map& total) const
 {
     for (auto const& [name, peer] : m_peers) {
--- a/libraries/limits/rate_contacts.h
+++ b/libraries/limits/rate_contacts.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,7 +20,8 @@
 public:
     using demands_map = rate_division::demands_map;
 
-    rate_contacts(kernel& kernel, membership_service& membership) : m_kernel(kernel), m_membership(membership)
+    rate_contacts(kernel& kernel, membership_service& membership)
+        : m_kernel(kernel), m_membership(membership), m_started_at(kernel.now())
     {
     }
 
@@ -51,6 +54,15 @@
     /// Adds the demands that the zone peers in contact have published.
     void add_zone_peer_demands(demands_map& total) const;
 
+    /// Adds the ages of the processes of this zone to its report.
+    void add_uptimes(zone_report& report) const;
+    /// Age of this process in milliseconds.
+    std::uint32_t uptime_ms() const;
+
+    /// Returns for how long all processes of the fleet have run, if all of them are in contact and were
+    /// started together, and none otherwise. Before that time no VM admitted operations for some time.
+    std::optional<duration> common_uptime() const;
+
     /// Numbers of zone peers and of other zones that were in contact at the last division.
     std::size_t zone_peers() const { return m_zone_peers_in_contact; }
     std::size_t other_zones() const { return m_other_zones_in_contact; }
@@ -58,11 +70,20 @@
     std::size_t known_peers() const { return m_peers.size(); }
 
 private:
+    /// Range of the times at which processes were started.
+    struct start_times {
+        monotonic_time earliest;
+        monotonic_time latest;
+
+        void add(start_times const& other);
+    };
+
     struct peer_demands {
         demands_map demands;                ///< Operations per second, keyed by client account.
         bool receives_from_this_vm = false; ///< True when the peer's report lists this VM as reachable.
         bool is_leaving = false;
         monotonic_time received_at;
+        start_times started;
     };
 
     struct zone_state {
@@ -71,9 +92,13 @@
         /// True when the zone's report lists this VM's zone as reachable.
         bool receives_from_this_vm = false;
         monotonic_time received_at;
+        start_times started;
         lender_choice lenders;
     };
 
+    static start_times decode_start_times(monotonic_time received_at, std::uint32_t shortest_uptime_ms,
+                                          std::uint32_t longest_uptime_ms);
+
     /// True when a recent report shows that messages arrive in both directions.
     template <typename Entry>
     bool is_in_contact(Entry const& entry) const
@@ -90,6 +115,7 @@
 
     kernel& m_kernel;
     membership_service& m_membership;
+    monotonic_time m_started_at;
     std::map<std::string, peer_demands> m_peers; ///< Zone peers, keyed by VM name.
     std::map<std::string, zone_state> m_zones;   ///< Keyed by availability zone.
     duration m_report_lifetime = std::chrono::seconds(3);
--- a/libraries/limits/rate_division.cpp
+++ b/libraries/limits/rate_division.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-/// Fraction of the rate that is divided equally among the zones, so that a zone without demand can serve a
-/// first operation.
-constexpr double equal_share = 0.25;
+/// A demand that would use up the capacity of the account in this time is assumed in addition to the reported
+/// demands, spread equally over the VMs. It keeps a rate for the first operations of a zone, and the zones'
+/// shares from changing abruptly when the first demands are reported.
+constexpr double assumed_demand_seconds = 1;
 /// Fraction of an account's rate that its fleet lender holds for zones that run out of tokens.
 constexpr double fleet_lender_share = 0.1;
 /// Smallest capacity, in tokens, of a zone. Operations that arrive together would exhaust a smaller one.
@@ -53,13 +54,14 @@
     add_to(m_other_zones_demands, demands);
 }
 
-double rate_division::zone_share(name_hash account) const
+double rate_division::zone_share(name_hash account, double capacity) const
 {
     auto const vms_here = static_cast<double>(1 + m_zone_peer_count);
     auto const equal = vms_here / (vms_here + static_cast<double>(m_other_zones_vm_count));
     auto const here = demand_in(m_reported_zone_demands ? *m_reported_zone_demands : m_zone_demands, account);
     auto const total = here + demand_in(m_other_zones_demands, account);
-    return equal_share * equal + (1 - equal_share) * (total > 0 ? here / total : equal);
+    auto const assumed = capacity / assumed_demand_seconds;
+    return assumed + total > 0 ? (assumed * equal + here) / (assumed + total) : equal;
 }
 
 double rate_division::fleet_lender_share_of(double capacity) const
@@ -76,7 +78,7 @@
     auto const owned_by_fleet_lender = fleet_lender_share_of(capacity);
     auto share = lender_role.is_fleet_lender ? owned_by_fleet_lender : 0;
     if (lender_role.is_zone_lender) {
-        share += (1 - owned_by_fleet_lender) * zone_share(hash_name(client_account));
+        share += (1 - owned_by_fleet_lender) * zone_share(hash_name(client_account), capacity);
     }
     return reachable_vms / fleet * share;
 }
--- a/libraries/limits/rate_division.h
+++ b/libraries/limits/rate_division.h
@@ -47,7 +47,7 @@
 private:
     double fleet_lender_share_of(double capacity) const;
     /// Returns this zone's share of the rate that the zones in contact divide among them.
-    double zone_share(name_hash account) const;
+    double zone_share(name_hash account, double capacity) const;
 
     std::size_t m_fleet_size = 1;
     std::size_t m_zone_peer_count = 0;
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -39,6 +39,8 @@
 /// keep operations beyond the rate from causing as many token requests.
 constexpr duration empty_lender_pause = std::chrono::milliseconds(80);
 constexpr duration empty_surplus_pause = std::chrono::milliseconds(200);
+/// Longest time after a restart of all VMs for which the tokens that accrued since are restored.
+constexpr duration max_recovered_uptime = std::chrono::seconds(2);
 /// Time after which a caller retries when no configuration has been received yet.
 constexpr duration no_configuration_retry = std::chrono::milliseconds(300);
 /// Greatest number of log lines about messages that were ignored.
@@ -505,6 +507,26 @@
             set_supply(account, bucket, m_kernel.now());
         }
     }
+    recover_tokens();
+}
+
+void rate_shares::recover_tokens()
+{
+    if (m_has_recovered || !m_fleet->configuration()) {
+        return;
+    }
+    auto const uptime = m_contacts->common_uptime();
+    if (!uptime || *uptime > max_recovered_uptime) {
+        return;
+    }
+    m_has_recovered = true;
+    for (auto& [account, bucket] : m_buckets) {
+        bucket.balance.recover(*uptime, m_kernel.now());
+    }
+    Json::Value fields(Json::objectValue);
+    fields["uptime_ms"] = to_milliseconds(*uptime);
+    m_kernel.log(log_level::info, service_name,
+                 "all VMs were started together; their tokens accrue since then", std::move(fields));
 }
 
 } // namespace greengagehitch
--- a/libraries/limits/rate_shares.h
+++ b/libraries/limits/rate_shares.h
@@ -63,6 +63,11 @@
     /// Returns the sums of the demands that this VM and the zone peers in contact have published.
     std::vector<zone_demand> zone_demands() const;
 
+    /// Adds the ages of the processes of this zone to its report.
+    void add_uptimes(zone_report& report) const { m_contacts->add_uptimes(report); }
+    /// Age of this process in milliseconds.
+    std::uint32_t uptime_ms() const { return m_contacts->uptime_ms(); }
+
     /// Number of zone peers whose reports are kept.
     std::size_t known_peers() const { return m_contacts->known_peers(); }
 
@@ -103,6 +108,9 @@
     account_limit const* limit_of(std::string const& client_account) const;
     /// Lets tokens accrue by the share of this VM from the time `from` on.
     void set_supply(std::string const& client_account, bucket& bucket, monotonic_time from);
+    /// After a restart of all VMs, restores the tokens that accrued since, while the VMs did not know of one
+    /// another.
+    void recover_tokens();
     /// Hands the lender roles over once this VM shuts down.
     void divide_if_leaving();
 
@@ -143,6 +151,7 @@
     monotonic_time m_started_at;
     std::uint64_t m_next_number = 1;
     bool m_was_leaving = false;
+    bool m_has_recovered = false; ///< True once the tokens were restored after a restart of all VMs.
     std::size_t m_ignored_messages = 0;
 };
 
--- a/libraries/limits/token_balance.cpp
+++ b/libraries/limits/token_balance.cpp
@@ -38,6 +38,12 @@
     m_own = std::min(m_own, capacity);
 }
 
+void token_balance::recover(duration length, monotonic_time now)
+{
+    update(now);
+    m_own = std::max(m_own, std::min(m_capacity, m_rate * seconds(length)));
+}
+
 bool token_balance::try_take(monotonic_time now)
 {
     return lend(1, 0, now).tokens != 0;
--- a/libraries/limits/token_balance.h
+++ b/libraries/limits/token_balance.h
@@ -27,6 +27,9 @@
     /// Sets the tokens per second that accrue from `now` on, and how many of them may be held.
     void set_supply(double rate, double capacity, monotonic_time now);
 
+    /// Sets the own tokens to those that have accrued in `length` by the present supply, if there are fewer.
+    void recover(duration length, monotonic_time now);
+
     /// Takes a token if there is one.
     bool try_take(monotonic_time now);
     /// Takes at most `wanted` tokens for a peer, leaving `kept` tokens.
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -175,8 +176,10 @@
     std::vector<account_demand> demands;
     std::vector<leader_report> leaders;
     evacuation_position evacuations; ///< Last change of the evacuations that the sender knows.
+    /// Age of the sender's process; the greatest value when the sender does not report it.
+    std::uint32_t uptime_ms = std::numeric_limits<std::uint32_t>::max();
     MSGPACK_DEFINE(sender, configuration_version, configuration_age_ms, member_directory_digest, is_leaving,
-                   reachable_vms, demands, leaders, evacuations)
+                   reachable_vms, demands, leaders, evacuations, uptime_ms)
 };
 
 /// Combined assessment of a group's leader by the VMs of one availability zone.
@@ -210,8 +213,12 @@
     std::vector<zone_demand> demands;
     std::vector<zone_assessment> assessments;
     evacuation_position evacuations; ///< Last change of the evacuations that any VM of the zone knows.
+    /// Ages of the youngest and of the oldest process of the zone; the greatest value when not reported.
+    std::uint32_t shortest_uptime_ms = std::numeric_limits<std::uint32_t>::max();
+    std::uint32_t longest_uptime_ms = std::numeric_limits<std::uint32_t>::max();
     MSGPACK_DEFINE(availability_zone, configuration_version, configuration_age_ms, member_directory_digest,
-                   vms, leaving_vms, vms_with_store, reachable_zones, demands, assessments, evacuations)
+                   vms, leaving_vms, vms_with_store, reachable_zones, demands, assessments, evacuations,
+                   shortest_uptime_ms, longest_uptime_ms)
 };
 
 /// Asks the VM that reads the store for its zone for the state that it has read.
--- a/tests/limits/rate_load_tests.cpp
+++ b/tests/limits/rate_load_tests.cpp
@@ -234,6 +234,35 @@
     fixture.assert_admitted(known_at);
 }
 
+/// Failure: all VMs of a busy fleet restart, and the callers return at once.
+Test(rate_load, callers_that_return_after_a_restart_of_all_vms_are_not_refused)
+{
+    hot_account_fixture fixture(120);
+    fixture.demand(fixture.all_vms(), 0.9, 6s);
+    for (auto const vm : fixture.all_vms()) {
+        fixture.fleet().kill_vm(vm);
+    }
+    fixture.fleet().clock().run_for(500ms);
+    for (auto const vm : fixture.all_vms()) {
+        fixture.fleet().start_vm(vm);
+    }
+    fixture.fleet().clock().run_for(700ms);
+    fixture.demand(fixture.all_vms(), 0.9, 8s);
+    fixture.assert_every_window_is_within_the_bound();
+    fixture.assert_few_wrongly_refused();
+}
+
+/// Failure: a lender restarts alone; its former process may have used all tokens just before.
+Test(rate_load, lender_that_restarts_alone_starts_without_tokens)
+{
+    hot_account_fixture fixture(120);
+    auto const lender = fixture.fleet_lender();
+    fixture.fleet().kill_vm(lender);
+    fixture.fleet().start_vm(lender);
+    fixture.fleet().clock().run_for(20ms);
+    cr_assert(fixture.tokens_at(lender) < 3);
+}
+
 /// Failure: a peer requests an absurd number of tokens, and grants more than were requested.
 Test(rate_load, absurd_messages_of_a_peer_change_nothing)
 {
