--- a/libraries/brokers/admission.cpp
+++ b/libraries/brokers/admission.cpp
@@ -15,6 +15,7 @@
 
 void service_times::record(int priority, duration value)
 {
+    ++m_recorded;
     m_overall += (value - m_overall) / smoothing_divisor;
     auto const [average, is_new] = m_averages.try_emplace(priority, m_overall);
     average->second += (value - average->second) / smoothing_divisor;
@@ -26,6 +27,11 @@
     return found == m_averages.end() ? m_overall : found->second;
 }
 
+duration service_times::usual(int priority) const
+{
+    return m_recorded < smoothing_divisor ? duration::zero() : expected(priority);
+}
+
 void wait_corrections::record(int priority, duration expected, duration waited)
 {
     if (expected < min_expected_wait) {
@@ -44,6 +50,22 @@
     return found == m_factors.end() ? 1.0 : found->second;
 }
 
+duration expected_connection_wait(connection_load const& load, duration service_time)
+{
+    switch (load.availability) {
+    case connection_availability::idle:
+        return duration::zero();
+    case connection_availability::can_open:
+    case connection_availability::paused:
+        return load.handshake_time;
+    case connection_availability::exhausted: {
+        auto const rounds = 1 + load.waiting / std::max<std::size_t>(1, load.limit);
+        return (load.handshake_time + service_time) * static_cast<duration::rep>(rounds);
+    }
+    }
+    return duration::zero();
+}
+
 admission_decision decide_admission(admission_limits const& limits, member_load const& load,
                                     service_times const& times)
 {
--- a/libraries/brokers/admission.h
+++ b/libraries/brokers/admission.h
@@ -5,6 +5,7 @@
 
 #include "base/enum_names.h"
 #include "base/time.h"
+#include "members/backend_connection_pool.h"
 
 namespace greengagehitch {
 
@@ -32,7 +33,11 @@
     /// Returns the average of the priority, or of all requests if none of this priority was answered yet.
     duration expected(int priority) const;
 
+    /// Returns the average like expected(), or zero as long as few requests were answered.
+    duration usual(int priority) const;
+
 private:
+    std::size_t m_recorded = 0;
     std::map<int, duration> m_averages;
     duration m_overall = std::chrono::milliseconds(25);
 };
@@ -48,6 +53,17 @@
     std::map<int, double> m_factors;
 };
 
+/// Use of the connections to a member, seen by one request that needs one.
+struct connection_load {
+    connection_availability availability = connection_availability::idle;
+    std::size_t waiting = 0; ///< Requests that may need a connection before it.
+    std::size_t limit = 1;   ///< Number of connections.
+    duration handshake_time{};
+};
+
+/// Returns the time until a connection is expected, if each is in use for `service_time` by a request.
+duration expected_connection_wait(connection_load const& load, duration service_time);
+
 /// Load of a member as its broker knows it, seen by one request.
 struct member_load {
     std::size_t running = 0;          ///< Requests and handshakes that occupy the member.
--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -7,43 +7,38 @@
 
 namespace {
 
-/// Number of requests sent to a member beyond its number of slots, so that a slot that becomes free need not
-/// wait for the next request to arrive over the network.
-constexpr std::size_t requests_beyond_slots = 1;
 constexpr duration rollback_timeout = std::chrono::milliseconds(500);
 constexpr int smoothing_divisor = 8;
 /// Interval at which waiting requests are tried again if none of them could start.
 constexpr duration start_retry_interval = std::chrono::milliseconds(5);
-/// Longest return time that is assigned to a refused request.
-constexpr duration max_return_delay = std::chrono::milliseconds(1'000);
 /// Minimum interval of the log records on refusals for one member.
 constexpr duration refusal_log_interval = std::chrono::seconds(1);
 
 } // namespace
 
-member_reply make_failed_reply(std::size_t commands, member_error error, std::string const& text)
-{
-    member_reply reply;
-    member_answer answer;
-    answer.error = error;
-    answer.error_text = text;
-    reply.answers.assign(commands, answer);
-    return reply;
-}
-
 member_dispatcher::member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks,
                                      backend_connection_target target, options options)
-    : m_kernel(kernel), m_options(std::move(options)), m_member(target.member)
+    : m_kernel(kernel), m_options(std::move(options)), m_member(target.member),
+      m_flight(m_options.slots, m_options.paces_recovery,
+               [this](recovery_pace const& pace) { log_pace(pace); })
 {
     backend_connection_pool::options pool;
     pool.connection_limit = m_options.connection_limit;
-    pool.on_open_failed = m_options.on_open_failed;
+    pool.on_open_failed = [this](member_error error) {
+        m_flight.record_failed_handshake(error, m_kernel.now());
+        if (m_options.on_open_failed) {
+            m_options.on_open_failed(error);
+        }
+    };
     pool.on_opened = [on_opened = m_options.on_opened](member_answer const&) {
         if (on_opened) {
             on_opened();
         }
     };
     m_pool = std::make_shared<backend_connection_pool>(kernel, hooks, std::move(target), std::move(pool));
+    if (m_options.has_just_started) {
+        m_flight.record_member_start(m_kernel.now());
+    }
 }
 
 void member_dispatcher::run(member_request request, reply_callback done)
@@ -58,21 +53,27 @@
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
     added->id = m_next_id++;
+    if (!may_send(added->request)) {
+        refuse_soon(added, member_error::not_started, "availability zone of the member is evacuated");
+        return;
+    }
     auto const is_probe = !added->request.needs_slot && !added->request.keeps_connection;
     if (is_probe) {
         start(added);
         return;
     }
-    if (!may_send(added->request)) {
-        refuse_later(added, "availability zone of the member is evacuated");
+    // As long as a request waits for a connection, handshakes are tried.
+    if (!added->connection && m_pool->is_unreachable() && m_pool->waiting() != 0) {
+        refuse_soon(added, member_error::refused, "member does not answer handshakes");
         return;
     }
     auto const decision = decide(*added);
-    ++m_counters.decisions[static_cast<std::size_t>(decision.result)];
+    m_counters.count(decision.result);
     if (decision.result != admission_result::admitted) {
-        auto const retry_after = assign_return(added->priority(), decision);
         log_refusals();
-        refuse_later(added, "request is not expected to start at the member in time", retry_after);
+        refuse_soon(added, member_error::not_started,
+                    "request is not expected to start at the member in time",
+                    assign_return(added->priority(), decision));
         return;
     }
     if (!added->request.needs_slot) {
@@ -96,45 +97,29 @@
 admission_decision member_dispatcher::decide(queued_request const& request) const
 {
     member_load load;
-    load.running = m_slots.occupied(m_kernel.now());
-    load.limit = flight_limit();
+    load.running = m_flight.occupied(m_kernel.now());
+    load.limit = m_flight.limit(m_kernel.now());
     load.ahead = m_waiting.ahead_of(request.request.client_account, request.priority());
-    load.connection_wait = expected_connection_wait(request);
+    if (!request.connection) {
+        connection_load const connections{m_pool->availability(request.request.client_account),
+                                          m_pool->waiting() + m_waiting.size(), connection_limit(),
+                                          m_handshake_time};
+        load.connection_wait =
+            expected_connection_wait(connections, m_service_times.expected(request.priority()));
+    }
     load.wait_correction = m_wait_corrections.factor(request.priority());
     return decide_admission({request.priority(), std::chrono::milliseconds(request.request.queue_limit_ms),
                              std::chrono::milliseconds(request.request.time_limit_ms)},
                             load, m_service_times);
 }
 
-duration member_dispatcher::expected_connection_wait(queued_request const& request) const
-{
-    if (request.connection) {
-        return duration::zero();
-    }
-    switch (m_pool->availability(request.request.client_account)) {
-    case connection_availability::idle:
-        return duration::zero();
-    case connection_availability::can_open:
-    case connection_availability::paused:
-        return m_handshake_time;
-    case connection_availability::exhausted: {
-        auto const rounds =
-            1 + (m_pool->waiting() + m_waiting.size()) / std::max<std::size_t>(1, connection_limit());
-        return (m_handshake_time + m_service_times.expected(request.priority())) *
-               static_cast<duration::rep>(rounds);
-    }
-    }
-    return duration::zero();
-}
-
 std::uint32_t member_dispatcher::assign_return(int priority, admission_decision const& decision)
 {
-    // Refused callers return one after the other, at the rate at which the member answers.
-    auto const now = m_kernel.now();
-    auto& next = m_next_return_at[priority];
-    auto const step = m_service_times.expected(priority) / static_cast<duration::rep>(flight_limit());
-    next = std::min(std::max(next, now + decision.room_in) + step, now + max_return_delay);
-    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(next - now).count());
+    auto const limit = std::max<std::size_t>(1, m_flight.limit(m_kernel.now()));
+    auto const delay =
+        m_returns.assign(priority, m_kernel.now(), decision.room_in,
+                         m_service_times.expected(priority) / static_cast<duration::rep>(limit));
+    return static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(delay).count());
 }
 
 void member_dispatcher::expire(std::uint64_t id)
@@ -149,12 +134,9 @@
     ++m_counters.expired;
     m_wait_corrections.record(late->priority(), late->queue_wait, m_kernel.now() - late->enqueued_at);
     log_refusals();
-    refuse(late, member_error::not_started, "request waited too long in the queue for the member");
-}
-
-std::size_t member_dispatcher::flight_limit() const
-{
-    return m_options.slots + requests_beyond_slots;
+    auto const is_unreachable = !late->connection && m_pool->is_unreachable();
+    refuse(late, is_unreachable ? member_error::refused : member_error::not_started,
+           "request waited too long in the queue for the member");
 }
 
 void member_dispatcher::start_waiting_requests()
@@ -178,24 +160,21 @@
         return false;
     }
     auto const now = m_kernel.now();
-    auto const is_trial = m_slots.occupied(now) >= flight_limit();
-    if (is_trial && !m_slots.allows_trial(now)) {
+    auto const permission = m_flight.permission(now);
+    if (permission == start_permission::none) {
         return false;
     }
+    auto const must_be_repeatable = permission == start_permission::repeatable;
     auto const id = m_waiting.take(
-        now, [this, is_trial](member_queue::entry const& entry) { return condition_of(entry, is_trial); });
+        now, [&](member_queue::entry const& entry) { return condition_of(entry, must_be_repeatable); });
     if (!id) {
         return false;
     }
-    if (is_trial) {
-        m_slots.record_trial(now);
-        ++m_counters.trials;
-    }
     auto const next = m_queued.extract(*id).mapped();
     auto const waited = now - next->enqueued_at;
     if (waited + m_service_times.expected(next->priority()) >
         std::chrono::milliseconds(next->request.time_limit_ms)) {
-        ++m_counters.decisions[static_cast<std::size_t>(admission_result::finish_too_late)];
+        m_counters.count(admission_result::finish_too_late);
         refuse(next, member_error::not_started, "request could not finish in time any more");
         return true;
     }
@@ -203,15 +182,18 @@
     m_counters.expected_wait += next->expected_start;
     m_counters.true_wait += waited;
     m_wait_corrections.record(next->priority(), next->queue_wait, waited);
-    m_slots.start(*id);
+    if (m_flight.start(*id, now)) {
+        ++m_counters.trials;
+    }
     start(next);
     return true;
 }
 
-start_condition member_dispatcher::condition_of(member_queue::entry const& entry, bool is_trial) const
+start_condition member_dispatcher::condition_of(member_queue::entry const& entry,
+                                                bool must_be_repeatable) const
 {
     auto const& waiting = *m_queued.at(entry.id);
-    if (is_trial && !waiting.is_repeatable()) {
+    if (must_be_repeatable && !waiting.is_repeatable()) {
         return start_condition::not_now;
     }
     if (waiting.connection) {
@@ -331,7 +313,7 @@
         connection->set_changed_in_transaction();
     }
     commands.insert(commands.end(), request.commands.begin(), request.commands.end());
-    m_slots.record_sent(queued->id, m_kernel.now(), m_service_times.expected(queued->priority()));
+    m_flight.record_sent(queued->id, m_kernel.now(), m_service_times.expected(queued->priority()));
     connection->send(commands, std::chrono::milliseconds(request.time_limit_ms),
                      [dispatcher = shared_from_this(), queued, connection, setup_count,
                       sent_at = m_kernel.now()](std::vector<member_answer> answers) {
@@ -360,6 +342,8 @@
     if (queued->request.commits_write && answers.back().is_ok() && m_options.on_commit) {
         m_options.on_commit(sent_at);
     }
+    m_flight.record_outcome(queued->request.needs_slot, answers.back().error, sent_at, m_kernel.now(),
+                            m_service_times.usual(queued->priority()));
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
@@ -431,19 +415,11 @@
 void member_dispatcher::free_slot(queued_request const& finished, bool is_answered)
 {
     if (finished.request.needs_slot) {
-        m_slots.finish(finished.id, is_answered);
+        m_flight.finish(finished.id, is_answered);
         start_waiting_requests();
     }
 }
 
-void member_dispatcher::refuse_later(queued_request_pointer const& refused, std::string const& text,
-                                     std::uint32_t retry_after_ms)
-{
-    m_kernel.start_timer(duration::zero(), [dispatcher = shared_from_this(), refused, text, retry_after_ms] {
-        dispatcher->refuse(refused, member_error::not_started, text, retry_after_ms);
-    });
-}
-
 void member_dispatcher::refuse(queued_request_pointer const& refused, member_error error,
                                std::string const& text, std::uint32_t retry_after_ms)
 {
@@ -458,6 +434,16 @@
     done(std::move(reply));
 }
 
+void member_dispatcher::refuse_soon(queued_request_pointer const& refused, member_error error,
+                                    std::string const& text, std::uint32_t retry_after_ms)
+{
+    // The caller of run() may not expect a reply before run() returns.
+    m_kernel.start_timer(duration::zero(),
+                         [dispatcher = shared_from_this(), refused, error, text, retry_after_ms] {
+                             dispatcher->refuse(refused, error, text, retry_after_ms);
+                         });
+}
+
 void member_dispatcher::log_refusals()
 {
     auto const now = m_kernel.now();
@@ -466,43 +452,38 @@
     }
     Json::Value fields = dump();
     fields["member"] = m_member;
-    Json::Value refused(Json::objectValue);
-    for (std::size_t i = 0; i < admission_result_names.size(); ++i) {
-        refused[std::string(admission_result_names[i].name)] =
-            Json::UInt64(m_counters.decisions[i] - m_logged_counters.decisions[i]);
-    }
-    refused["expired"] = Json::UInt64(m_counters.expired - m_logged_counters.expired);
-    fields["since_last"] = std::move(refused);
-    fields["started_since_last"] = Json::UInt64(m_counters.started - m_logged_counters.started);
+    fields["since_last"] = m_counters.to_json(m_logged_counters);
     m_logged_counters = m_counters;
     m_logged_at = now;
     m_kernel.log(log_level::info, "brokers", "member has too little room; requests were refused",
                  std::move(fields));
 }
 
+void member_dispatcher::log_pace(recovery_pace const& pace) const
+{
+    Json::Value fields(Json::objectValue);
+    fields["member"] = m_member;
+    fields["pace"] = std::string(find_name(pace_state_names, pace.state()));
+    fields["last_ramp_ms"] = to_milliseconds(pace.last_ramp());
+    m_kernel.log(log_level::info, "brokers", "pace of requests to the member changed", std::move(fields));
+}
+
 Json::Value member_dispatcher::dump() const
 {
     auto const now = m_kernel.now();
     Json::Value state(Json::objectValue);
-    state["running"] = Json::UInt64(m_slots.occupied(now));
-    state["overdue"] = Json::UInt64(m_slots.overdue(now));
+    state["running"] = Json::UInt64(m_flight.occupied(now));
+    state["overdue"] = Json::UInt64(m_flight.overdue(now));
     state["waiting"] = Json::UInt64(m_waiting.size());
-    state["limit"] = Json::UInt64(flight_limit());
+    state["limit"] = Json::UInt64(m_flight.limit(now));
     state["connections"] = Json::UInt64(connections());
     state["leased"] = Json::UInt64(m_pool->leased());
     state["waiting_for_connection"] = Json::UInt64(m_pool->waiting());
     state["connection_limit"] = Json::UInt64(connection_limit());
     state["handshake_ms"] = to_milliseconds(m_handshake_time);
-    state["started"] = Json::UInt64(m_counters.started);
-    state["trials"] = Json::UInt64(m_counters.trials);
-    state["expired"] = Json::UInt64(m_counters.expired);
-    for (std::size_t i = 0; i < admission_result_names.size(); ++i) {
-        state["admission"][std::string(admission_result_names[i].name)] =
-            Json::UInt64(m_counters.decisions[i]);
-    }
-    auto const started = static_cast<double>(std::max<std::uint64_t>(1, m_counters.started));
-    state["expected_wait_ms"] = to_milliseconds(m_counters.expected_wait) / started;
-    state["true_wait_ms"] = to_milliseconds(m_counters.true_wait) / started;
+    state["pace"] = std::string(find_name(pace_state_names, m_flight.pace().state()));
+    state["last_ramp_ms"] = to_milliseconds(m_flight.pace().last_ramp());
+    state["total"] = m_counters.to_json({});
     return state;
 }
 
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -6,10 +6,11 @@
 #include <string>
 #include <unordered_map>
 
-#include "brokers/admission.h"
+#include "brokers/dispatcher_counters.h"
+#include "brokers/flight_control.h"
 #include "brokers/member_queue.h"
 #include "brokers/member_request.h"
-#include "brokers/slot_usage.h"
+#include "brokers/return_pace.h"
 #include "kernel/kernel.h"
 #include "members/backend_connection_pool.h"
 
@@ -24,6 +25,8 @@
     struct options {
         std::function<std::size_t()> connection_limit; ///< Current maximum number of connections.
         std::size_t slots = 1;                         ///< Execution slots of the member.
+        bool paces_recovery = false;   ///< Whether a member that started or recovered gets a growing load.
+        bool has_just_started = false; ///< Whether the member has just started.
         std::function<void(member_error)> on_open_failed;
         std::function<void()> on_opened;
         /// Checks whether the member is the only leader of its group. May be empty if a replaced leader
@@ -73,26 +76,15 @@
     };
     using queued_request_pointer = std::shared_ptr<queued_request>;
 
-    struct counters {
-        std::uint64_t started = 0;
-        std::uint64_t trials = 0; ///< Requests started while all slots were held by overdue ones.
-        std::array<std::uint64_t, admission_result_names.size()> decisions{};
-        std::uint64_t expired = 0; ///< Requests that were admitted and then waited for too long.
-        duration expected_wait{};  ///< Sum of the waits expected for the requests that started.
-        duration true_wait{};      ///< Sum of their true waits.
-    };
-
     void enqueue(queued_request_pointer const& added);
     admission_decision decide(queued_request const& request) const;
-    duration expected_connection_wait(queued_request const& request) const;
     std::uint32_t assign_return(int priority, admission_decision const& decision);
     void expire(std::uint64_t id);
     void start_waiting_requests();
+    bool try_start_next();
+    start_condition condition_of(member_queue::entry const& entry, bool must_be_repeatable) const;
     /// Returns false for a statement of a caller while none may be sent to the member.
     bool may_send(member_request const& request) const;
-    bool try_start_next();
-    start_condition condition_of(member_queue::entry const& entry, bool is_trial) const;
-    std::size_t flight_limit() const;
     void start(queued_request_pointer const& queued);
     void acquire_connection(queued_request_pointer const& queued);
     /// Sends the request, once the member is proven to be the leader if the request needs this.
@@ -103,13 +95,13 @@
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
     void return_connection(backend_connection_pointer const& connection);
     void free_slot(queued_request const& finished, bool is_answered);
-    /// Refuses a request that was not sent after run() has returned, since its caller may not expect a reply
-    /// earlier.
-    void refuse_later(queued_request_pointer const& refused, std::string const& text,
-                      std::uint32_t retry_after_ms = 0);
     void refuse(queued_request_pointer const& refused, member_error error, std::string const& text,
                 std::uint32_t retry_after_ms = 0);
+    /// Refuses the request after the current event.
+    void refuse_soon(queued_request_pointer const& refused, member_error error, std::string const& text,
+                     std::uint32_t retry_after_ms = 0);
     void log_refusals();
+    void log_pace(recovery_pace const& pace) const;
 
     kernel& m_kernel;
     options m_options;
@@ -117,16 +109,16 @@
     std::shared_ptr<backend_connection_pool> m_pool;
     member_queue m_waiting;
     std::unordered_map<std::uint64_t, queued_request_pointer> m_queued; ///< Waiting requests, keyed by id.
-    slot_usage m_slots;
+    flight_control m_flight;
     service_times m_service_times;
     wait_corrections m_wait_corrections;
     /// Average time from the request for a connection to its lease if a handshake was needed.
     duration m_handshake_time = std::chrono::milliseconds(20);
-    std::map<int, monotonic_time> m_next_return_at; ///< Time assigned to the last refused, by priority.
+    return_pace m_returns;
     std::uint64_t m_next_id = 1;
     bool m_has_start_timer = false;
-    counters m_counters;
-    counters m_logged_counters; ///< Counters at the last log record.
+    dispatcher_counters m_counters;
+    dispatcher_counters m_logged_counters; ///< Counters at the last log record.
     monotonic_time m_logged_at;
 };
 
--- a/libraries/brokers/slot_usage.h
+++ b/libraries/brokers/slot_usage.h
@@ -25,6 +25,8 @@
     bool allows_trial(monotonic_time now) const;
     void record_trial(monotonic_time now) { m_last_trial_at = now; }
 
+    /// Number of requests whose answer is not overdue.
+    std::size_t in_time(monotonic_time now) const { return m_requests.size() - overdue(now); }
     /// Number of requests whose answer is overdue.
     std::size_t overdue(monotonic_time now) const;
 
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -91,6 +91,8 @@
 {
     member_dispatcher::options options;
     options.slots = entry.slots;
+    options.paces_recovery = m_paces_recovery;
+    options.has_just_started = m_has_directory;
     options.connection_limit = [this, group = entry.group, member = entry.id] {
         return connection_limit(group, member);
     };
@@ -198,6 +200,7 @@
     for (auto const& [name, entries] : by_group) {
         group(name).set_members(entries);
     }
+    m_has_directory = m_has_directory || !members.empty();
 }
 
 } // namespace greengagehitch
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -20,12 +20,13 @@
 public:
     static constexpr std::string_view service_name = "groups";
 
+    /// `paces_recovery` tells whether a member that started or recovered gets a growing load.
     /// `deposes_replaced_leaders` tells whether a promotion ends the leadership of the replaced leader.
     /// Otherwise leadership is proven before requests are sent to a leader.
     group_registry(kernel& kernel, backend_connection_hooks const& connection_hooks,
-                   bool deposes_replaced_leaders)
+                   bool deposes_replaced_leaders, bool paces_recovery = false)
         : m_kernel(kernel), m_connection_hooks(connection_hooks),
-          m_deposes_replaced_leaders(deposes_replaced_leaders)
+          m_deposes_replaced_leaders(deposes_replaced_leaders), m_paces_recovery(paces_recovery)
     {
     }
 
@@ -55,6 +56,8 @@
     kernel& m_kernel;
     backend_connection_hooks const& m_connection_hooks;
     bool m_deposes_replaced_leaders;
+    bool m_paces_recovery;
+    bool m_has_directory = false; ///< Whether the members that ran before this VM are known.
     fleet_state* m_fleet = nullptr;
     membership_service* m_membership = nullptr;
     broker_service* m_brokers = nullptr;
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -29,8 +29,8 @@
     m_kernel.add(std::make_unique<rate_shares>(m_kernel, settings.rates));
     m_kernel.add(std::make_unique<broker_service>(m_kernel, m_hooks.channels));
     m_kernel.add(std::make_unique<document_exchange>(m_kernel));
-    m_kernel.add(
-        std::make_unique<group_registry>(m_kernel, m_hooks.connections, settings.deposes_replaced_leaders));
+    m_kernel.add(std::make_unique<group_registry>(
+        m_kernel, m_hooks.connections, settings.deposes_replaced_leaders, settings.paces_recovery));
     m_kernel.add(std::make_unique<report_service>(m_kernel));
     m_kernel.add(std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.connections,
                                                     m_hooks.promote, settings.deposes_replaced_leaders));
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -41,6 +41,7 @@
     /// Time from the confirmation of an evacuation's request until the members of the zone must get no more
     /// requests.
     duration evacuation_limit = default_evacuation_limit;
+    bool paces_recovery = false; ///< Whether a member that started or recovered gets a growing load.
 };
 
 /// Complete VM that serves sessions, as one object. It performs no I/O, starts no threads and reads no clock
--- a/tests/brokers/admission_tests.cpp
+++ b/tests/brokers/admission_tests.cpp
@@ -69,6 +69,16 @@
     cr_assert(corrections.factor(0) == 1);
 }
 
+Test(admission, few_connections_for_many_waiting_requests_lengthen_the_expected_wait)
+{
+    connection_load load{connection_availability::exhausted, 10, 1, 10ms};
+    cr_assert(expected_connection_wait(load, 20ms) == 330ms);
+    load.limit = 40;
+    cr_assert(expected_connection_wait(load, 20ms) == 30ms);
+    load.availability = connection_availability::idle;
+    cr_assert(expected_connection_wait(load, 20ms) == 0ms);
+}
+
 Test(slot_usage, lost_answers_free_their_slots_once_a_later_request_is_answered)
 {
     slot_usage slots;
--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -15,11 +15,13 @@
 constexpr duration handshake_time = 12ms;
 
 struct dispatcher_fixture {
-    explicit dispatcher_fixture(std::size_t connection_limit = 8)
+    explicit dispatcher_fixture(std::size_t connection_limit = 8, bool is_paced_start = false)
     {
         member_dispatcher::options options;
         options.connection_limit = [connection_limit] { return connection_limit; };
         options.slots = 2;
+        options.paces_recovery = is_paced_start;
+        options.has_just_started = is_paced_start;
         dispatcher = std::make_shared<member_dispatcher>(core, connections, backend_connection_target{},
                                                          std::move(options));
     }
@@ -44,14 +46,19 @@
         hooks.open = [this](backend_connection_target const&, backend_connection_events const& events) {
             auto const id = backend_connection_id{++opened};
             answered[id] = events.answered;
-            clock.start_timer(handshake_time, [events] { events.opened({}); });
+            if (answers_handshakes) {
+                clock.start_timer(handshake_time, [events] { events.opened({}); });
+            }
             return id;
         };
         hooks.send = [this](backend_connection_id id, std::vector<member_command> const& commands) {
             if (loses_answer && loses_answer()) {
                 return;
             }
+            ++sent;
+            most_in_flight = std::max(most_in_flight, ++in_flight);
             clock.start_timer(service_time, [this, id, count = commands.size()] {
+                --in_flight;
                 for (std::size_t i = 0; i < count; ++i) {
                     answered[id]({});
                 }
@@ -87,7 +94,11 @@
     kernel core{make_kernel_hooks()};
     backend_connection_hooks connections{make_connection_hooks()};
     std::uint64_t opened = 0;
+    std::size_t sent = 0; ///< Requests that the member answers.
+    std::size_t in_flight = 0;
+    std::size_t most_in_flight = 0;
     std::function<bool()> loses_answer;
+    bool answers_handshakes = true;
     std::map<backend_connection_id, std::function<void(member_answer)>> answered;
     std::map<std::string, outcome> outcomes;
     std::shared_ptr<member_dispatcher> dispatcher;
@@ -161,3 +172,29 @@
     // One request in three is answered if all are sent.
     cr_assert(fixture.outcomes["account"].served >= 25, "%zu served", fixture.outcomes["account"].served);
 }
+
+Test(member_dispatcher, hundred_vms_that_see_a_member_start_send_it_one_request_first)
+{
+    dispatcher_fixture fixture(100, true);
+    for (int i = 0; i < 100; ++i) {
+        fixture.run("account " + std::to_string(i), 400ms);
+    }
+    fixture.clock.run_for(handshake_time + service_time - 1ms);
+    cr_assert(fixture.sent == 1, "%zu sent before the first answer", fixture.sent);
+    fixture.clock.run_for(150ms);
+    cr_assert(fixture.sent >= 6, "%zu sent", fixture.sent);
+    cr_assert(fixture.most_in_flight <= 3);
+}
+
+Test(member_dispatcher, member_that_answers_no_handshake_refuses_at_once)
+{
+    dispatcher_fixture fixture;
+    fixture.answers_handshakes = false;
+    fixture.run("first", 500ms);
+    fixture.clock.run_for(200ms);
+    for (int i = 0; i < 20; ++i) {
+        fixture.run("later", 500ms);
+    }
+    fixture.clock.run_for(1ms);
+    cr_assert(fixture.outcomes["later"].refused == 20, "%zu refused", fixture.outcomes["later"].refused);
+}
