--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -28,12 +28,15 @@
 public:
     static constexpr std::string_view service_name = "groups";
 
+    /// `paces_recovery` tells whether a member that started or recovered gets a growing load.
     /// `deposes_replaced_leaders` tells whether a promotion ends the leadership of the replaced leader.
     /// Otherwise leadership is proven before requests are sent to a leader.
     group_registry(kernel& kernel, backend_connection_hooks const& connection_hooks,
-                   platform_hooks const& platform, bool deposes_replaced_leaders, warm_up_bounds warm_up)
+                   platform_hooks const& platform, bool deposes_replaced_leaders, warm_up_bounds warm_up,
+                   bool paces_recovery)
         : m_kernel(kernel), m_connection_hooks(connection_hooks), m_warm_up_lease(kernel, platform),
-          m_deposes_replaced_leaders(deposes_replaced_leaders), m_warm_up(warm_up)
+          m_deposes_replaced_leaders(deposes_replaced_leaders), m_paces_recovery(paces_recovery),
+          m_warm_up(warm_up)
     {
     }
 
@@ -70,6 +73,8 @@
     backend_connection_hooks const& m_connection_hooks;
     warm_up_lease m_warm_up_lease;
     bool m_deposes_replaced_leaders;
+    bool m_paces_recovery;
+    bool m_has_directory = false; ///< Whether the members that ran before this VM are known.
     warm_up_bounds m_warm_up;
     /// Keyed by the address of the member, since a restarted member has another entry for a time.
     std::map<std::string, std::shared_ptr<warm_up_gate>> m_warm_up_gates;
