--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -30,9 +30,9 @@
             m_options.on_open_failed(error);
         }
     };
-    pool.on_opened = [on_opened = m_options.on_opened](member_answer const&) {
-        if (on_opened) {
-            on_opened();
+    pool.on_opened = [on_contact = m_options.on_contact](member_answer const&) {
+        if (on_contact) {
+            on_contact();
         }
     };
     m_pool = std::make_shared<backend_connection_pool>(kernel, hooks, std::move(target), std::move(pool));
@@ -52,6 +52,9 @@
 
 void member_dispatcher::enqueue(queued_request_pointer const& added)
 {
+    if (added->request.was_member_absent && m_pool->connections() == 0 && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
     added->id = m_next_id++;
     if (!may_send(added->request)) {
         refuse_soon(added, member_error::not_started, "availability zone of the member is evacuated");
@@ -67,6 +70,11 @@
         refuse_soon(added, member_error::refused, "member does not answer handshakes");
         return;
     }
+    if (added->request.needs_slot && !expected_pace(0)) {
+        refuse_soon(added, member_error::not_started,
+                    "another VM sends the requests to the member while it warms up");
+        return;
+    }
     auto const decision = decide(*added);
     m_counters.count(decision.result);
     if (decision.result != admission_result::admitted) {
@@ -107,12 +115,22 @@
         load.connection_wait =
             expected_connection_wait(connections, m_service_times.expected(request.priority()));
     }
+    std::size_t ahead = 0;
+    for (auto const& [priority, count] : load.ahead) {
+        ahead += count;
+    }
+    load.connection_wait = std::max(load.connection_wait, expected_pace(ahead).value_or(duration::zero()));
     load.wait_correction = m_wait_corrections.factor(request.priority());
     return decide_admission({request.priority(), std::chrono::milliseconds(request.request.queue_limit_ms),
                              std::chrono::milliseconds(request.request.time_limit_ms)},
                             load, m_service_times);
 }
 
+std::optional<duration> member_dispatcher::expected_pace(std::size_t ahead) const
+{
+    return m_options.warm_up ? m_options.warm_up->expected_wait(m_unsent + ahead) : duration::zero();
+}
+
 std::uint32_t member_dispatcher::assign_return(int priority, admission_decision const& decision)
 {
     auto const limit = std::max<std::size_t>(1, m_flight.limit(m_kernel.now()));
@@ -156,7 +174,7 @@
 
 bool member_dispatcher::try_start_next()
 {
-    if (m_waiting.is_empty()) {
+    if (m_waiting.is_empty() || expected_pace(0) != duration::zero()) {
         return false;
     }
     auto const now = m_kernel.now();
@@ -185,6 +203,7 @@
     if (m_flight.start(*id, now)) {
         ++m_counters.trials;
     }
+    ++m_unsent;
     start(next);
     return true;
 }
@@ -294,14 +313,18 @@
                                       backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
-    if (!may_send(request)) {
+    auto const is_in_time = may_send(request);
+    if (!is_in_time || (request.needs_slot && m_options.warm_up && !m_options.warm_up->try_take())) {
         if (!queued->connection) {
             m_pool->release(connection);
         }
         free_slot(*queued, false);
-        refuse(queued, member_error::not_started, "availability zone of the member is evacuated");
+        refuse(queued, member_error::not_started,
+               is_in_time ? "member warms up and gets no further request at present"
+                          : "availability zone of the member is evacuated");
         return;
     }
+    mark_sent(*queued);
     auto commands = connection->commands_to_set_values(request.values);
     if (request.prepared) {
         for (auto& prepare : connection->commands_to_prepare(*request.prepared)) {
@@ -344,6 +367,12 @@
     }
     m_flight.record_outcome(queued->request.needs_slot, answers.back().error, sent_at, m_kernel.now(),
                             m_service_times.usual(queued->priority()));
+    if (answers.back().error == member_error::connection_lost && m_options.on_connection_lost) {
+        m_options.on_connection_lost();
+    }
+    if (answers.back().is_ok() && m_options.on_contact) {
+        m_options.on_contact();
+    }
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
@@ -412,8 +441,16 @@
         });
 }
 
-void member_dispatcher::free_slot(queued_request const& finished, bool is_answered)
+void member_dispatcher::mark_sent(queued_request& sent)
+{
+    if (sent.request.needs_slot && !std::exchange(sent.is_sent, true)) {
+        --m_unsent;
+    }
+}
+
+void member_dispatcher::free_slot(queued_request& finished, bool is_answered)
 {
+    mark_sent(finished);
     if (finished.request.needs_slot) {
         m_flight.finish(finished.id, is_answered);
         start_waiting_requests();
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -36,6 +36,10 @@
     monotonic_time tried_at;  ///< Time at which the last statement was sent to the member.
     /// Time of the first unanswered commit since the last successful one.
     std::optional<monotonic_time> commits_stuck_since;
+    monotonic_time warm_at; ///< Time at which the member has certainly warmed up after its start.
+    /// True if the member was not running when this VM last tried to reach it, so that it will have to warm
+    /// up.
+    bool is_absent = false;
 };
 
 /// One database group as observed by this VM: its members, its leader, and the leader's log positions over
@@ -58,6 +62,8 @@
         std::function<bool(std::string const& zone)> is_partitioned{};
         /// Tells whether this VM reaches no other availability zone. May be empty.
         std::function<bool()> is_cut_off{};
+        /// Returns the time for which a member is slow after its start. May be empty if members are not.
+        std::function<duration()> warm_up_time{};
     };
 
     database_group(std::string name, dependencies dependencies);
@@ -117,6 +123,14 @@
     /// evacuated. False for unknown members.
     bool may_send_to(std::string const& member) const;
 
+    /// Returns whether the member started a short time ago, or may have, and serves slowly.
+    bool is_warming_up(group_member const& member) const;
+    /// Records that a member is not running. It warms up from the next contact on, unless an entry of its
+    /// next start says otherwise.
+    void record_absence(std::string const& member);
+    /// Records that a connection to a member was opened.
+    void record_contact(std::string const& member);
+
     /// Sends a request to a member through the VM that brokers its connections.
     void run(std::string const& member, member_request request, reply_callback done);
 
@@ -183,6 +197,7 @@
     bool is_unreachable(group_member const& member) const;
     bool fails_to_respond(group_member const& member) const;
     bool is_expected_to_hold(group_member const& member, log_position minimum_position) const;
+    duration warm_up_time() const;
     void retire_member(group_member& member);
 
     std::string m_name;
--- a/libraries/session_vm/session_vm.h
+++ b/libraries/session_vm/session_vm.h
@@ -41,6 +41,7 @@
     /// Time from the confirmation of an evacuation's request until the members of the zone must get no more
     /// requests.
     duration evacuation_limit = default_evacuation_limit;
+    warm_up_bounds warm_up;      ///< Allowance for requests to members that warm up.
     bool paces_recovery = false; ///< Whether a member that started or recovered gets a growing load.
 };
 
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -29,6 +29,7 @@
     auto& restarted = m_members.at(id);
     restarted.faults.is_down = false;
     restarted.stopped_at_term = 0;
+    restarted.started_at = m_clock.now();
     std::vector<std::uint64_t> connection_numbers;
     for (auto const& [connection_number, each] : m_connections) {
         if (each->member == id) {
@@ -36,7 +37,12 @@
         }
     }
     for (auto const connection_number : connection_numbers) {
-        auto const lost_connection = m_connections.at(connection_number);
+        // The VM may close other connections when it learns of a lost one.
+        auto const found = m_connections.find(connection_number);
+        if (found == m_connections.end()) {
+            continue;
+        }
+        auto const lost_connection = found->second;
         close(connection_number);
         lost_connection->events.lost(member_error::connection_lost);
     }
@@ -172,6 +178,12 @@
         if (found == m_connections.end()) {
             return;
         }
+        auto& member = m_members.at(found->second->member);
+        for (auto const& command : commands) {
+            if (needs_slot(*found->second, command) && !member.faults.is_down) {
+                member.arrival_times.push_back(m_clock.now());
+            }
+        }
         auto& queue = found->second->queue;
         queue.insert(queue.end(), commands.begin(), commands.end());
         run_next_command(connection_number);
