--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -365,14 +365,14 @@
     if (queued->request.commits_write && answers.back().is_ok() && m_options.on_commit) {
         m_options.on_commit(sent_at);
     }
+    m_flight.record_outcome(queued->request.needs_slot, answers.back().error, sent_at, m_kernel.now(),
+                            m_service_times.usual(queued->priority()));
     if (answers.back().error == member_error::connection_lost && m_options.on_connection_lost) {
         m_options.on_connection_lost();
     }
     if (answers.back().is_ok() && m_options.on_contact) {
         m_options.on_contact();
     }
-    m_flight.record_outcome(queued->request.needs_slot, answers.back().error, sent_at, m_kernel.now(),
-                            m_service_times.usual(queued->priority()));
     if (queued->request.needs_slot && answers.back().is_ok()) {
         m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
