--- a/libraries/brokers/broker_candidates.cpp
+++ b/libraries/brokers/broker_candidates.cpp
@@ -4,16 +4,42 @@
 
 namespace greengagehitch {
 
-std::vector<std::string> broker_candidates::eligible() const
+std::vector<broker_candidates::candidate const*> broker_candidates::large() const
 {
     double largest = 0;
     for (auto const& each : m_vms) {
         largest = std::max(largest, each.processor_share);
     }
-    std::vector<std::string> names;
+    std::vector<candidate const*> found;
     for (auto const& each : m_vms) {
         if (each.processor_share == 0 || 2 * each.processor_share >= largest) {
-            names.push_back(each.vm);
+            found.push_back(&each);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> broker_candidates::eligible() const
+{
+    auto const found = large();
+    auto const has_settled = std::any_of(found.begin(), found.end(),
+                                         [](auto const* each) { return each->age == broker_age::settled; });
+    std::vector<std::string> names;
+    for (auto const* const each : found) {
+        if (!has_settled || each->age != broker_age::young) {
+            names.push_back(each->vm);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> broker_candidates::reserved() const
+{
+    auto const preferred = eligible();
+    std::vector<std::string> names;
+    for (auto const* const each : large()) {
+        if (std::find(preferred.begin(), preferred.end(), each->vm) == preferred.end()) {
+            names.push_back(each->vm);
         }
     }
     return names;
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -3,32 +3,29 @@
 #include <algorithm>
 #include <utility>
 
-#include "brokers/broker_candidates.h"
-#include "failover/watcher_choice.h"
-
 namespace greengagehitch {
 
 namespace {
 
-/// A broker is chosen again after this time, since VMs start and stop.
-constexpr duration choice_lifetime = std::chrono::milliseconds(150);
 constexpr duration check_period = std::chrono::milliseconds(60);
 /// Time without a message after which a broker with an unanswered request is sent a ping.
 constexpr duration ping_after = std::chrono::milliseconds(120);
 /// Time without a message after which a broker with an unanswered request is considered down.
 constexpr duration silence_limit = std::chrono::milliseconds(350);
-/// Time for which a VM that was found to be down is not chosen as a broker.
-constexpr duration vm_exclusion_time = std::chrono::milliseconds(600);
-/// Time for which a VM that could not reach a member is not chosen as the broker of that member.
-constexpr duration route_exclusion_time = std::chrono::milliseconds(1'500);
 /// Time for the round trip to the broker, in addition to the time limits of the request.
 constexpr duration relay_margin = std::chrono::milliseconds(60);
+/// Interval at which a request is tried again while no broker is known.
+constexpr std::uint32_t retry_interval_ms = 20;
+/// Largest number of connections to one member that a report of a peer may contain.
+constexpr std::uint32_t max_reported_connections = 100'000;
+constexpr duration warning_interval = std::chrono::seconds(10);
 
 } // namespace
 
 void broker_service::start()
 {
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
+    m_choice.emplace(m_kernel, *m_membership);
 }
 
 Json::Value broker_service::dump() const
@@ -38,8 +35,8 @@
     state["served"] = Json::UInt64(m_served);
     state["pending"] = Json::UInt64(m_pending.size());
     state["leases"] = Json::UInt64(m_peer_connections.size());
-    for (auto const& [member, chosen] : m_choices) {
-        state["brokers"][member] = chosen.vm;
+    for (auto const& [member, broker] : m_choice->brokers()) {
+        state["brokers"][member] = broker;
     }
     return state;
 }
@@ -47,76 +44,106 @@
 void broker_service::add_dispatcher(member_entry const& member, std::shared_ptr<member_dispatcher> dispatcher)
 {
     m_dispatchers[member.id] = {member, std::move(dispatcher)};
+    m_choice->add_member(member.id, member.availability_zone);
 }
 
 void broker_service::remove_dispatcher(std::string const& member)
 {
     m_dispatchers.erase(member);
-    m_choices.erase(member);
-    m_excluded_routes.erase(member);
+    m_reported_to.erase(member);
+    m_choice->remove_member(member);
 }
 
 bool broker_service::is_broker_of(std::string const& member)
 {
     auto const found = m_dispatchers.find(member);
     return found != m_dispatchers.end() &&
-           choose(member, found->second.entry.availability_zone) == m_membership->identity().name;
+           m_choice->choose(member, found->second.entry.availability_zone) == m_membership->identity().name;
 }
 
-std::string const& broker_service::choose(std::string const& member, std::string const& zone)
+void broker_service::hand_over()
 {
-    auto const now = m_kernel.now();
-    auto& chosen = m_choices[member];
-    if (!chosen.vm.empty() && now - chosen.made_at < choice_lifetime) {
-        return chosen.vm;
-    }
-    auto const& self = m_membership->identity();
-    auto const excluded = m_excluded_routes.find(member);
-    auto const is_excluded = [&](std::string const& vm) {
-        if (excluded == m_excluded_routes.end()) {
-            return false;
-        }
-        auto const until = excluded->second.find(vm);
-        return until != excluded->second.end() && until->second > now;
+    std::size_t members = 0;
+    for (auto const& [id, registered] : m_dispatchers) {
+        members += registered.dispatcher->connections() != 0 ? 1 : 0;
+    }
+    m_choice->reset();
+    for (auto const channel : m_channels_of_peers) {
+        reply_message(channel, hand_over_notice{m_membership->identity().name});
+    }
+    Json::Value fields(Json::objectValue);
+    fields["members"] = Json::UInt64(members);
+    fields["peers"] = Json::UInt64(m_channels_of_peers.size());
+    m_kernel.log(log_level::info, service_name, "handing over members, since this VM shuts down",
+                 std::move(fields));
+}
+
+void broker_service::handle_hand_over(std::string const& vm)
+{
+    ++m_hand_overs;
+    m_choice->record_hand_over(vm);
+    Json::Value fields(Json::objectValue);
+    fields["vm"] = vm;
+    m_kernel.log(log_level::debug, service_name, "a broker hands over its members", std::move(fields));
+}
+
+void broker_service::report_connections(std::map<std::string, std::size_t> const& held)
+{
+    std::map<std::string, connection_report> reports;
+    auto const& self = m_membership->identity().name;
+    auto const add = [&](std::string const& vm, std::string const& member, std::size_t connections) {
+        auto& report = reports[vm];
+        report.vm = self;
+        report.held.push_back({member, static_cast<std::uint32_t>(connections)});
     };
-    auto const candidates_where = [&](auto const& accepts_zone) {
-        broker_candidates found;
-        if (!m_membership->is_leaving() && accepts_zone(self.availability_zone) && !is_excluded(self.name)) {
-            found.add(self.name, self.processor_share);
+    for (auto const& [member, connections] : held) {
+        auto order = m_choice->order_of(member);
+        std::erase(order, self);
+        auto const receiver = order.empty() ? std::string() : order.front();
+        auto& previous = m_reported_to[member];
+        if (!previous.empty() && previous != receiver) {
+            add(previous, member, 0);
         }
-        for (auto const& [name, peer] : m_membership->peers()) {
-            if (accepts_zone(peer.availability_zone) && !peer.is_leaving && !is_down(name, peer) &&
-                m_membership->is_reachable(peer) && !is_excluded(name)) {
-                found.add(name, peer.processor_share);
-            }
+        if (!receiver.empty() && (connections != 0 || previous == receiver)) {
+            add(receiver, member, connections);
         }
-        return found.eligible();
-    };
-    auto candidates = candidates_where([&zone](std::string const& each) { return each == zone; });
-    if (candidates.empty()) {
-        candidates = candidates_where([](std::string const&) { return true; });
+        previous = connections != 0 ? receiver : std::string();
+    }
+    for (auto& [vm, report] : reports) {
+        send_message(vm, report);
     }
-    chosen.vm = candidates.empty() ? self.name : choose_first(member, candidates);
-    chosen.made_at = now;
-    return chosen.vm;
 }
 
-bool broker_service::is_down(std::string const& vm, peer_state const& peer) const
+void broker_service::handle_connection_report(connection_report const& report)
 {
-    auto const health = m_health.find(vm);
-    if (health == m_health.end() || health->second.lost_at == monotonic_time{}) {
-        return false;
-    }
-    // The VM is considered up once a message from it arrives after the exclusion time. Messages that arrive
-    // earlier may have been sent before the VM was lost.
-    auto const back_after = health->second.lost_at + vm_exclusion_time;
-    auto const last_contact = std::max(peer.last_received_at, peer.indirect_contact_at);
-    return m_kernel.now() < back_after || !last_contact || *last_contact < back_after;
+    auto const is_valid = std::all_of(report.held.begin(), report.held.end(), [](auto const& each) {
+        return each.connections <= max_reported_connections;
+    });
+    if (!is_valid || !m_membership->peers().contains(report.vm)) {
+        if (m_kernel.now() >= m_next_warning_at) {
+            m_next_warning_at = m_kernel.now() + warning_interval;
+            Json::Value fields(Json::objectValue);
+            fields["vm"] = report.vm;
+            m_kernel.log(log_level::warning, service_name,
+                         "report of connections was ignored, since its sender or a number is not valid",
+                         std::move(fields));
+        }
+        return;
+    }
+    for (auto const& each : report.held) {
+        if (m_on_connection_report) {
+            m_on_connection_report(report.vm, each);
+        }
+    }
 }
 
 void broker_service::run(member_entry const& member, member_request request, reply_callback done)
 {
-    auto const vm = choose(member.id, member.availability_zone);
+    auto const vm = m_choice->choose(member.id, member.availability_zone);
+    if (vm.empty()) {
+        run_later(member, std::move(request), std::move(done));
+        return;
+    }
     if (vm != m_membership->identity().name) {
         relay(vm, member.group, member.id, 0, std::move(request), std::move(done));
         return;
@@ -133,16 +160,28 @@
     found->second.dispatcher->run(std::move(request),
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
                                       if (reply.answers.back().error == member_error::refused) {
-                                          exclude_route(id, vm);
+                                          m_choice->exclude_route(id, vm);
                                       }
                                       done(std::move(reply));
                                   });
 }
 
-void broker_service::exclude_route(std::string const& member, std::string const& vm)
+void broker_service::run_later(member_entry const& member, member_request request, reply_callback done)
 {
-    m_excluded_routes[member][vm] = m_kernel.now() + route_exclusion_time;
-    m_choices.erase(member);
+    auto const commands = request.commands.size();
+    auto const is_expired = request.queue_limit_ms <= retry_interval_ms;
+    if (!is_expired) {
+        request.queue_limit_ms -= retry_interval_ms;
+    }
+    m_kernel.start_timer(
+        is_expired ? duration::zero() : std::chrono::milliseconds(retry_interval_ms),
+        [this, is_expired, commands, member, request = std::move(request), done = std::move(done)] {
+            if (is_expired) {
+                done(make_failed_reply(commands, member_error::not_started, "no broker is known yet"));
+                return;
+            }
+            run(member, request, done);
+        });
 }
 
 endpoint broker_service::address_of(std::string const& vm) const
@@ -210,6 +249,9 @@
              document != nullptr && m_on_document_reply) {
         m_on_document_reply(*document);
     }
+    else if (std::holds_alternative<hand_over_notice>(*decoded)) {
+        handle_hand_over(vm);
+    }
 }
 
 void broker_service::handle_relay_reply(std::string const& vm, relay_reply reply)
@@ -230,7 +272,7 @@
         return;
     }
     if (reply.answers.back().error == member_error::refused) {
-        exclude_route(answered.member, vm);
+        m_choice->exclude_route(answered.member, vm);
     }
     member_reply result;
     result.answers = std::move(reply.answers);
@@ -274,8 +316,12 @@
         }
     }
     else if (auto* const request = std::get_if<relay_request>(&*decoded)) {
+        m_channels_of_peers.insert(from);
         run_for_peer(from, std::move(*request));
     }
+    else if (auto const* const report = std::get_if<connection_report>(&*decoded)) {
+        handle_connection_report(*report);
+    }
     else if (auto const* const document = std::get_if<document_request>(&*decoded);
              document != nullptr && m_on_document_request) {
         m_on_document_request(from, *document);
@@ -349,7 +395,7 @@
             m_kernel.log(log_level::info, service_name,
                          "broker stopped responding; failing its pending requests", std::move(fields));
             m_channels.drop(vm);
-            handle_vm_loss(vm, true);
+            lose_vm(vm, true, false);
             continue;
         }
         if (now - health.pinged_at >= ping_after) {
@@ -361,8 +407,15 @@
 
 void broker_service::handle_vm_loss(std::string const& vm, bool was_connected)
 {
-    m_health[vm].lost_at = m_kernel.now();
-    m_choices.clear();
+    lose_vm(vm, was_connected, was_connected);
+}
+
+void broker_service::lose_vm(std::string const& vm, bool was_connected, bool has_ended)
+{
+    m_choice->record_loss(vm);
+    if (has_ended && m_on_ended) {
+        m_on_ended(vm);
+    }
     std::vector<pending_request> lost;
     for (auto each = m_pending.begin(); each != m_pending.end();) {
         if (each->second.vm != vm) {
@@ -381,6 +434,7 @@
 
 void broker_service::handle_channel_loss(channel_id from)
 {
+    m_channels_of_peers.erase(from);
     std::erase_if(m_peer_connections, [from](auto const& each) { return each.second.first == from; });
 }
 
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -3,10 +3,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "brokers/broker_choice.h"
 #include "brokers/member_dispatcher.h"
 #include "brokers/relay_messages.h"
 #include "fleet/member_entry.h"
@@ -32,8 +34,8 @@
 /// Sends requests to members through their broker, which is the VM that holds the connections to a member. A
 /// connection belongs to one client account until it is closed, and a member allows fewer connections than
 /// there are pairs of VMs and accounts. Therefore one VM, in the member's own zone if possible, holds them
-/// for all VMs. All VMs choose the same broker by rendezvous hashing. If the broker is lost or cannot reach
-/// the member, the next VM in rank replaces it.
+/// for all VMs. All VMs choose the same broker; see broker_choice. If the broker is lost, shuts down or
+/// cannot reach the member, the next VM in rank replaces it.
 class broker_service : public service {
 public:
     static constexpr std::string_view service_name = "brokers";
@@ -56,6 +58,28 @@
     /// Returns true if this VM is the broker of the member; false for unknown members.
     bool is_broker_of(std::string const& member);
 
+    /// Returns the broker of a registered member and its successors in order.
+    broker_order order_of(std::string const& member) { return m_choice->order_of(member); }
+
+    /// Hands over the members of this VM to their successors, since this VM shuts down. Peers that send
+    /// requests to this VM learn of it at once.
+    void hand_over();
+
+    /// Number of peers that have handed over their members to others and have not restarted since.
+    std::size_t hand_overs() const { return m_hand_overs; }
+
+    /// Sends the number of this VM's connections to each member to the VM that must know it: the broker, or
+    /// its first successor if this VM is the broker.
+    void report_connections(std::map<std::string, std::size_t> const& held);
+
+    /// Sets the functions that receive the reports of peers, and the name of a peer whose process has ended.
+    void set_connection_hooks(std::function<void(std::string const& vm, held_connections const&)> on_report,
+                              std::function<void(std::string const& vm)> on_ended)
+    {
+        m_on_connection_report = std::move(on_report);
+        m_on_ended = std::move(on_ended);
+    }
+
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
@@ -95,16 +119,14 @@
     struct vm_health {
         monotonic_time last_received_at;
         monotonic_time pinged_at;
-        /// Time at which the VM was last found to be down; the default value if never.
-        monotonic_time lost_at;
-    };
-
-    struct choice {
-        std::string vm;
-        monotonic_time made_at;
     };
 
-    std::string const& choose(std::string const& member, std::string const& zone);
+    /// Chooses again until a broker is known or the request has waited too long.
+    void run_later(member_entry const& member, member_request request, reply_callback done);
+    void handle_connection_report(connection_report const& report);
+    void handle_hand_over(std::string const& vm);
+    /// Fails the requests that wait for a VM. `has_ended` tells whether its process is known to have ended.
+    void lose_vm(std::string const& vm, bool was_connected, bool has_ended);
     void relay(std::string const& vm, std::string const& group, std::string const& member,
                std::uint64_t connection_id, member_request request, reply_callback done);
     void run_for_peer(channel_id from, relay_request message);
@@ -114,19 +136,18 @@
     /// Checks the brokers periodically while requests are pending.
     void schedule_check();
     void check_pending_requests();
-    void exclude_route(std::string const& member, std::string const& vm);
-    bool is_down(std::string const& vm, peer_state const& peer) const;
     endpoint address_of(std::string const& vm) const;
 
     kernel& m_kernel;
     channel_hooks m_channels;
     membership_service* m_membership = nullptr;
     std::map<std::string, registered_dispatcher> m_dispatchers; ///< Keyed by member id.
-    std::map<std::string, choice> m_choices;                    ///< Keyed by member id.
-    /// Time until which a VM is not chosen as the broker of a member, keyed by member id and VM name.
-    std::map<std::string, std::map<std::string, monotonic_time>> m_excluded_routes;
-    std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
-    std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
+    std::optional<broker_choice> m_choice;                      ///< Set when the service starts.
+    std::map<std::uint64_t, pending_request> m_pending;         ///< Relayed requests, keyed by request id.
+    std::map<std::string, vm_health> m_health;                  ///< Keyed by VM name.
+    std::set<channel_id> m_channels_of_peers; ///< Connections on which peers have sent requests.
+    /// VMs that were last sent a report of this VM's connections, keyed by member id.
+    std::map<std::string, std::string> m_reported_to;
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     bool m_has_check_timer = false;
@@ -137,6 +158,10 @@
     std::function<void(document_reply const&)> m_on_document_reply;
     std::uint64_t m_relayed = 0; ///< Number of requests sent to brokers.
     std::uint64_t m_served = 0;  ///< Number of requests run for peers.
+    std::size_t m_hand_overs = 0;
+    std::function<void(std::string const&, held_connections const&)> m_on_connection_report;
+    std::function<void(std::string const&)> m_on_ended;
+    monotonic_time m_next_warning_at; ///< Earliest time of the next log line about a malformed report.
 };
 
 } // namespace greengagehitch
--- a/libraries/brokers/relay_messages.h
+++ b/libraries/brokers/relay_messages.h
@@ -65,8 +65,28 @@
     MSGPACK_DEFINE(request_id, content)
 };
 
-using relay_message =
-    std::variant<relay_request, relay_reply, relay_release, relay_ping, document_request, document_reply>;
+/// Number of connections that a VM holds to a member.
+struct held_connections {
+    std::string member;
+    std::uint32_t connections = 0;
+    MSGPACK_DEFINE(member, connections)
+};
+
+/// Tells the broker or the successor of members how many connections the sender holds to them.
+struct connection_report {
+    std::string vm; ///< Name of the sender.
+    std::vector<held_connections> held;
+    MSGPACK_DEFINE(vm, held)
+};
+
+/// Tells the peers of a broker that it hands over its members, since it shuts down.
+struct hand_over_notice {
+    std::string vm; ///< Name of the sender.
+    MSGPACK_DEFINE(vm)
+};
+
+using relay_message = std::variant<relay_request, relay_reply, relay_release, relay_ping, document_request,
+                                   document_reply, connection_report, hand_over_notice>;
 
 std::string encode_relay_message(relay_message const& message);
 absl::StatusOr<relay_message> try_decode_relay_message(std::string_view bytes);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -24,9 +24,10 @@
 /// Interval at which idle connections are closed. It bounds the time until a VM that is no longer the broker
 /// of a member releases the member's connections.
 constexpr duration sweep_period = std::chrono::milliseconds(200);
-/// A member's connection limit divided by this is the number of connections reserved for the VMs that are not
-/// its broker.
-constexpr std::size_t reserve_divisor = 6;
+/// Interval at which a VM reports the numbers of its connections, also those that have not changed.
+constexpr duration complete_report_interval = std::chrono::seconds(1);
+/// Shortest interval between two log lines about refused connections.
+constexpr duration refusal_log_interval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -45,7 +46,72 @@
             dispatcher->trim_surplus(dispatcher->connection_limit() * kept_idle_percent / percent,
                                      surplus_idle_limit);
         }
+        auto const is_complete = m_kernel.now() >= m_next_complete_report_at;
+        if (is_complete) {
+            m_next_complete_report_at = m_kernel.now() + complete_report_interval;
+        }
+        report_connections(is_complete);
     });
+    m_brokers->set_connection_hooks(
+        [this](std::string const& vm, held_connections const& held) {
+            if (m_dispatchers.contains(held.member)) {
+                m_shares[held.member].record_report(vm, held.connections, m_kernel.now());
+            }
+        },
+        [this](std::string const& vm) {
+            for (auto& [member, share] : m_shares) {
+                share.forget(vm);
+            }
+        });
+}
+
+void group_registry::report_connections(bool is_complete)
+{
+    std::map<std::string, std::size_t> held;
+    for (auto const& [member, dispatcher] : m_dispatchers) {
+        auto const connections = dispatcher->connections();
+        auto& reported = m_reported_connections[member];
+        if (is_complete || connections != reported) {
+            reported = connections;
+            held[member] = connections;
+        }
+    }
+    m_brokers->report_connections(held);
+}
+
+void group_registry::record_open_failure(member_entry const& entry, member_error error)
+{
+    auto const found = m_dispatchers.find(entry.id);
+    if (error != member_error::too_many_connections || found == m_dispatchers.end()) {
+        return;
+    }
+    auto const now = m_kernel.now();
+    auto& share = m_shares[entry.id];
+    auto const held = found->second->connections();
+    if (now >= m_next_refusal_log_at) {
+        m_next_refusal_log_at = now + refusal_log_interval;
+        Json::Value fields(Json::objectValue);
+        fields["member"] = entry.id;
+        fields["held"] = Json::UInt64(held);
+        fields["limit"] = Json::UInt64(connection_limit(entry.group, entry.id));
+        fields["held_by_others"] = Json::UInt64(share.held_by_others(now));
+        fields["is_broker"] = m_brokers->is_broker_of(entry.id);
+        fields["refusals"] = Json::UInt64(share.refusals() + 1);
+        m_kernel.log(log_level::info, service_name, "member refused a connection over its limit",
+                     std::move(fields));
+    }
+    share.record_refusal(held, now);
+}
+
+std::vector<group_registry::connection_counts> group_registry::connection_counts_of_members() const
+{
+    std::vector<connection_counts> counts;
+    for (auto const& [member, dispatcher] : m_dispatchers) {
+        auto const share = m_shares.find(member);
+        counts.push_back({member, dispatcher->connections(), dispatcher->connection_limit(),
+                          share == m_shares.end() ? 0 : share->second.refusals()});
+    }
+    return counts;
 }
 
 Json::Value group_registry::dump() const
@@ -88,6 +154,7 @@
         return connection_limit(group, member);
     };
     options.on_open_failed = [this, entry](member_error error) {
+        record_open_failure(entry, error);
         group(entry.group).record_failure(entry.id, error);
     };
     options.on_opened = [this, entry] { group(entry.group).record_response(entry.id); };
@@ -134,6 +201,8 @@
     found->second->shut_down();
     m_brokers->remove_dispatcher(entry.id);
     m_dispatchers.erase(found);
+    m_shares.erase(entry.id);
+    m_reported_connections.erase(entry.id);
 }
 
 std::size_t group_registry::connection_limit(std::string const& name, std::string const& member) const
@@ -144,12 +213,20 @@
     if (!configuration || limits == configuration->groups.end() || limits->second.max_connections == 0) {
         return default_connection_limit;
     }
-    auto const all = limits->second.max_connections;
-    auto const reserve = std::max<std::size_t>(1, all / reserve_divisor);
+    auto const order = m_brokers->order_of(member);
+    auto const rank = std::find(order.begin(), order.end(), m_membership->identity().name) - order.begin();
+    auto role = connection_role::other;
     if (m_brokers->is_broker_of(member)) {
-        return std::max<std::size_t>(1, all - reserve);
+        role = connection_role::broker;
+    }
+    else if (rank < std::min<std::ptrdiff_t>(connection_share::reserve_parts, std::ssize(order)) ||
+             m_membership->is_leaving()) {
+        role = connection_role::standby;
     }
-    return std::max<std::size_t>(1, reserve / std::max<std::size_t>(1, m_membership->fleet_size()));
+    static connection_share const empty;
+    auto const share = m_shares.find(member);
+    return (share == m_shares.end() ? empty : share->second)
+        .limit(role, limits->second.max_connections, m_kernel.now());
 }
 
 void group_registry::apply_member_directory(member_directory const& members)
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -8,14 +8,15 @@
 #include "brokers/broker_service.h"
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
+#include "members/connection_share.h"
 #include "members/database_group.h"
 #include "membership/membership_service.h"
 
 namespace greengagehitch {
 
 /// All database groups in the directory, with this VM's dispatchers for their members. The broker of a member
-/// holds most of the connections that the member accepts. The other VMs may open a few connections, so that
-/// they can reach the member while the broker is lost.
+/// holds most of the connections that the member accepts; see connection_share. The next VMs in rank may open
+/// a few connections, so that they can reach the member while the broker is lost.
 class group_registry : public service {
 public:
     static constexpr std::string_view service_name = "groups";
@@ -43,7 +44,21 @@
     /// Maximum number of connections that this VM may hold to a member of the group.
     std::size_t connection_limit(std::string const& group, std::string const& member) const;
 
+    /// Connections of this VM to one member.
+    struct connection_counts {
+        std::string member;
+        std::size_t connections = 0;
+        std::size_t limit = 0;    ///< Number that this VM may hold now.
+        std::size_t refusals = 0; ///< Connections that the member has refused over its limit.
+    };
+    std::vector<connection_counts> connection_counts_of_members() const;
+
+    /// Reports the numbers of this VM's connections to the VMs that must know them. Reports all numbers if
+    /// `is_complete` is set, and otherwise those that have changed.
+    void report_connections(bool is_complete);
+
 private:
+    void record_open_failure(member_entry const& entry, member_error error);
     void apply_member_directory(member_directory const& members);
     void add_member(member_entry const& entry);
     void remove_member(member_entry const& entry);
@@ -57,6 +72,10 @@
     membership_service* m_membership = nullptr;
     broker_service* m_brokers = nullptr;
     std::map<std::string, std::shared_ptr<member_dispatcher>> m_dispatchers; ///< Keyed by member id.
+    std::map<std::string, connection_share> m_shares;                        ///< Keyed by member id.
+    std::map<std::string, std::size_t> m_reported_connections;               ///< Keyed by member id.
+    monotonic_time m_next_complete_report_at;
+    monotonic_time m_next_refusal_log_at;
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
     std::unordered_map<name_hash, database_group*>
         m_group_of_hash; ///< Keyed by the hash of the group's name.
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -28,6 +28,13 @@
 constexpr std::size_t max_former_incarnations = 4;
 /// Largest number of other VMs that a heartbeat reports.
 constexpr std::size_t max_identity_reports = 2;
+/// Largest number of VMs of its zone that a VM asks for their state when it starts.
+constexpr std::size_t first_contacts = 8;
+/// Longest reported time since the start of a VM.
+constexpr duration max_uptime = std::chrono::hours(1);
+/// Largest accepted processor time of a peer, in thousandths of one core.
+constexpr std::uint32_t max_processor_permille = 1'024'000;
+constexpr double permille = 1'000;
 
 } // namespace
 
@@ -42,6 +49,7 @@
 
 void membership_service::start()
 {
+    m_started_at = m_kernel.now();
     on_message<heartbeat>([](peer_state const&, heartbeat const&) {
         // handle_datagram() has already called handle_heartbeat(), which may change the peer's state.
     });
@@ -145,6 +153,7 @@
         peer.incarnation = envelope->sender_incarnation;
         peer.last_sequence = 0;
         peer.is_leaving = false;
+        peer.started_at.reset();
     }
     if (auto const* const message = std::get_if<heartbeat>(&envelope->message)) {
         handle_heartbeat(peer, *message);
@@ -271,8 +280,20 @@
 {
     auto const found = m_peers.find(reported.vm);
     if (found != m_peers.end()) {
-        found->second.availability_zone = reported.availability_zone;
-        found->second.address = {reported.host, reported.port};
+        apply_own_report(found->second, reported);
+    }
+}
+
+void membership_service::apply_own_report(peer_state& peer, vm_identity_report const& reported) const
+{
+    peer.availability_zone = reported.availability_zone;
+    peer.address = {reported.host, reported.port};
+    if (reported.processor_permille != 0 && reported.processor_permille <= max_processor_permille) {
+        peer.processor_share = reported.processor_permille / permille;
+    }
+    if (reported.uptime_ms != 0) {
+        peer.started_at =
+            m_kernel.now() - std::min<duration>(max_uptime, std::chrono::milliseconds(reported.uptime_ms));
     }
 }
 
@@ -310,6 +331,24 @@
         // Until peers receive a message of this VM, they use its share of the rates and forward no
         // reports to it.
         gossip();
+        contact_zone_peers();
+    }
+}
+
+void membership_service::contact_zone_peers()
+{
+    std::vector<std::pair<double, std::string>> peers;
+    for (auto const& [name, peer] : m_peers) {
+        if (peer.availability_zone == m_identity.availability_zone && peer.address.port != 0) {
+            peers.emplace_back(peer.processor_share, name);
+        }
+    }
+    auto const count = std::min(first_contacts, peers.size());
+    std::partial_sort(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(count), peers.end(),
+                      std::greater<>());
+    peers.resize(count);
+    for (auto const& [share, name] : peers) {
+        send_heartbeat(m_peers.at(name), false);
     }
 }
 
@@ -361,8 +400,7 @@
 void membership_service::handle_heartbeat(peer_state& peer, heartbeat const& message)
 {
     peer.last_sequence = std::max(peer.last_sequence, message.sequence);
-    peer.availability_zone = message.sender.availability_zone;
-    peer.address = {message.sender.host, message.sender.port};
+    apply_own_report(peer, message.sender);
     peer.is_leaving = peer.is_leaving || message.sender.is_leaving;
     peer.subscriptions = {message.subscriptions.begin(), message.subscriptions.end()};
     auto const echoed = m_sent_heartbeats.find(message.echoed_sequence);
@@ -411,19 +449,23 @@
         std::swap(reachable[i], reachable[i + m_kernel.random_below(reachable.size() - i)]);
         auto const& peer = *reachable[i];
         identity_reports.push_back({peer.name, peer.availability_zone, peer.incarnation, peer.address.host,
-                                    peer.address.port, peer.is_leaving});
+                                    peer.address.port, peer.is_leaving, 0, 0});
     }
     return identity_reports;
 }
 
 vm_identity_report membership_service::own_identity_report() const
 {
+    auto const uptime =
+        std::clamp<duration>(m_kernel.now() - m_started_at, std::chrono::milliseconds(1), max_uptime);
     return {m_identity.name,
             m_identity.availability_zone,
             m_identity.incarnation,
             m_identity.peer_endpoint.host,
             m_identity.peer_endpoint.port,
-            m_is_leaving};
+            m_is_leaving,
+            static_cast<std::uint32_t>(std::max<double>(1, m_identity.processor_share * permille)),
+            static_cast<std::uint32_t>(to_milliseconds(uptime))};
 }
 
 void membership_service::remove_silent_peers()
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -44,8 +44,11 @@
     std::deque<std::uint64_t> former_incarnations;
     bool is_listed = false;  ///< True when the platform's list contains the peer.
     bool is_leaving = false; ///< True when the peer is shutting down.
-    /// Processor time of the peer, as a fraction of one core, from the platform's list; 0 until listed.
+    /// Processor time of the peer, as a fraction of one core, from the platform's list or the peer's own
+    /// report; 0 until known.
     double processor_share = 0;
+    /// Time at which the peer's process started, as far as the peer has reported it.
+    std::optional<monotonic_time> started_at;
     std::optional<monotonic_time> last_received_at; ///< Receive time of the last datagram from the peer.
     /// Time of the last zone report that lists the peer as serving.
     std::optional<monotonic_time> indirect_contact_at;
@@ -109,7 +112,7 @@
     /// Records a report that a peer is shutting down.
     void record_leaving(std::string const& peer);
 
-    /// Updates the zone and address of a known peer from the peer's own report.
+    /// Updates the zone, address, size and start time of a known peer from the peer's own report.
     void update_peer_address(vm_identity_report const& peer);
 
     /// Reads the platform's list before the next period, for instance because a report lists an unknown VM.
@@ -141,6 +144,9 @@
     /// Subscribes this VM to a database that it uses. Peers then send it the state of the database's group.
     void add_subscription(std::string const& database) { m_subscriptions.insert(database); }
 
+    /// Time at which this VM started.
+    monotonic_time started_at() const { return m_started_at; }
+
     bool is_leaving() const { return m_is_leaving; }
     /// Marks this VM as shutting down and reports this to peers at once.
     void set_leaving();
@@ -162,9 +168,13 @@
     void read_list();
     void handle_list(std::vector<vm_record> const& records);
     void gossip();
+    /// Sends heartbeats to the largest VMs of this zone. Their replies tell how long they have been running.
+    void contact_zone_peers();
     std::vector<std::string> choose_gossip_targets();
     void send_heartbeat(peer_state& peer, bool is_reply);
     void handle_heartbeat(peer_state& peer, heartbeat const& message);
+    /// Applies what a peer reports about itself.
+    void apply_own_report(peer_state& peer, vm_identity_report const& reported) const;
     void handle_identity_report(vm_identity_report const& reported);
     std::vector<vm_identity_report> choose_identity_reports();
     void remove_silent_peers();
@@ -184,6 +194,7 @@
     std::set<std::string> m_subscriptions;                     ///< Names of the databases that this VM uses.
     std::map<std::uint64_t, monotonic_time> m_sent_heartbeats; ///< Send times, keyed by sequence number.
     std::uint64_t m_next_sequence = 1;
+    monotonic_time m_started_at;
     bool m_is_leaving = false;
     bool m_has_list = false;
     std::optional<monotonic_time> m_list_requested_at;
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -56,6 +56,9 @@
 void session_vm::drain(std::function<void()> drained)
 {
     m_kernel.find<membership_service>(membership_service::service_name).set_leaving();
+    reports().send_report_now();
+    brokers().hand_over();
+    m_sessions->groups().report_connections(true);
     m_sessions->drain(std::move(drained));
 }
 
--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -53,12 +53,26 @@
     return text;
 }
 
+std::string render_connections(session_vm& vm)
+{
+    auto text = fmt::format("greengagehitch_hand_overs_total {}\n", vm.brokers().hand_overs());
+    for (auto const& each : vm.sessions().groups().connection_counts_of_members()) {
+        text += fmt::format("greengagehitch_member_connections{{member=\"{}\"}} {}\n", each.member,
+                            each.connections);
+        text += fmt::format("greengagehitch_member_connection_limit{{member=\"{}\"}} {}\n", each.member,
+                            each.limit);
+        text += fmt::format("greengagehitch_member_connections_refused_total{{member=\"{}\"}} {}\n",
+                            each.member, each.refusals);
+    }
+    return text;
+}
+
 } // namespace
 
 std::string render_metrics(session_vm& vm)
 {
     return render_counters(vm.sessions()) + render_latencies(vm.sessions().counters()) +
-           render_fleet_state(vm);
+           render_fleet_state(vm) + render_connections(vm);
 }
 
 } // namespace greengagehitch
--- a/libraries/wire/peer_messages.h
+++ b/libraries/wire/peer_messages.h
@@ -19,7 +19,10 @@
     std::string host;
     std::uint16_t port = 0;  ///< UDP port for datagrams from peers; 0 when unknown.
     bool is_leaving = false; ///< True when the VM is shutting down.
-    MSGPACK_DEFINE(vm, availability_zone, incarnation, host, port, is_leaving)
+    /// Processor time of the VM in thousandths of one core; 0 when unknown.
+    std::uint32_t processor_permille = 0;
+    std::uint32_t uptime_ms = 0; ///< Time since the daemon started, at most an hour; 0 when unknown.
+    MSGPACK_DEFINE(vm, availability_zone, incarnation, host, port, is_leaving, processor_permille, uptime_ms)
 };
 
 /// Periodic message by which VMs detect each other. A heartbeat echoes the last sequence number that was
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -107,9 +107,35 @@
     starting.vm->fleet().confirm_configuration(m_clock.now());
 }
 
+void session_fleet::stop_vm(std::size_t index)
+{
+    m_vms[index]->vm->drain([this, index, incarnation = m_vms[index]->incarnation] {
+        // The VM cannot be destroyed while it calls this function.
+        m_clock.start_timer(duration::zero(), [this, index, incarnation] {
+            if (m_vms[index]->vm && m_vms[index]->incarnation == incarnation) {
+                kill_vm(index);
+            }
+        });
+    });
+}
+
+void session_fleet::close_connection(std::uint64_t number)
+{
+    if (auto const found = m_group_of_connection.find(number); found != m_group_of_connection.end()) {
+        found->second->close(number);
+        m_group_of_connection.erase(found);
+    }
+    m_vm_of_connection.erase(number);
+}
+
 void session_fleet::kill_vm(std::size_t index)
 {
     m_vms[index]->vm.reset();
+    for (auto const& [number, vm] : m_vm_of_connection) {
+        if (vm == index) {
+            m_clock.start_timer(m_shape.latency, [this, number = number] { close_connection(number); });
+        }
+    }
     std::vector<std::uint64_t> lost;
     for (auto const& [number, vm_indexes] : m_channels) {
         if (vm_indexes.first == index || vm_indexes.second == index) {
@@ -248,6 +274,7 @@
                 return backend_connection_id{number};
             }
             m_member_of_connection[number] = target.member;
+            m_vm_of_connection[number] = self->index;
             open_connection(number, target, std::move(events));
             return backend_connection_id{number};
         },
@@ -259,13 +286,7 @@
                 found->second->send(number, commands);
             }
         },
-        [this](backend_connection_id id) {
-            auto const number = static_cast<std::uint64_t>(id);
-            if (auto const found = m_group_of_connection.find(number); found != m_group_of_connection.end()) {
-                found->second->close(number);
-                m_group_of_connection.erase(found);
-            }
-        }};
+        [this](backend_connection_id id) { close_connection(static_cast<std::uint64_t>(id)); }};
     hooks.channels = {
         [this, index](std::string const& vm, endpoint const&, std::string const& message) {
             send_message(index, vm, message);
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -46,8 +46,10 @@
     session_vm& vm(std::size_t index) { return *m_vms[index]->vm; }
     bool is_running(std::size_t index) const { return m_vms[index]->vm != nullptr; }
 
-    /// Stops a VM at once; its peers learn of the loss after the latency.
+    /// Stops a VM at once. Its peers and members learn of the loss after the latency.
     void kill_vm(std::size_t index);
+    /// Stops a VM once it has drained.
+    void stop_vm(std::size_t index);
     void start_vm(std::size_t index);
 
     /// Cuts a VM off from the store, or reconnects it.
@@ -122,6 +124,7 @@
     void reply(std::size_t from, channel_id to, std::string const& message);
     /// Passes the configuration and the member directory to all VMs that can reach the store, periodically.
     void publish_configuration();
+    void close_connection(std::uint64_t number);
     void open_connection(std::uint64_t number, backend_connection_target const& target,
                          backend_connection_events events);
     /// Checks the fence of a promotion order after the latency, and promotes the member if it is current.
@@ -135,6 +138,7 @@
     std::map<std::string, virtual_database_group*> m_group_of_member;       ///< Keyed by member id.
     std::map<std::uint64_t, virtual_database_group*> m_group_of_connection; ///< Keyed by connection number.
     std::map<std::uint64_t, std::string> m_member_of_connection;            ///< Keyed by connection number.
+    std::map<std::uint64_t, std::size_t> m_vm_of_connection;                ///< Keyed by connection number.
     std::map<std::string, std::string> m_zone_of_member;                    ///< Keyed by member id.
     std::set<std::string> m_cut_zones;
     std::uint64_t m_next_connection = 1;
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -157,6 +157,7 @@
                             }
                             else if (member.connections > m_options.max_connections) {
                                 answer.error = member_error::too_many_connections;
+                                ++m_refused_connections;
                             }
                             ++m_opened_connections;
                             answer.position = applied_position(member);
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -89,6 +89,8 @@
     std::size_t connections(std::string const& id) const { return m_members.at(id).connections; }
     /// Returns the number of connection attempts that a member has answered.
     std::size_t opened_connections() const { return m_opened_connections; }
+    /// Returns the number of connections that members have refused over their limit.
+    std::size_t refused_connections() const { return m_refused_connections; }
     /// Returns the number of statements that members have executed.
     std::size_t statements_run() const { return m_statements_run; }
 
@@ -158,6 +160,7 @@
     std::map<std::string, log_position> m_noted_reads; ///< Positions that reads must see, keyed by statement.
     std::size_t m_stale_reads = 0;
     std::size_t m_opened_connections = 0;
+    std::size_t m_refused_connections = 0;
     std::size_t m_statements_run = 0;
 };
 
--- a/tests/brokers/broker_candidates_tests.cpp
+++ b/tests/brokers/broker_candidates_tests.cpp
@@ -41,3 +41,23 @@
     candidates.add("heard", 0);
     cr_assert(candidates.eligible() == names({"listed", "heard"}));
 }
+
+Test(broker_candidates, young_vm_takes_no_members_from_a_settled_one)
+{
+    broker_candidates candidates;
+    candidates.add("returned", 0.5, broker_age::young);
+    candidates.add("settled", 0.5, broker_age::settled);
+    candidates.add("listed", 0.5, broker_age::unknown);
+    cr_assert(candidates.eligible() == names({"settled", "listed"}));
+    cr_assert(candidates.reserved() == names({"returned"}));
+}
+
+/// All VMs of a zone start at the same time.
+Test(broker_candidates, young_vms_are_eligible_when_no_settled_one_of_their_size_remains)
+{
+    broker_candidates candidates;
+    candidates.add("a", 0.5, broker_age::young);
+    candidates.add("b", 0.5, broker_age::young);
+    candidates.add("small", 0.1, broker_age::settled);
+    cr_assert(candidates.eligible() == names({"a", "b"}));
+}
