--- a/libraries/brokers/broker_candidates.cpp
+++ b/libraries/brokers/broker_candidates.cpp
@@ -12,7 +12,7 @@
     }
     std::vector<candidate const*> found;
     for (auto const& each : m_vms) {
-        if (each.processor_share == 0 || 2 * each.processor_share >= largest) {
+        if (2 * each.processor_share >= largest) {
             found.push_back(&each);
         }
     }
--- a/libraries/brokers/broker_candidates.h
+++ b/libraries/brokers/broker_candidates.h
@@ -23,8 +23,9 @@
         m_vms.push_back({vm, processor_share, age});
     }
 
-    /// Returns the names of the VMs whose processor share is at least half of the largest one, or is not
-    /// known yet, without the young ones unless no settled one remains.
+    /// Returns the names of the VMs whose processor share is at least half of the largest one, without the
+    /// young ones unless no settled one remains. VMs of unknown share are eligible only if no share is known:
+    /// a VM that knows itself to be small would not act as the broker that others take it for.
     std::vector<std::string> eligible() const;
     /// Returns the names of the young VMs that eligible() leaves out.
     std::vector<std::string> reserved() const;
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -18,6 +18,11 @@
 constexpr std::uint32_t retry_interval_ms = 20;
 /// Largest number of connections to one member that a report of a peer may contain.
 constexpr std::uint32_t max_reported_connections = 100'000;
+/// Time after a request of a peer for which the peer is assumed to take this VM for the broker.
+constexpr duration use_time = std::chrono::milliseconds(300);
+/// Number of VMs that a VM tells how many connections it holds to a member: the first in the order of
+/// brokers.
+constexpr std::size_t max_report_receivers = 2;
 constexpr duration warning_interval = std::chrono::seconds(10);
 
 } // namespace
@@ -51,6 +56,7 @@
 {
     m_dispatchers.erase(member);
     m_reported_to.erase(member);
+    m_used_at.erase(member);
     m_choice->remove_member(member);
 }
 
@@ -87,27 +93,32 @@
     m_kernel.log(log_level::debug, service_name, "a broker hands over its members", std::move(fields));
 }
 
-void broker_service::report_connections(std::map<std::string, std::size_t> const& held)
+void broker_service::report_connections(std::vector<held_connections> const& held)
 {
     std::map<std::string, connection_report> reports;
     auto const& self = m_membership->identity().name;
-    auto const add = [&](std::string const& vm, std::string const& member, std::size_t connections) {
+    auto const add = [&](std::string const& vm, held_connections const& numbers) {
         auto& report = reports[vm];
         report.vm = self;
-        report.held.push_back({member, static_cast<std::uint32_t>(connections)});
+        report.held.push_back(numbers);
     };
-    for (auto const& [member, connections] : held) {
-        auto order = m_choice->order_of(member);
+    for (auto const& each : held) {
+        auto order = m_choice->order_of(each.member);
         std::erase(order, self);
-        auto const receiver = order.empty() ? std::string() : order.front();
-        auto& previous = m_reported_to[member];
-        if (!previous.empty() && previous != receiver) {
-            add(previous, member, 0);
+        order.resize(std::min(order.size(), max_report_receivers));
+        auto& previous = m_reported_to[each.member];
+        for (auto const& vm : previous) {
+            if (std::find(order.begin(), order.end(), vm) == order.end()) {
+                add(vm, {each.member, 0, 0});
+            }
         }
-        if (!receiver.empty() && (connections != 0 || previous == receiver)) {
-            add(receiver, member, connections);
+        for (auto const& vm : order) {
+            auto const was_told = std::find(previous.begin(), previous.end(), vm) != previous.end();
+            if (each.connections != 0 || was_told) {
+                add(vm, each);
+            }
         }
-        previous = connections != 0 ? receiver : std::string();
+        previous = each.connections != 0 ? std::move(order) : broker_order();
     }
     for (auto& [vm, report] : reports) {
         send_message(vm, report);
@@ -117,7 +128,7 @@
 void broker_service::handle_connection_report(connection_report const& report)
 {
     auto const is_valid = std::all_of(report.held.begin(), report.held.end(), [](auto const& each) {
-        return each.connections <= max_reported_connections;
+        return each.connections <= max_reported_connections && each.limit <= max_reported_connections;
     });
     if (!is_valid || !m_membership->peers().contains(report.vm)) {
         if (m_kernel.now() >= m_next_warning_at) {
@@ -361,9 +372,16 @@
         reply(make_failed_reply(commands, member_error::refused, "member is unknown to the broker"));
         return;
     }
+    m_used_at[message.member] = m_kernel.now();
     found->second.dispatcher->run(std::move(message.request), std::move(reply));
 }
 
+bool broker_service::is_used_as_broker_of(std::string const& member) const
+{
+    auto const found = m_used_at.find(member);
+    return found != m_used_at.end() && m_kernel.now() - found->second < use_time;
+}
+
 void broker_service::schedule_check()
 {
     if (m_pending.empty() || std::exchange(m_has_check_timer, true)) {
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -58,6 +58,10 @@
     /// Returns true if this VM is the broker of the member; false for unknown members.
     bool is_broker_of(std::string const& member);
 
+    /// Returns true if a peer sent a request for the member within the last moments, which takes this VM for
+    /// its broker.
+    bool is_used_as_broker_of(std::string const& member) const;
+
     /// Returns the broker of a registered member and its successors in order.
     broker_order order_of(std::string const& member) { return m_choice->order_of(member); }
 
@@ -68,9 +72,9 @@
     /// Number of peers that have handed over their members to others and have not restarted since.
     std::size_t hand_overs() const { return m_hand_overs; }
 
-    /// Sends the number of this VM's connections to each member to the VM that must know it: the broker, or
-    /// its first successor if this VM is the broker.
-    void report_connections(std::map<std::string, std::size_t> const& held);
+    /// Sends the numbers of this VM's connections to the VM that must know them: the broker of each member,
+    /// or its first successor if this VM is the broker.
+    void report_connections(std::vector<held_connections> const& held);
 
     /// Sets the functions that receive the reports of peers, and the name of a peer whose process has ended.
     void set_connection_hooks(std::function<void(std::string const& vm, held_connections const&)> on_report,
@@ -142,12 +146,13 @@
     channel_hooks m_channels;
     membership_service* m_membership = nullptr;
     std::map<std::string, registered_dispatcher> m_dispatchers; ///< Keyed by member id.
-    std::optional<broker_choice> m_choice;                      ///< Set when the service starts.
-    std::map<std::uint64_t, pending_request> m_pending;         ///< Relayed requests, keyed by request id.
-    std::map<std::string, vm_health> m_health;                  ///< Keyed by VM name.
-    std::set<channel_id> m_channels_of_peers; ///< Connections on which peers have sent requests.
+    std::map<std::string, monotonic_time> m_used_at;    ///< Last requests of peers, keyed by member id.
+    std::optional<broker_choice> m_choice;              ///< Set when the service starts.
+    std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
+    std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
+    std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
     /// VMs that were last sent a report of this VM's connections, keyed by member id.
-    std::map<std::string, std::string> m_reported_to;
+    std::map<std::string, broker_order> m_reported_to;
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     bool m_has_check_timer = false;
--- a/libraries/brokers/relay_messages.h
+++ b/libraries/brokers/relay_messages.h
@@ -69,7 +69,8 @@
 struct held_connections {
     std::string member;
     std::uint32_t connections = 0;
-    MSGPACK_DEFINE(member, connections)
+    std::uint32_t limit = 0; ///< Number up to which the VM may open connections before its next report.
+    MSGPACK_DEFINE(member, connections, limit)
 };
 
 /// Tells the broker or the successor of members how many connections the sender holds to them.
--- a/libraries/members/connection_share.cpp
+++ b/libraries/members/connection_share.cpp
@@ -11,6 +11,8 @@
 /// Time for which a report counts. A member drops the connections of a lost VM after 3 s, and the last report
 /// may be one report period old when the VM is lost.
 constexpr duration report_lifetime = std::chrono::seconds(4);
+/// Age up to which a report may be followed by another: VMs report each second at least.
+constexpr duration recent_report_age = std::chrono::milliseconds(1'200);
 /// Time after a refusal for which no further connection is opened; other VMs close theirs within this time.
 constexpr duration refusal_pause = std::chrono::milliseconds(200);
 /// Time in which the limit rises by one connection after the pause. A handshake takes about as long.
@@ -21,13 +23,22 @@
 std::size_t connection_share::limit(connection_role role, std::size_t accepted, monotonic_time now) const
 {
     auto const reserve = std::max<std::size_t>(1, accepted / reserve_divisor);
+    // The next standby VM may open its part without a report.
+    auto const others = std::max(reserve, left_to_others(now) + reserve / reserve_parts);
+    auto const available = accepted - std::min(accepted, others);
     std::size_t limit = 1;
-    if (role == connection_role::broker) {
-        auto const others = std::max(reserve, held_by_others(now));
-        limit = accepted - std::min(accepted, others);
-    }
-    else if (role == connection_role::standby) {
+    switch (role) {
+    case connection_role::broker:
+        limit = available;
+        break;
+    case connection_role::former_broker:
+        limit = std::max(reserve / reserve_parts, std::min(available, m_held_as_broker));
+        break;
+    case connection_role::standby:
         limit = reserve / reserve_parts;
+        break;
+    case connection_role::other:
+        break;
     }
     if (m_refused_at) {
         auto const recovering = now - *m_refused_at - refusal_pause;
@@ -37,13 +48,14 @@
     return std::max<std::size_t>(1, limit);
 }
 
-void connection_share::record_report(std::string const& vm, std::size_t connections, monotonic_time now)
+void connection_share::record_report(std::string const& vm, std::size_t connections, std::size_t limit,
+                                     monotonic_time now)
 {
     if (connections == 0) {
         forget(vm);
         return;
     }
-    m_reports[vm] = {connections, now};
+    m_reports[vm] = {connections, limit, now};
 }
 
 void connection_share::record_refusal(std::size_t held, monotonic_time now)
@@ -53,15 +65,19 @@
     m_refused_at = now;
 }
 
-std::size_t connection_share::held_by_others(monotonic_time now) const
+std::size_t connection_share::left_to_others(monotonic_time now) const
 {
-    std::size_t held = 0;
+    std::size_t left = 0;
     for (auto const& [vm, each] : m_reports) {
-        if (now - each.received_at < report_lifetime) {
-            held += each.connections;
+        auto const age = now - each.received_at;
+        if (age < recent_report_age) {
+            left += std::max(each.connections, each.limit);
+        }
+        else if (age < report_lifetime) {
+            left += each.connections;
         }
     }
-    return held;
+    return left;
 }
 
 } // namespace greengagehitch
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -55,7 +55,7 @@
     m_brokers->set_connection_hooks(
         [this](std::string const& vm, held_connections const& held) {
             if (m_dispatchers.contains(held.member)) {
-                m_shares[held.member].record_report(vm, held.connections, m_kernel.now());
+                m_shares[held.member].record_report(vm, held.connections, held.limit, m_kernel.now());
             }
         },
         [this](std::string const& vm) {
@@ -67,13 +67,18 @@
 
 void group_registry::report_connections(bool is_complete)
 {
-    std::map<std::string, std::size_t> held;
+    std::vector<held_connections> held;
     for (auto const& [member, dispatcher] : m_dispatchers) {
         auto const connections = dispatcher->connections();
+        if (m_brokers->is_broker_of(member)) {
+            m_shares[member].record_held_as_broker(connections);
+        }
+        held_connections const numbers{member, static_cast<std::uint32_t>(connections),
+                                       static_cast<std::uint32_t>(dispatcher->connection_limit())};
         auto& reported = m_reported_connections[member];
-        if (is_complete || connections != reported) {
-            reported = connections;
-            held[member] = connections;
+        if (is_complete || reported.connections != numbers.connections || reported.limit != numbers.limit) {
+            reported = numbers;
+            held.push_back(numbers);
         }
     }
     m_brokers->report_connections(held);
@@ -94,7 +99,7 @@
         fields["member"] = entry.id;
         fields["held"] = Json::UInt64(held);
         fields["limit"] = Json::UInt64(connection_limit(entry.group, entry.id));
-        fields["held_by_others"] = Json::UInt64(share.held_by_others(now));
+        fields["left_to_others"] = Json::UInt64(share.left_to_others(now));
         fields["is_broker"] = m_brokers->is_broker_of(entry.id);
         fields["refusals"] = Json::UInt64(share.refusals() + 1);
         m_kernel.log(log_level::info, service_name, "member refused a connection over its limit",
@@ -219,6 +224,9 @@
     if (m_brokers->is_broker_of(member)) {
         role = connection_role::broker;
     }
+    else if (m_brokers->is_used_as_broker_of(member) && !m_membership->is_leaving()) {
+        role = connection_role::former_broker;
+    }
     else if (rank < std::min<std::ptrdiff_t>(connection_share::reserve_parts, std::ssize(order)) ||
              m_membership->is_leaving()) {
         role = connection_role::standby;
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -73,7 +73,7 @@
     broker_service* m_brokers = nullptr;
     std::map<std::string, std::shared_ptr<member_dispatcher>> m_dispatchers; ///< Keyed by member id.
     std::map<std::string, connection_share> m_shares;                        ///< Keyed by member id.
-    std::map<std::string, std::size_t> m_reported_connections;               ///< Keyed by member id.
+    std::map<std::string, held_connections> m_reported_connections;          ///< Keyed by member id.
     monotonic_time m_next_complete_report_at;
     monotonic_time m_next_refusal_log_at;
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -36,6 +36,18 @@
 constexpr std::uint32_t max_processor_permille = 1'024'000;
 constexpr double permille = 1'000;
 
+std::uint32_t to_permille(double share)
+{
+    return static_cast<std::uint32_t>(share * permille);
+}
+
+void apply_processor_share(peer_state& peer, vm_identity_report const& reported)
+{
+    if (reported.processor_permille != 0 && reported.processor_permille <= max_processor_permille) {
+        peer.processor_share = reported.processor_permille / permille;
+    }
+}
+
 } // namespace
 
 membership_service::membership_service(kernel& kernel, platform_hooks const& platform, vm_identity identity,
@@ -288,9 +300,7 @@
 {
     peer.availability_zone = reported.availability_zone;
     peer.address = {reported.host, reported.port};
-    if (reported.processor_permille != 0 && reported.processor_permille <= max_processor_permille) {
-        peer.processor_share = reported.processor_permille / permille;
-    }
+    apply_processor_share(peer, reported);
     if (reported.uptime_ms != 0) {
         peer.started_at =
             m_kernel.now() - std::min<duration>(max_uptime, std::chrono::milliseconds(reported.uptime_ms));
@@ -428,6 +438,9 @@
         return;
     }
     auto& peer = peer_named(reported.vm);
+    if (peer.processor_share == 0) {
+        apply_processor_share(peer, reported);
+    }
     if (peer.last_received_at) {
         return;
     }
@@ -449,7 +462,8 @@
         std::swap(reachable[i], reachable[i + m_kernel.random_below(reachable.size() - i)]);
         auto const& peer = *reachable[i];
         identity_reports.push_back({peer.name, peer.availability_zone, peer.incarnation, peer.address.host,
-                                    peer.address.port, peer.is_leaving, 0, 0});
+                                    peer.address.port, peer.is_leaving, to_permille(peer.processor_share),
+                                    0});
     }
     return identity_reports;
 }
@@ -464,7 +478,7 @@
             m_identity.peer_endpoint.host,
             m_identity.peer_endpoint.port,
             m_is_leaving,
-            static_cast<std::uint32_t>(std::max<double>(1, m_identity.processor_share * permille)),
+            std::max<std::uint32_t>(1, to_permille(m_identity.processor_share)),
             static_cast<std::uint32_t>(to_milliseconds(uptime))};
 }
 
--- a/tests/brokers/broker_candidates_tests.cpp
+++ b/tests/brokers/broker_candidates_tests.cpp
@@ -34,12 +34,21 @@
     cr_assert(candidates.eligible() == names({"small"}));
 }
 
-Test(broker_candidates, vm_of_unknown_size_is_eligible_and_excludes_no_other)
+/// Failure: a small VM joins, and its peers do not know its size yet.
+Test(broker_candidates, vm_of_unknown_size_takes_no_members_from_a_known_one)
 {
     broker_candidates candidates;
-    candidates.add("listed", 0.25);
-    candidates.add("heard", 0);
-    cr_assert(candidates.eligible() == names({"listed", "heard"}));
+    candidates.add("new", 0);
+    candidates.add("large", 0.5);
+    cr_assert(candidates.eligible() == names({"large"}));
+}
+
+Test(broker_candidates, vms_of_unknown_size_are_eligible_while_no_size_is_known)
+{
+    broker_candidates candidates;
+    candidates.add("a", 0);
+    candidates.add("b", 0);
+    cr_assert(candidates.eligible() == names({"a", "b"}));
 }
 
 Test(broker_candidates, young_vm_takes_no_members_from_a_settled_one)
--- a/tests/members/connection_share_tests.cpp
+++ b/tests/members/connection_share_tests.cpp
@@ -28,21 +28,21 @@
 Test(connection_share, successor_counts_the_connections_that_remain_of_a_lost_broker)
 {
     connection_share share;
-    share.record_report("lost", 88, start);
-    cr_assert(share.limit(connection_role::broker, 131, start + 100ms) == 43);
-    cr_assert(share.limit(connection_role::broker, 131, start + 3900ms) == 43);
+    share.record_report("lost", 88, 110, start);
+    cr_assert(share.limit(connection_role::broker, 131, start + 100ms) == 14);
+    cr_assert(share.limit(connection_role::broker, 131, start + 3900ms) == 36);
     cr_assert(share.limit(connection_role::broker, 131, start + 4s) == 110);
 }
 
 Test(connection_share, successor_opens_what_a_broker_that_hands_over_closes)
 {
     connection_share share;
-    share.record_report("leaving", 88, start);
-    share.record_report("leaving", 30, start + 200ms);
-    cr_assert(share.limit(connection_role::broker, 131, start + 200ms) == 101);
-    share.record_report("leaving", 0, start + 400ms);
+    share.record_report("leaving", 88, 110, start);
+    share.record_report("leaving", 30, 7, start + 200ms);
+    cr_assert(share.limit(connection_role::broker, 131, start + 200ms) == 94);
+    share.record_report("leaving", 0, 7, start + 400ms);
     cr_assert(share.limit(connection_role::broker, 131, start + 400ms) == 110);
-    share.record_report("killed", 88, start + 400ms);
+    share.record_report("killed", 88, 110, start + 400ms);
     share.forget("killed");
     cr_assert(share.limit(connection_role::broker, 131, start + 400ms) == 110);
 }
@@ -61,6 +61,6 @@
 {
     connection_share share;
     share.record_refusal(0, start);
-    share.record_report("other", 500, start);
+    share.record_report("other", 500, 500, start);
     cr_assert(share.limit(connection_role::broker, 131, start) == 1);
 }
