--- a/libraries/brokers/broker_choice.cpp
+++ b/libraries/brokers/broker_choice.cpp
@@ -144,7 +144,7 @@
     }
     for (auto const& [name, peer] : m_membership.peers()) {
         if (!accepts(peer.availability_zone) || peer.is_leaving || is_down(name, peer) ||
-            has_handed_over(name, peer)) {
+            m_is_silent_zone(peer.availability_zone) || has_handed_over(name, peer)) {
             continue;
         }
         if (m_membership.is_reachable(peer)) {
--- a/libraries/brokers/broker_choice.h
+++ b/libraries/brokers/broker_choice.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "brokers/broker_candidates.h"
@@ -18,8 +19,10 @@
 /// the platform's list until it has received messages of its peers, and is no broker before.
 class broker_choice {
 public:
-    broker_choice(kernel& kernel, membership_service const& membership)
-        : m_kernel(kernel), m_membership(membership)
+    /// `is_silent_zone` tells whether the VMs of a zone leave messages unanswered; they are not chosen then.
+    broker_choice(kernel& kernel, membership_service const& membership,
+                  std::function<bool(std::string const& zone)> is_silent_zone)
+        : m_kernel(kernel), m_membership(membership), m_is_silent_zone(std::move(is_silent_zone))
     {
     }
 
@@ -72,6 +75,7 @@
 
     kernel& m_kernel;
     membership_service const& m_membership;
+    std::function<bool(std::string const& zone)> m_is_silent_zone;
     std::map<std::string, std::string> m_zone_of_member;
     std::map<std::string, zone_ranking> m_rankings; ///< Keyed by availability zone.
     /// Time until which a VM is not chosen as the broker of a member, keyed by member id and VM name.
--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -8,6 +8,12 @@
 namespace {
 
 constexpr duration check_period = std::chrono::milliseconds(60);
+/// Period at which the other zones are judged while no request is pending.
+constexpr duration zone_check_period = std::chrono::milliseconds(200);
+/// Time limit of a status request that shows whether a member of a silent zone can be reached.
+constexpr std::uint32_t member_probe_limit_ms = 200;
+/// Placeholder account for requests that are not sent on behalf of a client account.
+constexpr auto no_account = "-";
 /// Time without a message after which a broker with an unanswered request is sent a ping.
 constexpr duration ping_after = std::chrono::milliseconds(120);
 /// Time without a message after which a broker with an unanswered request is considered down.
@@ -16,21 +22,30 @@
 constexpr duration relay_margin = std::chrono::milliseconds(60);
 /// Interval at which a request is tried again while no broker is known.
 constexpr std::uint32_t retry_interval_ms = 20;
-/// Largest number of connections to one member that a report of a peer may contain.
-constexpr std::uint32_t max_reported_connections = 100'000;
 /// Time after a request of a peer for which the peer is assumed to take this VM for the broker.
 constexpr duration use_time = std::chrono::milliseconds(300);
-/// Number of VMs that a VM tells how many connections it holds to a member: the first in the order of
-/// brokers.
-constexpr std::size_t max_report_receivers = 2;
-constexpr duration warning_interval = std::chrono::seconds(10);
 
 } // namespace
 
 void broker_service::start()
 {
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
-    m_choice.emplace(m_kernel, *m_membership);
+    m_zones.emplace(zone_monitor::dependencies{
+        m_kernel, *m_membership, [this](std::string const& vm) { send_ping(vm); },
+        [this](std::string const& zone) { probe_member_of(zone); },
+        [this](std::string const& zone, bool is_silent) { handle_zone_change(zone, is_silent); }});
+    m_choice.emplace(m_kernel, *m_membership,
+                     [this](std::string const& zone) { return m_zones->is_silent(zone); });
+    m_reports.emplace(
+        m_kernel, *m_membership, *m_choice,
+        connection_reports::hooks{
+            [this](std::string const& vm, connection_report const& report) { send_message(vm, report); },
+            [this](std::string const& vm, held_connections const& held) {
+                if (m_on_connection_report) {
+                    m_on_connection_report(vm, held);
+                }
+            }});
+    m_kernel.start_periodic(zone_check_period, [this] { m_zones->check(); });
 }
 
 Json::Value broker_service::dump() const
@@ -40,9 +55,15 @@
     state["served"] = Json::UInt64(m_served);
     state["pending"] = Json::UInt64(m_pending.size());
     state["leases"] = Json::UInt64(m_peer_connections.size());
+    state["zones"] = m_zones->dump();
     for (auto const& [member, broker] : m_choice->brokers()) {
         state["brokers"][member] = broker;
     }
+    for (auto const& [member, registered] : m_dispatchers) {
+        if (registered.dispatcher->connections() != 0) {
+            state["members"][member] = registered.dispatcher->dump();
+        }
+    }
     return state;
 }
 
@@ -55,7 +76,7 @@
 void broker_service::remove_dispatcher(std::string const& member)
 {
     m_dispatchers.erase(member);
-    m_reported_to.erase(member);
+    m_reports->remove_member(member);
     m_used_at.erase(member);
     m_choice->remove_member(member);
 }
@@ -93,61 +114,6 @@
     m_kernel.log(log_level::debug, service_name, "a broker hands over its members", std::move(fields));
 }
 
-void broker_service::report_connections(std::vector<held_connections> const& held)
-{
-    std::map<std::string, connection_report> reports;
-    auto const& self = m_membership->identity().name;
-    auto const add = [&](std::string const& vm, held_connections const& numbers) {
-        auto& report = reports[vm];
-        report.vm = self;
-        report.held.push_back(numbers);
-    };
-    for (auto const& each : held) {
-        auto order = m_choice->order_of(each.member);
-        std::erase(order, self);
-        order.resize(std::min(order.size(), max_report_receivers));
-        auto& previous = m_reported_to[each.member];
-        for (auto const& vm : previous) {
-            if (std::find(order.begin(), order.end(), vm) == order.end()) {
-                add(vm, {each.member, 0, 0});
-            }
-        }
-        for (auto const& vm : order) {
-            auto const was_told = std::find(previous.begin(), previous.end(), vm) != previous.end();
-            if (each.connections != 0 || was_told) {
-                add(vm, each);
-            }
-        }
-        previous = each.connections != 0 ? std::move(order) : broker_order();
-    }
-    for (auto& [vm, report] : reports) {
-        send_message(vm, report);
-    }
-}
-
-void broker_service::handle_connection_report(connection_report const& report)
-{
-    auto const is_valid = std::all_of(report.held.begin(), report.held.end(), [](auto const& each) {
-        return each.connections <= max_reported_connections && each.limit <= max_reported_connections;
-    });
-    if (!is_valid || !m_membership->peers().contains(report.vm)) {
-        if (m_kernel.now() >= m_next_warning_at) {
-            m_next_warning_at = m_kernel.now() + warning_interval;
-            Json::Value fields(Json::objectValue);
-            fields["vm"] = report.vm;
-            m_kernel.log(log_level::warning, service_name,
-                         "report of connections was ignored, since its sender or a number is not valid",
-                         std::move(fields));
-        }
-        return;
-    }
-    for (auto const& each : report.held) {
-        if (m_on_connection_report) {
-            m_on_connection_report(report.vm, each);
-        }
-    }
-}
-
 void broker_service::run(member_entry const& member, member_request request, reply_callback done)
 {
     auto const vm = m_choice->choose(member.id, member.availability_zone);
@@ -170,6 +136,7 @@
     // A member that this VM cannot reach may still be reachable for the next VM in rank.
     found->second.dispatcher->run(std::move(request),
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
+                                      m_zones->record_member_reply(zone_of_member(id), vm, reply);
                                       if (reply.answers.back().error == member_error::refused) {
                                           m_choice->exclude_route(id, vm);
                                       }
@@ -229,6 +196,7 @@
         late.done(make_failed_reply(late.commands, member_error::timed_out));
     });
     ++m_relayed;
+    m_zones->record_sent(vm);
     schedule_check();
     relay_request message{request_id, group, member, connection_id, std::move(request)};
     m_channels.send(vm, address_of(vm), encode_relay_message(std::move(message)));
@@ -247,6 +215,7 @@
 void broker_service::handle_reply(std::string const& vm, std::string const& message)
 {
     m_health[vm].last_received_at = m_kernel.now();
+    m_zones->record_heard(vm);
     auto decoded = try_decode_relay_message(message);
     if (!decoded.ok()) {
         m_kernel.log(log_level::warning, service_name,
@@ -287,6 +256,7 @@
     }
     member_reply result;
     result.answers = std::move(reply.answers);
+    m_zones->record_member_reply(zone_of_member(answered.member), vm, result);
     if (reply.connection_id != 0) {
         result.connection = make_pinned_connection(vm, {}, answered.member, reply.connection_id);
     }
@@ -331,7 +301,7 @@
         run_for_peer(from, std::move(*request));
     }
     else if (auto const* const report = std::get_if<connection_report>(&*decoded)) {
-        handle_connection_report(*report);
+        m_reports->handle(*report);
     }
     else if (auto const* const document = std::get_if<document_request>(&*decoded);
              document != nullptr && m_on_document_request) {
@@ -390,6 +360,7 @@
     m_kernel.start_timer(check_period, [this] {
         m_has_check_timer = false;
         check_pending_requests();
+        m_zones->check();
         schedule_check();
     });
 }
@@ -413,22 +384,79 @@
             m_kernel.log(log_level::info, service_name,
                          "broker stopped responding; failing its pending requests", std::move(fields));
             m_channels.drop(vm);
-            lose_vm(vm, true, false);
+            fail_requests_at(vm, true, false);
             continue;
         }
         if (now - health.pinged_at >= ping_after) {
-            health.pinged_at = now;
-            m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+            m_zones->record_sent(vm);
+            send_ping(vm);
+        }
+    }
+}
+
+void broker_service::send_ping(std::string const& vm)
+{
+    m_health[vm].pinged_at = m_kernel.now();
+    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+}
+
+void broker_service::probe_member_of(std::string const& zone)
+{
+    std::vector<member_entry const*> members;
+    for (auto const& [id, registered] : m_dispatchers) {
+        if (registered.entry.availability_zone == zone && !registered.entry.is_draining) {
+            members.push_back(&registered.entry);
+        }
+    }
+    if (members.empty()) {
+        return;
+    }
+    auto const member = *members[m_kernel.random_below(members.size())];
+    member_request request;
+    request.client_account = no_account;
+    request.needs_slot = false;
+    request.time_limit_ms = member_probe_limit_ms;
+    request.queue_limit_ms = member_probe_limit_ms;
+    request.commands.resize(1);
+    request.commands[0].kind = command_kind::status;
+    run(member, std::move(request), [](member_reply const&) {});
+}
+
+std::string broker_service::zone_of_member(std::string const& member) const
+{
+    auto const found = m_dispatchers.find(member);
+    return found == m_dispatchers.end() ? std::string() : found->second.entry.availability_zone;
+}
+
+void broker_service::handle_zone_change(std::string const& zone, bool is_silent)
+{
+    m_choice->reset();
+    if (!is_silent) {
+        return;
+    }
+    std::set<std::string> vms;
+    for (auto const& [request_id, pending] : m_pending) {
+        auto const peer = m_membership->peers().find(pending.vm);
+        if (peer != m_membership->peers().end() && peer->second.availability_zone == zone) {
+            vms.insert(pending.vm);
         }
     }
+    for (auto const& vm : vms) {
+        m_channels.drop(vm);
+        fail_requests_at(vm, true, false);
+    }
 }
 
 void broker_service::handle_vm_loss(std::string const& vm, bool was_connected)
 {
-    lose_vm(vm, was_connected, was_connected);
+    if (was_connected) {
+        // A reset or a close arrived from the VM's host.
+        m_zones->record_heard(vm);
+    }
+    fail_requests_at(vm, was_connected, was_connected);
 }
 
-void broker_service::lose_vm(std::string const& vm, bool was_connected, bool has_ended)
+void broker_service::fail_requests_at(std::string const& vm, bool was_connected, bool has_ended)
 {
     m_choice->record_loss(vm);
     if (has_ended && m_on_ended) {
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -9,8 +9,10 @@
 #include <vector>
 
 #include "brokers/broker_choice.h"
+#include "brokers/connection_reports.h"
 #include "brokers/member_dispatcher.h"
 #include "brokers/relay_messages.h"
+#include "brokers/zone_monitor.h"
 #include "fleet/member_entry.h"
 #include "kernel/kernel.h"
 #include "membership/membership_service.h"
@@ -72,9 +74,8 @@
     /// Number of peers that have handed over their members to others and have not restarted since.
     std::size_t hand_overs() const { return m_hand_overs; }
 
-    /// Sends the numbers of this VM's connections to the VM that must know them: the broker of each member,
-    /// or its first successor if this VM is the broker.
-    void report_connections(std::vector<held_connections> const& held);
+    /// Reports the numbers of this VM's connections to the VMs that must know them.
+    void report_connections(std::vector<held_connections> const& held) { m_reports->send(held); }
 
     /// Sets the functions that receive the reports of peers, and the name of a peer whose process has ended.
     void set_connection_hooks(std::function<void(std::string const& vm, held_connections const&)> on_report,
@@ -84,6 +85,23 @@
         m_on_ended = std::move(on_ended);
     }
 
+    /// True when the VMs of the zone leave messages unanswered.
+    bool is_silent(std::string const& zone) const { return m_zones && m_zones->is_silent(zone); }
+    /// True when neither the VMs nor the members of the zone can be reached.
+    bool is_partitioned(std::string const& zone) const { return m_zones && m_zones->is_partitioned(zone); }
+    /// Time since when all other zones are silent; std::nullopt while one is heard.
+    std::optional<monotonic_time> all_zones_silent_since() const
+    {
+        return m_zones ? m_zones->all_silent_since() : std::nullopt;
+    }
+    /// Time at which all other zones were last found silent; std::nullopt if never.
+    std::optional<monotonic_time> all_zones_silent_until() const
+    {
+        return m_zones ? m_zones->all_silent_until() : std::nullopt;
+    }
+    /// True when this VM reaches no other zone, see zone_monitor.
+    bool is_cut_off() const { return m_zones && m_zones->is_cut_off(); }
+
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
@@ -127,10 +145,9 @@
 
     /// Chooses again until a broker is known or the request has waited too long.
     void run_later(member_entry const& member, member_request request, reply_callback done);
-    void handle_connection_report(connection_report const& report);
     void handle_hand_over(std::string const& vm);
     /// Fails the requests that wait for a VM. `has_ended` tells whether its process is known to have ended.
-    void lose_vm(std::string const& vm, bool was_connected, bool has_ended);
+    void fail_requests_at(std::string const& vm, bool was_connected, bool has_ended);
     void relay(std::string const& vm, std::string const& group, std::string const& member,
                std::uint64_t connection_id, member_request request, reply_callback done);
     void run_for_peer(channel_id from, relay_request message);
@@ -140,6 +157,10 @@
     /// Checks the brokers periodically while requests are pending.
     void schedule_check();
     void check_pending_requests();
+    void send_ping(std::string const& vm);
+    void probe_member_of(std::string const& zone);
+    void handle_zone_change(std::string const& zone, bool is_silent);
+    std::string zone_of_member(std::string const& member) const;
     endpoint address_of(std::string const& vm) const;
 
     kernel& m_kernel;
@@ -151,10 +172,10 @@
     std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
-    /// VMs that were last sent a report of this VM's connections, keyed by member id.
-    std::map<std::string, broker_order> m_reported_to;
+    std::optional<connection_reports> m_reports;        ///< Set when the service starts.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
+    std::optional<zone_monitor> m_zones; ///< Set when the service starts.
     bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
     std::uint64_t m_next_request_id = 1;
@@ -166,7 +187,6 @@
     std::size_t m_hand_overs = 0;
     std::function<void(std::string const&, held_connections const&)> m_on_connection_report;
     std::function<void(std::string const&)> m_on_ended;
-    monotonic_time m_next_warning_at; ///< Earliest time of the next log line about a malformed report.
 };
 
 } // namespace greengagehitch
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -70,9 +70,9 @@
         m_learn_store_era = std::move(learn_store_era);
     }
 
-    /// True when this VM has not received a report of any other zone recently, and has not reached the store
-    /// since it received the last one. A network partition of this VM is then more likely than a failure of
-    /// all other zones and of the store.
+    /// True when this VM reaches neither the VMs nor the members of other zones, or when it has not received
+    /// a report of any other zone recently and has not reached the store since it received the last one. A
+    /// network partition of this VM is then more likely than a failure of all other zones and of the store.
     bool is_cut_off() const;
 
     /// Returns the peers that reported recently that they can reach the platform's store.
@@ -105,9 +105,12 @@
     /// Recomputes the shares of the rates when the number of VMs or zones that share them has changed.
     void divide_rates();
     vm_report make_report() const;
-    /// Gets the configuration or the member directory if `vm`, a zone peer, has newer state.
+    /// Gets the configuration with the evacuations, or the member directory, if `vm`, a zone peer, has newer
+    /// state.
     void refresh_from_peer(std::string const& vm, std::uint64_t version, std::uint32_t directory_digest,
-                           std::uint32_t configuration_age_ms);
+                           std::uint32_t configuration_age_ms, evacuation_position const& evacuations);
+    /// Position of the last change of the evacuations that this VM knows.
+    evacuation_position own_evacuations() const;
     /// Gets them if another zone has newer state. The store reader of this zone reads the store; the others
     /// get them from the store reader, or from a VM of the other zone if no VM of this zone reaches the
     /// store.
@@ -143,6 +146,7 @@
     membership_service* m_membership = nullptr;
     rate_shares* m_rates = nullptr;
     group_registry* m_groups = nullptr;
+    broker_service* m_brokers = nullptr;
     std::map<std::string, received_report> m_reports; ///< Latest reports of the zone peers, keyed by VM name.
     using assessments_map = std::unordered_map<name_hash, group_assessment>;
     mutable assessments_map m_zone_peers_assessments;  ///< Keyed by the hash of the group's name.
@@ -159,6 +163,7 @@
     monotonic_time m_last_request_at;
     std::uint64_t m_reported_version = 0;          ///< Configuration version when changes were last checked.
     std::uint32_t m_reported_directory_digest = 0; ///< Directory digest when changes were last checked.
+    evacuation_position m_reported_evacuations;    ///< Evacuations when changes were last checked.
     std::optional<zone_exchange> m_zones;          ///< Set when the service starts.
     bool m_reported_leaving = false;
     bool m_reported_has_list = false;
