--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -18,6 +18,8 @@
 constexpr duration ping_after = std::chrono::milliseconds(120);
 /// Time without a message after which a broker with an unanswered request is considered down.
 constexpr duration silence_limit = std::chrono::milliseconds(350);
+/// Time for which the next broker of a member is told that the member could not be reached.
+constexpr duration absence_memory = std::chrono::seconds(3);
 /// Time for the round trip to the broker, in addition to the time limits of the request.
 constexpr duration relay_margin = std::chrono::milliseconds(60);
 /// Interval at which a request is tried again while no broker is known.
@@ -79,6 +81,7 @@
     m_reports->remove_member(member);
     m_used_at.erase(member);
     m_choice->remove_member(member);
+    m_absent_at.erase(member);
 }
 
 bool broker_service::is_broker_of(std::string const& member)
@@ -121,6 +124,7 @@
         run_later(member, std::move(request), std::move(done));
         return;
     }
+    request.was_member_absent = was_absent(member.id);
     if (vm != m_membership->identity().name) {
         relay(vm, member.group, member.id, 0, std::move(request), std::move(done));
         return;
@@ -138,7 +142,7 @@
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
                                       m_zones->record_member_reply(zone_of_member(id), vm, reply);
                                       if (reply.answers.back().error == member_error::refused) {
-                                          m_choice->exclude_route(id, vm);
+                                          exclude_route(id, vm);
                                       }
                                       done(std::move(reply));
                                   });
@@ -162,6 +166,18 @@
         });
 }
 
+void broker_service::exclude_route(std::string const& member, std::string const& vm)
+{
+    m_choice->exclude_route(member, vm);
+    m_absent_at[member] = m_kernel.now();
+}
+
+bool broker_service::was_absent(std::string const& member) const
+{
+    auto const found = m_absent_at.find(member);
+    return found != m_absent_at.end() && m_kernel.now() - found->second < absence_memory;
+}
+
 endpoint broker_service::address_of(std::string const& vm) const
 {
     auto const found = m_membership->peers().find(vm);
@@ -252,7 +268,7 @@
         return;
     }
     if (reply.answers.back().error == member_error::refused) {
-        m_choice->exclude_route(answered.member, vm);
+        exclude_route(answered.member, vm);
     }
     member_reply result;
     result.answers = std::move(reply.answers);
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -157,9 +157,12 @@
     /// Checks the brokers periodically while requests are pending.
     void schedule_check();
     void check_pending_requests();
+    /// Returns whether a broker of the member could not reach it a short time ago.
+    bool was_absent(std::string const& member) const;
     void send_ping(std::string const& vm);
     void probe_member_of(std::string const& zone);
     void handle_zone_change(std::string const& zone, bool is_silent);
+    void exclude_route(std::string const& member, std::string const& vm);
     std::string zone_of_member(std::string const& member) const;
     endpoint address_of(std::string const& vm) const;
 
@@ -169,6 +172,7 @@
     std::map<std::string, registered_dispatcher> m_dispatchers; ///< Keyed by member id.
     std::map<std::string, monotonic_time> m_used_at;    ///< Last requests of peers, keyed by member id.
     std::optional<broker_choice> m_choice;              ///< Set when the service starts.
+    std::map<std::string, monotonic_time> m_absent_at;  ///< Keyed by member id; see was_absent().
     std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -10,6 +10,7 @@
 #include "brokers/member_queue.h"
 #include "brokers/member_request.h"
 #include "brokers/slot_usage.h"
+#include "brokers/warm_up_gate.h"
 #include "kernel/kernel.h"
 #include "members/backend_connection_pool.h"
 
@@ -25,7 +26,7 @@
         std::function<std::size_t()> connection_limit; ///< Current maximum number of connections.
         std::size_t slots = 1;                         ///< Execution slots of the member.
         std::function<void(member_error)> on_open_failed;
-        std::function<void()> on_opened;
+        std::function<void()> on_contact; ///< Called when the member accepted a connection or a request.
         /// Checks whether the member is the only leader of its group. May be empty if a replaced leader
         /// rejects transactions at once.
         std::function<void(std::function<void(bool)>)> check_leadership;
@@ -34,6 +35,9 @@
         /// Returns whether statements of callers may be sent to the member, whose availability zone operators
         /// may evacuate. May be empty if they always may.
         std::function<bool()> may_send;
+        /// Called when the member lost a connection with a request, or another VM found it not to be running.
+        std::function<void()> on_connection_lost;
+        std::shared_ptr<warm_up_gate> warm_up; ///< Paces requests after the member's start; may be null.
     };
 
     member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks, backend_connection_target target,
@@ -63,6 +67,7 @@
         backend_connection_pointer connection; ///< Connection of the open transaction; null if none is open.
         std::shared_ptr<bool const> is_pinned; ///< Whether that transaction still holds the connection.
         monotonic_time enqueued_at;
+        bool is_sent = false;      ///< True once the request was sent, or will not be.
         duration queue_wait{};     ///< Wait that the member's load suggested when the request was admitted.
         duration expected_start{}; ///< Wait that was expected then.
 
@@ -85,6 +90,9 @@
     void enqueue(queued_request_pointer const& added);
     admission_decision decide(queued_request const& request) const;
     duration expected_connection_wait(queued_request const& request) const;
+    /// Returns the time until the member accepts a request after `ahead` others if it warms up, or no value
+    /// if another VM sends the requests to it.
+    std::optional<duration> expected_pace(std::size_t ahead) const;
     std::uint32_t assign_return(int priority, admission_decision const& decision);
     void expire(std::uint64_t id);
     void start_waiting_requests();
@@ -102,7 +110,9 @@
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
     void return_connection(backend_connection_pointer const& connection);
-    void free_slot(queued_request const& finished, bool is_answered);
+    /// Records that a request no longer waits for its connection.
+    void mark_sent(queued_request& sent);
+    void free_slot(queued_request& finished, bool is_answered);
     /// Refuses a request that was not sent after run() has returned, since its caller may not expect a reply
     /// earlier.
     void refuse_later(queued_request_pointer const& refused, std::string const& text,
@@ -118,6 +128,7 @@
     member_queue m_waiting;
     std::unordered_map<std::uint64_t, queued_request_pointer> m_queued; ///< Waiting requests, keyed by id.
     slot_usage m_slots;
+    std::size_t m_unsent = 0; ///< Requests that were started and wait for a connection.
     service_times m_service_times;
     wait_corrections m_wait_corrections;
     /// Average time from the request for a connection to its lease if a handshake was needed.
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -59,7 +59,8 @@
         [this](peer_state const& peer, store_status_reply const& reply) {
             handle_store_status_reply(peer, reply);
         });
-    m_published_at = m_kernel.now();
+    m_started_at = m_kernel.now();
+    m_published_at = m_started_at;
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
 
@@ -187,6 +188,7 @@
         }
     }
     report.demands = m_demands;
+    report.uptime_ms = m_rates->uptime_ms();
     for (auto const& [name, group] : m_groups->groups()) {
         leader_report entry;
         entry.group = hash_name(name);
@@ -245,6 +247,7 @@
     }
     report.reachable_zones = m_zones->reachable_zones(current_lifetime());
     report.demands = m_rates->zone_demands();
+    m_rates->add_uptimes(report);
     for (auto const& [name, group] : m_groups->groups()) {
         report.assessments.push_back(make_zone_assessment(*group));
     }
@@ -583,7 +586,8 @@
         return true;
     }
     if (m_zones->reports().empty()) {
-        return false;
+        // A VM that starts behind a partition has only the assessments of its own zone.
+        return m_zones->has_other_zones() && has_lost_store_since(m_started_at);
     }
     monotonic_time received_at{};
     for (auto const& [zone, entry] : m_zones->reports()) {
--- a/libraries/members/member_choice.cpp
+++ b/libraries/members/member_choice.cpp
@@ -10,6 +10,8 @@
 constexpr duration other_zone_cost = std::chrono::milliseconds(8);
 /// Cost of the leader, so that its slots stay free for statements that only the leader can run.
 constexpr duration leader_cost = std::chrono::milliseconds(15);
+/// Cost of a member that warms up, so that reads use the others first.
+constexpr duration warming_up_cost = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -50,6 +52,9 @@
     if (candidate.is_leader) {
         total += leader_cost;
     }
+    if (candidate.is_warming_up) {
+        total += warming_up_cost;
+    }
     return total;
 }
 
--- a/libraries/members/member_choice.h
+++ b/libraries/members/member_choice.h
@@ -51,6 +51,7 @@
     std::size_t slots = 1;     ///< Number of statements that the member executes at a time.
     bool is_in_own_zone = true;
     bool is_leader = false;
+    bool is_warming_up = false; ///< The member started a short time ago and serves slowly.
 };
 
 /// Judgement of one member in a choice.
