--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "brokers/broker_choice.h"
+#include "brokers/connection_reports.h"
 #include "brokers/member_dispatcher.h"
 #include "brokers/relay_messages.h"
 #include "brokers/zone_monitor.h"
@@ -34,8 +36,8 @@
 /// Sends requests to members through their broker, which is the VM that holds the connections to a member. A
 /// connection belongs to one client account until it is closed, and a member allows fewer connections than
 /// there are pairs of VMs and accounts. Therefore one VM, in the member's own zone if possible, holds them
-/// for all VMs. All VMs choose the same broker by rendezvous hashing. If the broker is lost or cannot reach
-/// the member, the next VM in rank replaces it.
+/// for all VMs. All VMs choose the same broker; see broker_choice. If the broker is lost, shuts down or
+/// cannot reach the member, the next VM in rank replaces it.
 class broker_service : public service {
 public:
     static constexpr std::string_view service_name = "brokers";
@@ -58,6 +60,31 @@
     /// Returns true if this VM is the broker of the member; false for unknown members.
     bool is_broker_of(std::string const& member);
 
+    /// Returns true if a peer sent a request for the member within the last moments, which takes this VM for
+    /// its broker.
+    bool is_used_as_broker_of(std::string const& member) const;
+
+    /// Returns the broker of a registered member and its successors in order.
+    broker_order order_of(std::string const& member) { return m_choice->order_of(member); }
+
+    /// Hands over the members of this VM to their successors, since this VM shuts down. Peers that send
+    /// requests to this VM learn of it at once.
+    void hand_over();
+
+    /// Number of peers that have handed over their members to others and have not restarted since.
+    std::size_t hand_overs() const { return m_hand_overs; }
+
+    /// Reports the numbers of this VM's connections to the VMs that must know them.
+    void report_connections(std::vector<held_connections> const& held) { m_reports->send(held); }
+
+    /// Sets the functions that receive the reports of peers, and the name of a peer whose process has ended.
+    void set_connection_hooks(std::function<void(std::string const& vm, held_connections const&)> on_report,
+                              std::function<void(std::string const& vm)> on_ended)
+    {
+        m_on_connection_report = std::move(on_report);
+        m_on_ended = std::move(on_ended);
+    }
+
     /// True when the VMs of the zone leave messages unanswered.
     bool is_silent(std::string const& zone) const { return m_zones && m_zones->is_silent(zone); }
     /// True when neither the VMs nor the members of the zone can be reached.
@@ -114,16 +141,13 @@
     struct vm_health {
         monotonic_time last_received_at;
         monotonic_time pinged_at;
-        /// Time at which the VM was last found to be down; the default value if never.
-        monotonic_time lost_at;
-    };
-
-    struct choice {
-        std::string vm;
-        monotonic_time made_at;
     };
 
-    std::string const& choose(std::string const& member, std::string const& zone);
+    /// Chooses again until a broker is known or the request has waited too long.
+    void run_later(member_entry const& member, member_request request, reply_callback done);
+    void handle_hand_over(std::string const& vm);
+    /// Fails the requests that wait for a VM. `has_ended` tells whether its process is known to have ended.
+    void fail_requests_at(std::string const& vm, bool was_connected, bool has_ended);
     void relay(std::string const& vm, std::string const& group, std::string const& member,
                std::uint64_t connection_id, member_request request, reply_callback done);
     void run_for_peer(channel_id from, relay_request message);
@@ -138,22 +162,21 @@
     void send_ping(std::string const& vm);
     void probe_member_of(std::string const& zone);
     void handle_zone_change(std::string const& zone, bool is_silent);
-    void fail_requests_at(std::string const& vm, bool was_connected);
-    std::string zone_of_member(std::string const& member) const;
     void exclude_route(std::string const& member, std::string const& vm);
-    bool is_down(std::string const& vm, peer_state const& peer) const;
+    std::string zone_of_member(std::string const& member) const;
     endpoint address_of(std::string const& vm) const;
 
     kernel& m_kernel;
     channel_hooks m_channels;
     membership_service* m_membership = nullptr;
     std::map<std::string, registered_dispatcher> m_dispatchers; ///< Keyed by member id.
-    std::map<std::string, choice> m_choices;                    ///< Keyed by member id.
-    /// Time until which a VM is not chosen as the broker of a member, keyed by member id and VM name.
-    std::map<std::string, std::map<std::string, monotonic_time>> m_excluded_routes;
+    std::map<std::string, monotonic_time> m_used_at;    ///< Last requests of peers, keyed by member id.
+    std::optional<broker_choice> m_choice;              ///< Set when the service starts.
     std::map<std::string, monotonic_time> m_absent_at;  ///< Keyed by member id; see was_absent().
     std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
+    std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
+    std::optional<connection_reports> m_reports;        ///< Set when the service starts.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     std::optional<zone_monitor> m_zones; ///< Set when the service starts.
@@ -165,6 +188,9 @@
     std::function<void(document_reply const&)> m_on_document_reply;
     std::uint64_t m_relayed = 0; ///< Number of requests sent to brokers.
     std::uint64_t m_served = 0;  ///< Number of requests run for peers.
+    std::size_t m_hand_overs = 0;
+    std::function<void(std::string const&, held_connections const&)> m_on_connection_report;
+    std::function<void(std::string const&)> m_on_ended;
 };
 
 } // namespace greengagehitch
