--- a/libraries/fleet/fleet_state.cpp
+++ b/libraries/fleet/fleet_state.cpp
@@ -15,8 +15,10 @@
 {
     std::string text;
     for (auto const& [id, entry] : members) {
-        text += fmt::format("{} {} {} {} {}\n", id, entry.address.to_string(), entry.is_draining,
-                            entry.claims_primary, entry.started_at);
+        // The digest of members that are warm stays the same as in earlier versions.
+        auto const warm_up_mark = entry.warm_up_left > duration::zero() ? " warms up" : "";
+        text += fmt::format("{} {} {} {} {}{}\n", id, entry.address.to_string(), entry.is_draining,
+                            entry.claims_primary, entry.started_at, warm_up_mark);
     }
     return hash_name(text);
 }
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -66,9 +66,13 @@
             m_dependencies.member_added(entry);
         }
         auto& member = found->second;
-        if (entry.warm_up_left > duration::zero() && member.warm_at == monotonic_time{}) {
-            // The entry was written earlier, so the member is warm by then.
-            member.warm_at = m_kernel.now() + std::min(entry.warm_up_left, warm_up_time());
+        auto const is_first_or_newer =
+            member.warm_at == monotonic_time{} || entry.change > member.entry.change;
+        if (entry.warm_up_left > duration::zero() && is_first_or_newer) {
+            // The entry was written earlier, so the member is warm by then. A member that runs on may also
+            // have to warm up again.
+            member.warm_at =
+                std::max(member.warm_at, m_kernel.now() + std::min(entry.warm_up_left, warm_up_time()));
         }
         auto const is_new_claim = entry.claims_primary && !member.claim_change;
         if (is_new_claim) {
--- a/tests/members/database_group_tests.cpp
+++ b/tests/members/database_group_tests.cpp
@@ -107,3 +107,32 @@
     fixture.group.set_members({before, after});
     cr_assert(fixture.group.leader()->entry.id == "b");
 }
+
+/// A member that runs on may have to warm up again, for instance after its availability zone was evacuated.
+/// Its entry then shows a remaining warm-up without a new start time, and requests were sent to it at full
+/// rate.
+Test(database_group, member_whose_remaining_warm_up_rises_without_a_restart_warms_up_again)
+{
+    database_group_fixture fixture;
+    database_group::dependencies dependencies{
+        fixture.core, "zone",
+        [&fixture](member_entry const& member, member_request const&, reply_callback const& done) {
+            fixture.run(member, done);
+        },
+        [](member_entry const&) {}, [](member_entry const&) {}};
+    dependencies.warm_up_time = [] { return duration(4s); };
+    database_group group("group", std::move(dependencies));
+    member_entry entry;
+    entry.id = "a";
+    entry.change = {1, 1};
+    entry.warm_up_left = 4s;
+    group.set_members({entry});
+    fixture.clock.run_for(10s);
+    cr_assert(!group.is_warming_up(*group.find_member("a")));
+    entry.change = {1, 2};
+    group.set_members({entry});
+    cr_assert(group.is_warming_up(*group.find_member("a")));
+    fixture.clock.run_for(5s);
+    cr_assert(!group.is_warming_up(*group.find_member("a")),
+              "an entry that was applied already counts again");
+}
