--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -398,6 +398,11 @@
     if (!best || unanswered == 0 || has_old_leader) {
         return best;
     }
+    if (running.cause == takeover_cause::evacuated) {
+        // The leader still serves, and a replica that returns receives its commits and lets it acknowledge them
+        // while the others are stopped.
+        return std::nullopt;
+    }
     // A replica without a response may be the only one that holds some acknowledged commits, so another
     // replica may lead only once this is ruled out. While that replica or the old leader is unresponsive,
     // both may still be serving callers on the other side of a partition.
