--- a/tests/sessions/evacuation_tests.cpp
+++ b/tests/sessions/evacuation_tests.cpp
@@ -89,6 +89,23 @@
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
 
+/// Failure pattern: a replica is down when the leader's zone is evacuated and returns without the order to stop
+/// receiving. The leader may then acknowledge commits that the other replica lacks.
+Test(evacuation, leader_is_not_replaced_while_a_replica_that_may_return_has_not_answered)
+{
+    evacuation_fixture fixture;
+    auto& group = fixture.fleet.group();
+    group.faults("m-0-c").is_down = true;
+    fixture.evacuate("a");
+    fixture.fleet.clock().run_for(4s);
+    cr_assert(fixture.fleet.promotions() == 0);
+    group.restart("m-0-c");
+    fixture.fleet.clock().run_for(8s);
+    cr_assert(fixture.fleet.promotions() == 1);
+    cr_assert(group.leader() != "m-0-a");
+    cr_assert(group.holds_all_acknowledged());
+}
+
 Test(evacuation, zones_in_turn_move_the_leader_each_time)
 {
     evacuation_fixture fixture;
