--- a/tests/sessions/evacuation_tests.cpp
+++ b/tests/sessions/evacuation_tests.cpp
@@ -89,8 +89,8 @@
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
 
-/// Failure pattern: a replica is down when the leader's zone is evacuated and returns without the order to stop
-/// receiving. The leader may then acknowledge commits that the other replica lacks.
+/// Failure pattern: a replica is down when the leader's zone is evacuated and returns without the order to
+/// stop receiving. The leader may then acknowledge commits that the other replica lacks.
 Test(evacuation, leader_is_not_replaced_while_a_replica_that_may_return_has_not_answered)
 {
     evacuation_fixture fixture;
