--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -399,8 +399,8 @@
         return best;
     }
     if (running.cause == takeover_cause::evacuated) {
-        // The leader still serves, and a replica that returns receives its commits and lets it acknowledge them
-        // while the others are stopped.
+        // The leader still serves, and a replica that returns receives its commits and lets it acknowledge
+        // them while the others are stopped.
         return std::nullopt;
     }
     // A replica without a response may be the only one that holds some acknowledged commits, so another
