failover: Log what members report during a takeover, and members that are listed

The logs could not tell a replica that returns from a member that joins: they did not show which member answered what, nor when a member entered the directory. Each answer, the positions at the time at which the order is accepted, and each new entry with its address now leave a line. No logic is changed.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -294,6 +294,7 @@
         return;
     }
     auto const& replication = *answer.replication;
+    log_replication_status(name, member, replication);
     if (member == running->old_leader) {
         running->is_old_leader_stopped = true;
         running->responses[member] = {replication.received, true, true};
@@ -313,6 +314,33 @@
     promote_if_chosen(name);
 }
 
+void takeover_service::log_replication_status(std::string const& name, std::string const& member,
+                                              replication_status const& replication) const
+{
+    Json::Value fields(Json::objectValue);
+    fields["member"] = member;
+    fields["is_primary"] = replication.role == member_role::primary;
+    fields["known_term"] = Json::UInt64(replication.term);
+    fields["term"] = Json::UInt64(replication.received.term);
+    fields["position"] = Json::UInt64(replication.received.position);
+    fields["stopped_at_term"] = Json::UInt64(replication.stopped_at_term);
+    log("member reported its replication status for the takeover", name, std::move(fields));
+}
+
+void takeover_service::log_members_at_order(std::string const& name)
+{
+    for (auto const& [id, connection] : find_takeover(name)->connections) {
+        member_command query;
+        query.kind = command_kind::status;
+        connection->send({query}, command_timeout,
+                         [this, name, id = id](std::vector<member_answer> const& answers) {
+                             if (answers.front().is_ok() && answers.front().replication) {
+                                 log_replication_status(name, id, *answers.front().replication);
+                             }
+                         });
+    }
+}
+
 void takeover_service::promote_if_chosen(std::string const& name)
 {
     auto* const running = find_takeover(name);
@@ -492,6 +520,7 @@
         m_unanswered_orders.erase(group);
     }
     if (status.ok()) {
+        log_members_at_order(group);
         await_leadership(group, member, 0);
         return;
     }
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -113,6 +113,10 @@
     void record_unanswered(std::string const& group, std::string const& member, member_answer const& answer);
     void handle_replication_status(std::string const& group, std::string const& member,
                                    member_answer const& answer);
+    void log_replication_status(std::string const& group, std::string const& member,
+                                replication_status const& replication) const;
+    /// Logs the positions of the members when an order was accepted, to compare them with the successor's.
+    void log_members_at_order(std::string const& group);
     void promote_if_chosen(std::string const& group);
     /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
     bool is_old_leader_out_of_use(std::string const& group);
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -63,6 +63,7 @@
         if (found == m_members.end()) {
             found = m_members.emplace(entry.id, group_member{}).first;
             found->second.entry = entry;
+            log_membership("member was added to the directory", entry);
             m_dependencies.member_added(entry);
         }
         auto& member = found->second;
@@ -99,12 +100,18 @@
     release_waiting();
 }
 
-void database_group::retire_member(group_member& member)
+void database_group::log_membership(std::string_view message, member_entry const& entry) const
 {
     Json::Value fields(Json::objectValue);
     fields["group"] = m_name;
-    fields["member"] = member.entry.id;
-    m_kernel.log(log_level::info, "groups", "member was removed from the directory", std::move(fields));
+    fields["member"] = entry.id;
+    fields["address"] = entry.address.to_string();
+    m_kernel.log(log_level::info, "groups", message, std::move(fields));
+}
+
+void database_group::retire_member(group_member& member)
+{
+    log_membership("member was removed from the directory", member.entry);
     m_dependencies.member_removed(member.entry);
     m_former_members[member.entry.id] = {member.entry, m_kernel.now()};
 }
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -198,6 +198,7 @@
     bool fails_to_respond(group_member const& member) const;
     bool is_expected_to_hold(group_member const& member, log_position minimum_position) const;
     duration warm_up_time() const;
+    void log_membership(std::string_view message, member_entry const& entry) const;
     void retire_member(group_member& member);
 
     std::string m_name;
