failover: Let a leader that still serves step down before its successor is ordered

Cause: a takeover took what members had answered as lasting facts. A replica counted as stopped, and one that refused a connection as not running, for the rest of the takeover, up to 2.3 s and 0.6 s more until the new term; the leader was not stopped at all. A replica that restarted, mostly under a new id, or one that joined and was in no directory yet, received from the leader and let it acknowledge commits after the choice of the successor. The class: a fact that was true when it was asked is used later as if it still held.

Now the leader's own step down is the evidence: its answer bounds all that was acknowledged, whoever receives, and a replica is ordered only once it holds that position. Until a replica has caught up and the lock is held, nobody is ordered anything, so a handover waits without harm while replicas are down. For a leader that does not answer, an answer now counts for 0.8 s and ends with its connection, refusals likewise, all commands are repeated until the successor leads, and the evidence is checked again before each order. A takeover that finds the lock held by another VM no longer lets the replicas receive again.

The service, which also held the steps and the choice, is split: group_takeover runs one takeover, takeover_evidence decides without a network, member_control sends the commands.

--- /dev/null
+++ b/libraries/failover/group_takeover.cpp
@@ -0,0 +1,520 @@
+#include "failover/group_takeover.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "members/leadership_guard.h"
+
+namespace greengagehitch {
+
+namespace {
+
+constexpr duration command_period = std::chrono::milliseconds(250);
+/// Time after which a successor may be chosen without the answer of a replica that is not running. By then
+/// each VM has reported the commits that it saw before the other replicas were stopped.
+constexpr duration stopped_replica_timeout = std::chrono::milliseconds(1'300);
+/// Time after which a successor may be chosen without the answer of an unresponsive replica. VMs on the
+/// replica's side of a partition have stopped serving requests that need a key by then, since they cannot
+/// receive key withdrawals.
+constexpr duration silent_replica_timeout = std::chrono::seconds(11);
+/// Time after which a takeover is abandoned, so that the replicas can resume receiving from their leader.
+constexpr duration max_takeover_time = std::chrono::seconds(14);
+/// Time to look for a replica that can succeed a leader which still serves. The search disturbs nobody; it
+/// ends so that another VM can take it over.
+constexpr duration max_survey_time = std::chrono::seconds(2);
+/// Time for a leader to confirm that it has stepped down.
+constexpr duration max_fencing_time = std::chrono::seconds(1);
+/// Time for replicas to receive what the old leader sent them before it stepped down. Afterwards it leads
+/// again.
+constexpr duration max_catch_up_time = std::chrono::milliseconds(500);
+/// Interval at which members are asked while a leader has stepped down and nobody leads.
+constexpr duration fenced_command_period = std::chrono::milliseconds(50);
+constexpr duration order_retry_delay = std::chrono::milliseconds(300);
+constexpr int max_order_attempts = 25;
+constexpr duration leadership_poll_period = std::chrono::milliseconds(60);
+constexpr int max_leadership_polls = 50;
+/// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
+/// sent.
+constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
+/// Added to leadership_proof_lifetime for differences between the rates of the VMs' clocks.
+constexpr duration leadership_proof_margin = std::chrono::milliseconds(50);
+/// Placeholder account for probes, which belong to no client account.
+constexpr auto control_account = "-";
+
+} // namespace
+
+group_takeover::group_takeover(std::string group, takeover_cause cause, std::string const& old_leader,
+                               std::uint64_t new_term, dependencies dependencies)
+    : m_name(std::move(group)), m_cause(cause), m_dependencies(std::move(dependencies)),
+      m_kernel(m_dependencies.core), m_term(new_term), m_evidence(old_leader, new_term),
+      m_control(m_kernel, m_dependencies.connection_hooks, m_name,
+                {[this](std::string const& member, replication_status const& status) {
+                     handle_status(member, status);
+                 },
+                 [this](std::string const& member) { handle_not_running(member); },
+                 [this](std::string const& member, member_error error) { handle_lost(member, error); }}),
+      m_started_at(m_kernel.now()), m_phase_since(m_started_at), m_has_interfered(!is_handover(cause))
+{
+}
+
+void group_takeover::start()
+{
+    Json::Value fields(Json::objectValue);
+    fields["cause"] = std::string(find_name(takeover_cause_names, m_cause));
+    fields["state"] = group().dump();
+    log("starting a takeover to replace the leader of the group", std::move(fields));
+    send_commands();
+}
+
+void group_takeover::tick()
+{
+    auto const keep_alive = shared_from_this();
+    if (m_kernel.now() - m_phase_since > time_limit()) {
+        end("takeover exceeded its time limit", true);
+        return;
+    }
+    if (m_kernel.now() - m_commands_sent_at >= command_period) {
+        send_commands();
+    }
+    advance();
+}
+
+void group_takeover::set_phase(phase next)
+{
+    m_phase = next;
+    // The replicas of a lost leader are stopped from the start.
+    if (is_handover(m_cause)) {
+        m_phase_since = m_kernel.now();
+        m_has_interfered = m_has_interfered || next >= phase::fencing;
+    }
+}
+
+duration group_takeover::time_limit() const
+{
+    if (is_handover(m_cause) && m_phase < phase::fencing) {
+        return max_survey_time;
+    }
+    if (m_phase == phase::fencing && !m_evidence.final_position(m_kernel.now())) {
+        return max_fencing_time;
+    }
+    return max_takeover_time;
+}
+
+std::optional<command_kind> group_takeover::command_for(std::string const& member) const
+{
+    auto const still_serves = is_handover(m_cause) && m_phase < phase::fencing;
+    if (member == m_evidence.old_leader()) {
+        return still_serves ? command_kind::status : command_kind::step_down;
+    }
+    if (m_phase == phase::confirming && member == m_successor) {
+        return std::nullopt;
+    }
+    // A replica that stopped would not receive what the old leader sent before it stepped down.
+    auto const must_receive = is_handover(m_cause) && m_phase < phase::ordering;
+    auto const is_ordered = m_phase == phase::ordering && member == m_successor;
+    return must_receive || is_ordered ? command_kind::status : command_kind::stop_receiving;
+}
+
+void group_takeover::send_commands()
+{
+    m_commands_sent_at = m_kernel.now();
+    m_control.check_connections();
+    std::map<std::string, member_entry> targets;
+    for (auto const& [id, member] : group().members()) {
+        targets[id] = member.entry;
+    }
+    for (auto const& [id, former] : group().former_members()) {
+        targets[id] = former.entry;
+    }
+    std::set<std::string> replicas;
+    for (auto const& [id, entry] : targets) {
+        if (id != m_evidence.old_leader()) {
+            replicas.insert(id);
+        }
+    }
+    m_evidence.set_replicas(std::move(replicas));
+    if (auto const* const leader = m_evidence.find_answer(m_evidence.old_leader(), m_kernel.now())) {
+        m_required_position = leader->received;
+    }
+    for (auto const& [id, entry] : targets) {
+        if (auto const kind = command_for(id)) {
+            member_command command;
+            command.kind = *kind;
+            command.term = m_term;
+            m_control.send(entry, command);
+        }
+    }
+}
+
+void group_takeover::handle_not_running(std::string const& member)
+{
+    if (m_evidence.record_not_running(member, m_kernel.now())) {
+        Json::Value fields(Json::objectValue);
+        fields["member"] = member;
+        log("member refused the connection; treating it as not running", std::move(fields));
+    }
+    advance();
+}
+
+void group_takeover::handle_lost(std::string const& member, member_error error)
+{
+    if (!m_evidence.discard_answer(member)) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["member"] = member;
+    fields["error"] = std::string(find_name(member_error_names, error));
+    log("member may have restarted; discarding its replication status", std::move(fields));
+}
+
+void group_takeover::handle_status(std::string const& member, replication_status const& status)
+{
+    if (m_has_ended) {
+        return;
+    }
+    log_status(member, status);
+    if (status.role == member_role::primary && status.term >= m_term) {
+        group().apply_reported_leader(member, status.term);
+        auto const is_successor = m_phase >= phase::ordering && member == m_successor;
+        end(is_successor ? "done" : "another member already leads the new term or a later one",
+            !is_successor);
+        return;
+    }
+    m_evidence.record_status(member, status, m_kernel.now());
+    advance();
+}
+
+void group_takeover::advance()
+{
+    if (m_has_ended) {
+        return;
+    }
+    if (m_phase == phase::surveying) {
+        choose_successor();
+    }
+    else if (m_phase == phase::fencing) {
+        finish_fencing();
+    }
+}
+
+void group_takeover::choose_successor()
+{
+    auto const chosen = find_successor();
+    if (!chosen || !is_old_leader_out_of_use()) {
+        return;
+    }
+    m_successor = *chosen;
+    auto const now = m_kernel.now();
+    auto const* const answer = m_evidence.find_answer(m_successor, now);
+    Json::Value fields(Json::objectValue);
+    fields["member"] = m_successor;
+    fields["term"] = Json::UInt64(answer->received.term);
+    fields["position"] = Json::UInt64(answer->received.position);
+    fields["heard"] = Json::UInt64(m_evidence.answers(now));
+    fields["after_ms"] = to_milliseconds(elapsed());
+    log("chose the member to promote as successor", std::move(fields));
+    acquire_lock();
+}
+
+std::optional<std::string> group_takeover::find_successor()
+{
+    auto const now = m_kernel.now();
+    auto const& old_leader = m_evidence.old_leader();
+    if (auto const final_position = m_evidence.final_position(now)) {
+        auto const holder = find_holder(*final_position);
+        auto const can_lead_again =
+            m_evidence.find_answer(old_leader, now) != nullptr && group().find_member(old_leader) != nullptr;
+        return holder || !can_lead_again ? holder : std::optional(old_leader);
+    }
+    if (is_handover(m_cause)) {
+        auto const* const leader = m_evidence.find_answer(old_leader, now);
+        if (leader != nullptr && !m_required_position) {
+            m_required_position = leader->received;
+        }
+        return leader != nullptr ? find_holder(*m_required_position) : std::nullopt;
+    }
+    auto const furthest = find_holder(m_evidence.furthest_position(now));
+    return furthest && holds_all_commits(*furthest) ? furthest : std::nullopt;
+}
+
+std::optional<std::string> group_takeover::find_holder(log_position position) const
+{
+    auto const drawbacks = [this](std::string const& id) -> std::optional<successor_drawbacks> {
+        auto const* const member = group().find_member(id);
+        if (member == nullptr) {
+            return std::nullopt;
+        }
+        successor_drawbacks found{member->entry.is_draining, group().is_evacuated(*member),
+                                  group().is_warming_up(*member)};
+        auto const is_no_better = (m_cause == takeover_cause::draining && found.is_leaving) ||
+                                  (m_cause == takeover_cause::evacuated && found.is_evacuated);
+        return is_no_better ? std::nullopt : std::optional(found);
+    };
+    return m_evidence.find_holder(position, drawbacks, m_kernel.now());
+}
+
+bool group_takeover::holds_all_commits(std::string const& member) const
+{
+    auto const now = m_kernel.now();
+    if (auto const final_position = m_evidence.final_position(now)) {
+        return m_evidence.holds(member, *final_position, now);
+    }
+    auto const are_replicas_stopped = !is_handover(m_cause) || m_phase >= phase::ordering;
+    return are_replicas_stopped && m_evidence.holds(member, m_evidence.furthest_position(now), now) &&
+           (m_evidence.have_all_stopped(now) || may_leave_out_replicas());
+}
+
+bool group_takeover::may_leave_out_replicas() const
+{
+    // While a replica or the old leader is unresponsive, both may still be serving callers on the other side
+    // of a partition.
+    auto const now = m_kernel.now();
+    auto const is_silent =
+        m_evidence.silent_replicas(now) > 0 || m_evidence.is_running(m_evidence.old_leader(), now);
+    return elapsed() >= (is_silent ? silent_replica_timeout : stopped_replica_timeout) &&
+           m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged();
+}
+
+bool group_takeover::is_old_leader_out_of_use()
+{
+    auto const now = m_kernel.now();
+    if (m_dependencies.deposes_replaced_leaders || is_handover(m_cause) || m_evidence.final_position(now)) {
+        return true;
+    }
+    if (!m_old_leader_expires_at) {
+        m_old_leader_expires_at = now + leadership_proof_lifetime + leadership_proof_margin;
+        start_timer(*m_old_leader_expires_at - now, [](group_takeover& self) { self.advance(); });
+    }
+    return now >= *m_old_leader_expires_at;
+}
+
+void group_takeover::start_fencing()
+{
+    set_phase(phase::fencing);
+    poll_fencing();
+}
+
+void group_takeover::poll_fencing()
+{
+    if (m_phase != phase::fencing) {
+        return;
+    }
+    send_commands();
+    start_timer(fenced_command_period, [](group_takeover& self) { self.poll_fencing(); });
+    finish_fencing();
+}
+
+void group_takeover::finish_fencing()
+{
+    auto const now = m_kernel.now();
+    auto const final_position = m_evidence.final_position(now);
+    if (!final_position) {
+        return;
+    }
+    if (m_evidence.holds(m_successor, *final_position, now)) {
+        start_ordering();
+        return;
+    }
+    m_fenced_since = m_fenced_since.value_or(now);
+    auto const holder = find_holder(*final_position);
+    if (now - *m_fenced_since < (holder ? fenced_command_period : max_catch_up_time)) {
+        return;
+    }
+    m_successor = holder.value_or(m_evidence.old_leader());
+    Json::Value fields(Json::objectValue);
+    fields["member"] = m_successor;
+    fields["position"] = Json::UInt64(final_position->position);
+    log("chose another member, since the successor lacks commits of the leader that stepped down",
+        std::move(fields));
+    acquire_lock();
+}
+
+void group_takeover::start_ordering()
+{
+    set_phase(phase::ordering);
+    send_commands();
+    send_order();
+}
+
+void group_takeover::acquire_lock()
+{
+    m_lock_acquired_at = m_kernel.now();
+    if (m_phase < phase::ordering) {
+        set_phase(phase::claiming);
+    }
+    m_dependencies.lock.acquire(m_dependencies.vm, m_name, m_successor,
+                                m_dependencies.deposes_replaced_leaders,
+                                [weak = weak_from_this()](absl::StatusOr<std::uint64_t> const& fence) {
+                                    auto const self = weak.lock();
+                                    if (self && !self->m_has_ended) {
+                                        self->handle_lock(fence);
+                                    }
+                                });
+}
+
+void group_takeover::handle_lock(absl::StatusOr<std::uint64_t> const& fence)
+{
+    if (!fence.ok()) {
+        auto const is_held_by_other = absl::IsAborted(fence.status());
+        if (is_held_by_other) {
+            m_dependencies.lock_changed(false);
+        }
+        // The VM that holds the lock may have ordered the replicas to stop, and still needs that.
+        end(is_held_by_other ? std::string(fence.status().message())
+                             : "store did not confirm the failover lock",
+            !is_held_by_other);
+        return;
+    }
+    m_fence = *fence;
+    m_dependencies.lock_changed(true);
+    if (m_phase == phase::ordering) {
+        send_order();
+    }
+    else if (is_handover(m_cause) && !m_evidence.final_position(m_kernel.now())) {
+        start_fencing();
+    }
+    else {
+        start_ordering();
+    }
+}
+
+bool group_takeover::may_order() const
+{
+    // Without a check of fences, a delayed order for another member would replace the new leader.
+    auto const& last = m_dependencies.last_order;
+    return m_dependencies.deposes_replaced_leaders || !last || last->member == m_successor ||
+           m_kernel.now() - last->sent_at >= max_order_delay;
+}
+
+void group_takeover::send_order()
+{
+    m_control.check_connections();
+    if (!holds_all_commits(m_successor)) {
+        handle_missing_evidence();
+        return;
+    }
+    if (++m_order_attempts > max_order_attempts) {
+        end("platform did not accept a promotion order within the maximum number of attempts", true);
+        return;
+    }
+    if (!may_order()) {
+        end("platform may still carry out an unanswered order for another member", true);
+        return;
+    }
+    if (m_kernel.now() - m_lock_acquired_at > max_lock_age) {
+        // Another VM may have acquired the lock in the meantime.
+        acquire_lock();
+        return;
+    }
+    promotion_order const order{m_name, m_successor, m_dependencies.vm, m_fence};
+    m_dependencies.last_order = {m_successor, m_kernel.now()};
+    m_dependencies.promote(
+        order, m_kernel.guard<absl::Status>([weak = weak_from_this()](absl::Status const& status) {
+            auto const self = weak.lock();
+            if (self && !self->m_has_ended) {
+                self->handle_order_answer(status);
+            }
+        }));
+}
+
+void group_takeover::handle_missing_evidence()
+{
+    log("what members reported does not show that the successor holds all commits");
+    if (is_handover(m_cause) || m_order_attempts > 0) {
+        start_timer(command_period, [](group_takeover& self) { self.send_order(); });
+        return;
+    }
+    m_successor.clear();
+    set_phase(phase::surveying);
+}
+
+void group_takeover::handle_order_answer(absl::Status const& status)
+{
+    Json::Value fields(Json::objectValue);
+    fields["member"] = m_successor;
+    fields["fence"] = Json::UInt64(m_fence);
+    fields["answer"] = status.ok() ? "accepted" : std::string(status.message());
+    log("platform answered the promotion order", std::move(fields));
+    // Earlier attempts were not answered and may still be carried out.
+    if (m_order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status))) {
+        m_dependencies.last_order.reset();
+    }
+    if (status.ok()) {
+        set_phase(phase::confirming);
+        await_leadership(0);
+        return;
+    }
+    if (absl::IsFailedPrecondition(status)) {
+        // The fence is too low or the member is not running; the next takeover acquires the lock again.
+        m_dependencies.lock_changed(false);
+        end("platform refused the promotion order", true);
+        return;
+    }
+    start_timer(order_retry_delay, [](group_takeover& self) { self.send_order(); });
+}
+
+void group_takeover::await_leadership(int tries)
+{
+    auto const* const known = group().find_member(m_successor);
+    if (known != nullptr && known->confirmed_term >= m_term) {
+        end("done", false);
+        return;
+    }
+    if (tries >= max_leadership_polls) {
+        end("successor did not confirm its leadership in time", true);
+        return;
+    }
+    group().probe_member(m_successor, control_account);
+    start_timer(leadership_poll_period, [tries](group_takeover& self) { self.await_leadership(tries + 1); });
+}
+
+void group_takeover::end(std::string_view outcome, bool must_resume)
+{
+    if (std::exchange(m_has_ended, true)) {
+        return;
+    }
+    auto const keep_alive = shared_from_this();
+    Json::Value fields(Json::objectValue);
+    fields["outcome"] = std::string(outcome);
+    fields["after_ms"] = to_milliseconds(elapsed());
+    log("takeover ended", std::move(fields));
+    if (must_resume && m_has_interfered) {
+        m_control.resume_receiving(m_evidence.old_leader());
+    }
+    m_dependencies.ended();
+}
+
+void group_takeover::start_timer(duration delay, std::function<void(group_takeover&)> callback)
+{
+    m_kernel.start_timer(delay, [weak = weak_from_this(), callback = std::move(callback)] {
+        auto const self = weak.lock();
+        if (self && !self->m_has_ended) {
+            callback(*self);
+        }
+    });
+}
+
+void group_takeover::log(std::string_view message, Json::Value fields) const
+{
+    fields["group"] = m_name;
+    m_kernel.log(log_level::info, "takeover", message, std::move(fields));
+}
+
+void group_takeover::log_status(std::string const& member, replication_status const& status) const
+{
+    auto const* const known = m_evidence.find_answer(member, m_kernel.now());
+    if (known != nullptr && known->role == status.role && known->received == status.received &&
+        known->stopped_at_term == status.stopped_at_term) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["member"] = member;
+    fields["is_primary"] = status.role == member_role::primary;
+    fields["known_term"] = Json::UInt64(status.term);
+    fields["term"] = Json::UInt64(status.received.term);
+    fields["position"] = Json::UInt64(status.received.position);
+    fields["stopped_at_term"] = Json::UInt64(status.stopped_at_term);
+    log("member reported its replication status for the takeover", std::move(fields));
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/group_takeover.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <absl/status/statusor.h>
+
+#include "base/enum_names.h"
+#include "failover/failover_lock.h"
+#include "failover/member_control.h"
+#include "failover/takeover_evidence.h"
+#include "kernel/kernel.h"
+#include "members/group_registry.h"
+
+namespace greengagehitch {
+
+/// Order to the platform to make a member the leader of its group. The platform refuses an order whose fence
+/// is lower than one that it received before for the group, so that a delayed order does not override a newer
+/// one.
+struct promotion_order {
+    std::string group;
+    std::string member;
+    std::string holder;      ///< Name of the VM that holds the failover lock and sends the order.
+    std::uint64_t fence = 0; ///< Fence of the lock; increases whenever the holder or the member changes.
+};
+
+/// Sends a promotion order. kOk means that the order was accepted and kFailedPrecondition that it was refused
+/// permanently; after any other error it is unknown whether the platform will carry out the order.
+using promotion_hook = std::function<void(promotion_order const&, std::function<void(absl::Status)>)>;
+
+enum class takeover_cause { suspected, draining, vanished, evacuated };
+
+inline constexpr std::array takeover_cause_names{
+    enum_name<takeover_cause>{takeover_cause::suspected, "suspected"},
+    enum_name<takeover_cause>{takeover_cause::draining, "draining"},
+    enum_name<takeover_cause>{takeover_cause::vanished, "vanished"},
+    enum_name<takeover_cause>{takeover_cause::evacuated, "evacuated"},
+};
+
+/// Returns whether the replaced leader still serves. Such a leader steps down before its successor is
+/// ordered.
+constexpr bool is_handover(takeover_cause cause)
+{
+    return cause == takeover_cause::draining || cause == takeover_cause::evacuated;
+}
+
+/// Promotion order that was not answered, so that the platform may still carry it out.
+struct unanswered_order {
+    std::string member;
+    monotonic_time sent_at;
+};
+
+/// Replacement of the leader of one group, from the search for a successor until it leads.
+///
+/// A successor must hold every acknowledged commit (see takeover_evidence). Its order needs the group's
+/// failover lock, which one VM holds at a time. A leader that still serves steps down once a replica has
+/// caught up and the lock is held, and its successor is ordered once it holds the position with which the
+/// leader stepped down; until then, callers are served as usual. All orders to members are repeated until the
+/// successor leads, since a member that restarts forgets them.
+class group_takeover : public std::enable_shared_from_this<group_takeover> {
+public:
+    struct dependencies {
+        kernel& core;
+        failover_lock& lock;
+        backend_connection_hooks const& connection_hooks;
+        promotion_hook const& promote;
+        group_registry& groups;
+        std::string vm;                ///< Name of this VM.
+        bool deposes_replaced_leaders; ///< Whether a promotion ends the replaced leader's leadership at once.
+        /// Returns the highest position that any VM reported as acknowledged in the group.
+        std::function<log_position()> highest_acknowledged;
+        /// Last order of the group that was not answered; outlives the takeover.
+        std::optional<unanswered_order>& last_order;
+        /// Called when the failover lock was acquired, or turned out to be another VM's.
+        std::function<void(bool is_held)> lock_changed;
+        /// Called once, when the takeover ends.
+        std::function<void()> ended;
+    };
+
+    group_takeover(std::string group, takeover_cause cause, std::string const& old_leader,
+                   std::uint64_t new_term, dependencies dependencies);
+
+    /// Sends the first commands.
+    void start();
+    /// Repeats the commands and checks the time limits. To be called about ten times a second.
+    void tick();
+
+    takeover_cause cause() const { return m_cause; }
+    /// Returns whether members have been ordered anything that callers notice.
+    bool has_interfered() const { return m_has_interfered; }
+    duration elapsed() const { return m_kernel.now() - m_started_at; }
+
+private:
+    enum class phase {
+        surveying,  ///< Members are asked for their status, or ordered to stop, until a successor is found.
+        claiming,   ///< The failover lock is being acquired.
+        fencing,    ///< A leader that still serves is ordered to step down.
+        ordering,   ///< The promotion is ordered until the platform answers.
+        confirming, ///< The order was accepted; the successor is asked until it leads.
+    };
+
+    database_group& group() const { return m_dependencies.groups.group(m_name); }
+    void set_phase(phase next);
+    duration time_limit() const;
+
+    void send_commands();
+    std::optional<command_kind> command_for(std::string const& member) const;
+    void handle_status(std::string const& member, replication_status const& status);
+    void handle_not_running(std::string const& member);
+    void handle_lost(std::string const& member, member_error error);
+
+    /// Takes the next step if what is known of the members allows it.
+    void advance();
+    void choose_successor();
+    void start_fencing();
+    void poll_fencing();
+    /// Orders a successor of the leader that has stepped down, or lets that leader lead again.
+    void finish_fencing();
+    void start_ordering();
+    std::optional<std::string> find_successor();
+    std::optional<std::string> find_holder(log_position position) const;
+    /// Returns whether the member holds all commits that were or may be acknowledged.
+    bool holds_all_commits(std::string const& member) const;
+    /// Returns whether replicas without an answer may be left out, since they hardly hold commits that the
+    /// others lack.
+    bool may_leave_out_replicas() const;
+    /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
+    bool is_old_leader_out_of_use();
+
+    void acquire_lock();
+    void handle_lock(absl::StatusOr<std::uint64_t> const& fence);
+    bool may_order() const;
+    void send_order();
+    void handle_missing_evidence();
+    void handle_order_answer(absl::Status const& status);
+    void await_leadership(int tries);
+    void end(std::string_view outcome, bool must_resume);
+
+    /// Starts a timer that is ignored once the takeover has ended.
+    void start_timer(duration delay, std::function<void(group_takeover&)> callback);
+    void log(std::string_view message, Json::Value fields = {}) const;
+    void log_status(std::string const& member, replication_status const& status) const;
+
+    std::string m_name; ///< Name of the group.
+    takeover_cause m_cause;
+    dependencies m_dependencies;
+    kernel& m_kernel;
+    std::uint64_t m_term; ///< Term of the new leader.
+    takeover_evidence m_evidence;
+    member_control m_control;
+    phase m_phase = phase::surveying;
+    monotonic_time m_started_at;
+    monotonic_time m_phase_since;
+    monotonic_time m_commands_sent_at;
+    /// Position of a leader that still serves, which a successor must have received before the leader steps
+    /// down.
+    std::optional<log_position> m_required_position;
+    std::string m_successor; ///< Id of the chosen member; empty while surveying.
+    std::uint64_t m_fence = 0;
+    monotonic_time m_lock_acquired_at;
+    /// Time at which all proofs of the old leader's leadership have expired; set once the replicas whose
+    /// answers are needed have stopped receiving.
+    std::optional<monotonic_time> m_old_leader_expires_at;
+    std::optional<monotonic_time>
+        m_fenced_since;       ///< Time at which the old leader was seen to have stepped down.
+    int m_order_attempts = 0; ///< Number of promotion orders that were attempted.
+    bool m_has_interfered;    ///< Whether members were ordered anything that callers notice.
+    bool m_has_ended = false;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/member_control.cpp
@@ -0,0 +1,101 @@
+#include "failover/member_control.h"
+
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+/// Time after which a member that does not answer is treated as unreachable.
+constexpr duration command_timeout = std::chrono::milliseconds(500);
+/// Placeholder account for connections that belong to no client account.
+constexpr auto control_account = "-";
+
+/// Returns whether a connection that failed at once with this error shows that the member is not running on
+/// its machine. A missing answer may be due to a partition.
+constexpr bool shows_absence(member_error error)
+{
+    return error == member_error::refused || error == member_error::wrong_member;
+}
+
+} // namespace
+
+void member_control::send(member_entry const& member, member_command const& command)
+{
+    auto const& id = member.id;
+    auto& connection = m_connections[id];
+    if (connection && connection->is_open()) {
+        send_on(*connection, id, command);
+        return;
+    }
+    if (connection && !connection->is_closed()) {
+        return;
+    }
+    connection = std::make_shared<backend_connection>(
+        m_kernel, m_connection_hooks,
+        backend_connection_target{member.address, m_group, id, control_account});
+    connection->open(command_timeout, [this, id, command, events = std::weak_ptr(m_events),
+                                       opened = std::weak_ptr(connection),
+                                       started_at = m_kernel.now()](member_answer const& answer) {
+        auto const receiver = events.lock();
+        auto const current = opened.lock();
+        if (!receiver || !current) {
+            return;
+        }
+        if (answer.is_ok()) {
+            send_on(*current, id, command);
+        }
+        else if (m_kernel.now() - started_at < command_timeout && shows_absence(*answer.error)) {
+            receiver->not_running(id);
+        }
+    });
+}
+
+void member_control::check_connections()
+{
+    std::vector<std::string> lost;
+    for (auto const& [id, connection] : m_connections) {
+        if (connection->is_closed()) {
+            lost.push_back(id);
+        }
+    }
+    for (auto const& id : lost) {
+        m_connections.erase(id);
+        m_events->lost(id, member_error::connection_lost);
+    }
+}
+
+void member_control::resume_receiving(std::string const& excluded)
+{
+    for (auto const& [id, connection] : m_connections) {
+        if (!connection->is_open() || id == excluded) {
+            continue;
+        }
+        member_command resume;
+        resume.kind = command_kind::resume_receiving;
+        // The connection stays open until the member has answered.
+        connection->send({resume}, command_timeout,
+                         [open = connection](std::vector<member_answer> const&) {});
+    }
+}
+
+void member_control::send_on(backend_connection& connection, std::string const& id,
+                             member_command const& command)
+{
+    connection.send({command}, command_timeout,
+                    [id, events = std::weak_ptr(m_events)](std::vector<member_answer> const& answers) {
+                        auto const receiver = events.lock();
+                        if (!receiver) {
+                            return;
+                        }
+                        auto const& answer = answers.front();
+                        if (answer.is_ok() && answer.replication) {
+                            receiver->answered(id, *answer.replication);
+                        }
+                        else {
+                            receiver->lost(id, answer.error.value_or(member_error::malformed));
+                        }
+                    });
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/member_control.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/member_entry.h"
+#include "kernel/kernel.h"
+#include "members/backend_connection.h"
+
+namespace greengagehitch {
+
+/// Connections on which a takeover orders the members of a group and asks for their status. Members answer
+/// such commands without a slot.
+class member_control {
+public:
+    struct event_hooks {
+        std::function<void(std::string const& member, replication_status const&)> answered;
+        /// The member's machine refused the connection, or another member runs at its address.
+        std::function<void(std::string const& member)> not_running;
+        /// The connection was lost, so the member may have restarted.
+        std::function<void(std::string const& member, member_error)> lost;
+    };
+
+    member_control(kernel& kernel, backend_connection_hooks const& connection_hooks, std::string group,
+                   event_hooks events)
+        : m_kernel(kernel), m_connection_hooks(connection_hooks), m_group(std::move(group)),
+          m_events(std::make_shared<event_hooks>(std::move(events)))
+    {
+    }
+
+    /// Sends a command, and opens a connection first if there is none. Nothing is sent while it is being
+    /// opened.
+    void send(member_entry const& member, member_command const& command);
+
+    /// Reports the connections that were lost since the last call.
+    void check_connections();
+
+    /// Lets the members receive again, except for `excluded`.
+    void resume_receiving(std::string const& excluded);
+
+private:
+    void send_on(backend_connection& connection, std::string const& id, member_command const& command);
+
+    kernel& m_kernel;
+    backend_connection_hooks const& m_connection_hooks;
+    std::string m_group;
+    std::map<std::string, backend_connection_pointer> m_connections; ///< Keyed by member id.
+    /// Destroyed before the connections, which report their end when they are destroyed.
+    std::shared_ptr<event_hooks> m_events;
+};
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/takeover_evidence.cpp
@@ -0,0 +1,133 @@
+#include "failover/takeover_evidence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehitch {
+
+namespace {
+
+/// Time for which an answer, or a refused connection, counts. Members are asked several times within it.
+constexpr duration answer_lifetime = std::chrono::milliseconds(800);
+
+} // namespace
+
+bool takeover_evidence::is_current(monotonic_time at, monotonic_time now) const
+{
+    return now - at <= answer_lifetime;
+}
+
+void takeover_evidence::record_status(std::string const& member, replication_status const& status,
+                                      monotonic_time now)
+{
+    m_not_running.erase(member);
+    m_answers[member] = {status, now};
+    if (status.role == member_role::primary && status.term + 1 == m_term && member != m_old_leader) {
+        m_old_leader = member;
+    }
+    m_replicas.erase(m_old_leader);
+    if (member != m_old_leader) {
+        return;
+    }
+    m_final_position.reset();
+    if (status.role == member_role::replica) {
+        m_final_position = status.received;
+        m_final_since = now;
+    }
+}
+
+bool takeover_evidence::record_not_running(std::string const& member, monotonic_time now)
+{
+    m_answers.erase(member);
+    if (member == m_old_leader) {
+        m_final_since = now;
+    }
+    return m_not_running.insert_or_assign(member, now).second;
+}
+
+bool takeover_evidence::discard_answer(std::string const& member)
+{
+    if (member == m_old_leader) {
+        // It may have restarted as the leader, so the position counts again only once this is ruled out.
+        m_final_since.reset();
+    }
+    return m_answers.erase(member) != 0;
+}
+
+replication_status const* takeover_evidence::find_answer(std::string const& member, monotonic_time now) const
+{
+    auto const found = m_answers.find(member);
+    return found != m_answers.end() && is_current(found->second.received_at, now) ? &found->second.status
+                                                                                  : nullptr;
+}
+
+std::size_t takeover_evidence::answers(monotonic_time now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_answers.begin(), m_answers.end(), [&](auto const& each) {
+        return find_answer(each.first, now) != nullptr;
+    }));
+}
+
+bool takeover_evidence::is_running(std::string const& member, monotonic_time now) const
+{
+    auto const found = m_not_running.find(member);
+    return found == m_not_running.end() || !is_current(found->second, now);
+}
+
+std::optional<log_position> takeover_evidence::final_position(monotonic_time now) const
+{
+    return m_final_since && is_current(*m_final_since, now) ? m_final_position : std::nullopt;
+}
+
+bool takeover_evidence::have_all_stopped(monotonic_time now) const
+{
+    return std::all_of(m_replicas.begin(), m_replicas.end(), [&](std::string const& id) {
+        auto const* const answer = find_answer(id, now);
+        // A leader of an older term receives nothing from the old leader.
+        return answer != nullptr &&
+               (answer->stopped_at_term >= m_term || answer->role == member_role::primary);
+    });
+}
+
+std::size_t takeover_evidence::silent_replicas(monotonic_time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_replicas.begin(), m_replicas.end(), [&](std::string const& id) {
+            return find_answer(id, now) == nullptr && is_running(id, now);
+        }));
+}
+
+log_position takeover_evidence::furthest_position(monotonic_time now) const
+{
+    log_position furthest;
+    for (auto const& id : m_replicas) {
+        if (auto const* const answer = find_answer(id, now)) {
+            furthest = std::max(furthest, answer->received);
+        }
+    }
+    return furthest;
+}
+
+bool takeover_evidence::holds(std::string const& member, log_position position, monotonic_time now) const
+{
+    auto const* const answer = find_answer(member, now);
+    return answer != nullptr && answer->received >= position;
+}
+
+std::optional<std::string> takeover_evidence::find_holder(log_position position,
+                                                          drawbacks_hook const& drawbacks,
+                                                          monotonic_time now) const
+{
+    std::optional<std::string> best;
+    std::optional<successor_drawbacks> fewest;
+    for (auto const& id : m_replicas) {
+        auto const own = drawbacks(id);
+        if (own && holds(id, position, now) && (!fewest || *own < *fewest)) {
+            best = id;
+            fewest = own;
+        }
+    }
+    return best;
+}
+
+} // namespace greengagehitch
--- /dev/null
+++ b/libraries/failover/takeover_evidence.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "base/time.h"
+#include "members/member_command.h"
+
+namespace greengagehitch {
+
+/// Reasons against a member as leader. Members compare by the most important reason first.
+struct successor_drawbacks {
+    bool is_leaving = false;
+    bool is_evacuated = false;
+    bool is_warming_up = false;
+    auto operator<=>(successor_drawbacks const&) const = default;
+};
+
+/// What the VM that runs a takeover knows about the members of the group.
+///
+/// A leader acknowledges a commit as soon as one replica has received it, and a VM may not know all replicas.
+/// No acknowledged commit is lost if the old leader has stepped down and the successor holds its position.
+/// Only if the old leader cannot be reached, the successor has to be the furthest of the replicas, all of
+/// which must have stopped receiving. A member that restarts forgets both orders, so an answer counts for a
+/// short time only and has to be confirmed again and again.
+class takeover_evidence {
+public:
+    /// Returns the drawbacks of a member as leader, or std::nullopt if it cannot be ordered to lead.
+    using drawbacks_hook = std::function<std::optional<successor_drawbacks>(std::string const& member)>;
+
+    /// `term` is the term of the successor.
+    takeover_evidence(std::string old_leader, std::uint64_t term)
+        : m_old_leader(std::move(old_leader)), m_term(term)
+    {
+    }
+
+    std::string const& old_leader() const { return m_old_leader; }
+
+    /// Sets the ids of all replicas that may have received commits.
+    void set_replicas(std::set<std::string> replicas) { m_replicas = std::move(replicas); }
+
+    /// Records an answer of a member. A member that leads the term before the successor's is the old leader
+    /// after a restart under another id.
+    void record_status(std::string const& member, replication_status const& status, monotonic_time now);
+    /// Records that a member's process does not run. Returns true if this is new.
+    bool record_not_running(std::string const& member, monotonic_time now);
+    /// Discards the last answer of a member whose connection was lost, since the member may have restarted.
+    /// Returns false if there is none.
+    bool discard_answer(std::string const& member);
+
+    /// Returns the last answer of a member if it still counts.
+    replication_status const* find_answer(std::string const& member, monotonic_time now) const;
+    std::size_t answers(monotonic_time now) const;
+    bool is_running(std::string const& member, monotonic_time now) const;
+
+    /// Position of the old leader if it has stepped down. It has acknowledged no commit above it.
+    std::optional<log_position> final_position(monotonic_time now) const;
+
+    /// Returns whether every known replica has answered and has stopped receiving.
+    bool have_all_stopped(monotonic_time now) const;
+    /// Number of replicas that neither answer nor are known not to run.
+    std::size_t silent_replicas(monotonic_time now) const;
+
+    /// Highest position that an answer of a replica reports.
+    log_position furthest_position(monotonic_time now) const;
+    /// Returns whether a member reports that it holds `position`.
+    bool holds(std::string const& member, log_position position, monotonic_time now) const;
+    /// Returns the replica with the fewest drawbacks of those that hold `position`.
+    std::optional<std::string> find_holder(log_position position, drawbacks_hook const& drawbacks,
+                                           monotonic_time now) const;
+
+private:
+    struct member_answer_record {
+        replication_status status;
+        monotonic_time received_at;
+    };
+
+    bool is_current(monotonic_time at, monotonic_time now) const;
+
+    std::string m_old_leader;
+    std::uint64_t m_term;
+    std::set<std::string> m_replicas;
+    std::optional<log_position> m_final_position; ///< Position with which the old leader stepped down.
+    std::optional<monotonic_time> m_final_since;  ///< Time at which `m_final_position` was last confirmed.
+    std::map<std::string, member_answer_record> m_answers; ///< Keyed by member id.
+    std::map<std::string, monotonic_time> m_not_running;   ///< Time of the last refusal, keyed by member id.
+};
+
+} // namespace greengagehitch
