failover: Take a refused connection as a stopped member only while its zone is in contact

A zone is cut off from the others from 20.8 to 23.3 s; the cut refuses connections, and the store is in reach on both sides. The VMs in the zone took the leader and a replica in other zones as not running, since they refused connections, waited 1.3 s as for stopped replicas, got the lock and ordered their own replica, while the leader went on acknowledging.

A refusal now counts as the member's only while its zone is in contact: VMs there were heard, or a member there answers. A replica without contact is left out only if the old leader surely does not run; the 11 s for silent replicas rest on the other side having lost the store, which it need not.

The new test of zone_partition_tests.cpp, zone_whose_connections_are_refused_replaces_no_leader_though_it_reaches_the_store, ordered 1 promotion on the code before and none now; all 73 tests of sessions pass.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -51,7 +51,7 @@
                 {[this](std::string const& member, replication_status const& status) {
                      handle_status(member, status);
                  },
-                 [this](std::string const& member) { handle_not_running(member); },
+                 [this](std::string const& member) { handle_refusal(member); },
                  [this](std::string const& member, member_error error) { handle_lost(member, error); }}),
       m_started_at(m_kernel.now()), m_phase_since(m_started_at), m_has_interfered(!is_handover(cause))
 {
@@ -119,15 +119,15 @@
 {
     m_commands_sent_at = m_kernel.now();
     m_control.check_connections();
-    std::map<std::string, member_entry> targets;
+    m_targets.clear();
     for (auto const& [id, member] : group().members()) {
-        targets[id] = member.entry;
+        m_targets[id] = member.entry;
     }
     for (auto const& [id, former] : group().former_members()) {
-        targets[id] = former.entry;
+        m_targets[id] = former.entry;
     }
     std::set<std::string> replicas;
-    for (auto const& [id, entry] : targets) {
+    for (auto const& [id, entry] : m_targets) {
         if (id != m_evidence.old_leader()) {
             replicas.insert(id);
         }
@@ -136,7 +136,7 @@
     if (auto const* const leader = m_evidence.find_answer(m_evidence.old_leader(), m_kernel.now())) {
         m_required_position = leader->received;
     }
-    for (auto const& [id, entry] : targets) {
+    for (auto const& [id, entry] : m_targets) {
         if (auto const kind = command_for(id)) {
             member_command command;
             command.kind = *kind;
@@ -146,12 +146,13 @@
     }
 }
 
-void group_takeover::handle_not_running(std::string const& member)
+void group_takeover::handle_refusal(std::string const& member)
 {
-    if (m_evidence.record_not_running(member, m_kernel.now())) {
+    if (m_evidence.record_refusal(member, m_kernel.now())) {
         Json::Value fields(Json::objectValue);
         fields["member"] = member;
-        log("member refused the connection; treating it as not running", std::move(fields));
+        fields["has_contact"] = has_contact(member);
+        log("member refused the connection", std::move(fields));
     }
     advance();
 }
@@ -266,13 +267,40 @@
 
 bool group_takeover::may_leave_out_replicas() const
 {
-    // While a replica or the old leader is unresponsive, both may still be serving callers on the other side
-    // of a partition.
     auto const now = m_kernel.now();
-    auto const is_silent =
-        m_evidence.silent_replicas(now) > 0 || m_evidence.is_running(m_evidence.old_leader(), now);
-    return elapsed() >= (is_silent ? silent_replica_timeout : stopped_replica_timeout) &&
-           m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged();
+    auto const is_leader_down = is_known_not_to_run(m_evidence.old_leader());
+    auto timeout = is_leader_down ? stopped_replica_timeout : silent_replica_timeout;
+    for (auto const& id : m_evidence.unanswered(now)) {
+        if (is_known_not_to_run(id)) {
+            continue;
+        }
+        if (!has_contact(id) && !is_leader_down) {
+            // Both may be serving callers on the other side of a partition, also with the store in reach.
+            return false;
+        }
+        timeout = silent_replica_timeout;
+    }
+    return elapsed() >= timeout && m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged();
+}
+
+bool group_takeover::has_contact(std::string const& member) const
+{
+    auto const found = m_targets.find(member);
+    if (found == m_targets.end()) {
+        return false;
+    }
+    auto const& zone = found->second.availability_zone;
+    auto const now = m_kernel.now();
+    return m_dependencies.hears_zone(zone) ||
+           std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
+               return each.second.availability_zone == zone &&
+                      m_evidence.find_answer(each.first, now) != nullptr;
+           });
+}
+
+bool group_takeover::is_known_not_to_run(std::string const& member) const
+{
+    return m_evidence.refuses_connections(member, m_kernel.now()) && has_contact(member);
 }
 
 bool group_takeover::is_old_leader_out_of_use()
@@ -419,8 +447,9 @@
 
 void group_takeover::handle_missing_evidence()
 {
+    auto const can_change = !is_handover(m_cause) && find_successor() != m_successor;
     log("what members reported does not show that the successor holds all commits");
-    if (is_handover(m_cause) || m_order_attempts > 0) {
+    if (!can_change) {
         start_timer(command_period, [](group_takeover& self) { self.send_order(); });
         return;
     }
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -72,6 +73,8 @@
         bool deposes_replaced_leaders; ///< Whether a promotion ends the replaced leader's leadership at once.
         /// Returns the highest position that any VM reported as acknowledged in the group.
         std::function<log_position()> highest_acknowledged;
+        /// Returns whether VMs of the availability zone were heard recently.
+        std::function<bool(std::string const& zone)> hears_zone;
         /// Last order of the group that was not answered; outlives the takeover.
         std::optional<unanswered_order>& last_order;
         /// Called when the failover lock was acquired, or turned out to be another VM's.
@@ -109,7 +112,7 @@
     void send_commands();
     std::optional<command_kind> command_for(std::string const& member) const;
     void handle_status(std::string const& member, replication_status const& status);
-    void handle_not_running(std::string const& member);
+    void handle_refusal(std::string const& member);
     void handle_lost(std::string const& member, member_error error);
 
     /// Takes the next step if what is known of the members allows it.
@@ -127,6 +130,10 @@
     /// Returns whether replicas without an answer may be left out, since they hardly hold commits that the
     /// others lack.
     bool may_leave_out_replicas() const;
+    /// Returns whether the member's availability zone can be reached, so that a refused connection is the
+    /// member's own.
+    bool has_contact(std::string const& member) const;
+    bool is_known_not_to_run(std::string const& member) const;
     /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
     bool is_old_leader_out_of_use();
 
@@ -150,6 +157,7 @@
     kernel& m_kernel;
     std::uint64_t m_term; ///< Term of the new leader.
     takeover_evidence m_evidence;
+    std::map<std::string, member_entry> m_targets; ///< Members that commands are sent to, keyed by id.
     member_control m_control;
     phase m_phase = phase::surveying;
     monotonic_time m_started_at;
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -13,7 +13,7 @@
 
 /// Returns whether a connection that failed at once with this error shows that the member is not running on
 /// its machine. A missing answer may be due to a partition.
-constexpr bool shows_absence(member_error error)
+constexpr bool is_refusal(member_error error)
 {
     return error == member_error::refused || error == member_error::wrong_member;
 }
@@ -45,8 +45,8 @@
         if (answer.is_ok()) {
             send_on(*current, id, command);
         }
-        else if (m_kernel.now() - started_at < command_timeout && shows_absence(*answer.error)) {
-            receiver->not_running(id);
+        else if (m_kernel.now() - started_at < command_timeout && is_refusal(*answer.error)) {
+            receiver->refused(id);
         }
     });
 }
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -18,8 +18,8 @@
 public:
     struct event_hooks {
         std::function<void(std::string const& member, replication_status const&)> answered;
-        /// The member's machine refused the connection, or another member runs at its address.
-        std::function<void(std::string const& member)> not_running;
+        /// The connection was refused at once, or another member runs at the member's address.
+        std::function<void(std::string const& member)> refused;
         /// The connection was lost, so the member may have restarted.
         std::function<void(std::string const& member, member_error)> lost;
     };
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -20,7 +20,7 @@
 void takeover_evidence::record_status(std::string const& member, replication_status const& status,
                                       monotonic_time now)
 {
-    m_not_running.erase(member);
+    m_refused_at.erase(member);
     m_answers[member] = {status, now};
     if (status.role == member_role::primary && status.term + 1 == m_term && member != m_old_leader) {
         m_old_leader = member;
@@ -36,13 +36,13 @@
     }
 }
 
-bool takeover_evidence::record_not_running(std::string const& member, monotonic_time now)
+bool takeover_evidence::record_refusal(std::string const& member, monotonic_time now)
 {
     m_answers.erase(member);
     if (member == m_old_leader) {
         m_final_since = now;
     }
-    return m_not_running.insert_or_assign(member, now).second;
+    return m_refused_at.insert_or_assign(member, now).second;
 }
 
 bool takeover_evidence::discard_answer(std::string const& member)
@@ -68,10 +68,10 @@
     }));
 }
 
-bool takeover_evidence::is_running(std::string const& member, monotonic_time now) const
+bool takeover_evidence::refuses_connections(std::string const& member, monotonic_time now) const
 {
-    auto const found = m_not_running.find(member);
-    return found == m_not_running.end() || !is_current(found->second, now);
+    auto const found = m_refused_at.find(member);
+    return found != m_refused_at.end() && is_current(found->second, now);
 }
 
 std::optional<log_position> takeover_evidence::final_position(monotonic_time now) const
@@ -89,12 +89,15 @@
     });
 }
 
-std::size_t takeover_evidence::silent_replicas(monotonic_time now) const
+std::vector<std::string> takeover_evidence::unanswered(monotonic_time now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_replicas.begin(), m_replicas.end(), [&](std::string const& id) {
-            return find_answer(id, now) == nullptr && is_running(id, now);
-        }));
+    std::vector<std::string> ids;
+    for (auto const& id : m_replicas) {
+        if (find_answer(id, now) == nullptr) {
+            ids.push_back(id);
+        }
+    }
+    return ids;
 }
 
 log_position takeover_evidence::furthest_position(monotonic_time now) const
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "members/member_command.h"
@@ -46,8 +47,8 @@
     /// Records an answer of a member. A member that leads the term before the successor's is the old leader
     /// after a restart under another id.
     void record_status(std::string const& member, replication_status const& status, monotonic_time now);
-    /// Records that a member's process does not run. Returns true if this is new.
-    bool record_not_running(std::string const& member, monotonic_time now);
+    /// Records that a connection to a member was refused. Returns true if this is new.
+    bool record_refusal(std::string const& member, monotonic_time now);
     /// Discards the last answer of a member whose connection was lost, since the member may have restarted.
     /// Returns false if there is none.
     bool discard_answer(std::string const& member);
@@ -55,15 +56,17 @@
     /// Returns the last answer of a member if it still counts.
     replication_status const* find_answer(std::string const& member, monotonic_time now) const;
     std::size_t answers(monotonic_time now) const;
-    bool is_running(std::string const& member, monotonic_time now) const;
+    /// Returns whether the member refuses connections. Its process does not run if its machine can be
+    /// reached; a network partition may refuse connections as well.
+    bool refuses_connections(std::string const& member, monotonic_time now) const;
 
     /// Position of the old leader if it has stepped down. It has acknowledged no commit above it.
     std::optional<log_position> final_position(monotonic_time now) const;
 
     /// Returns whether every known replica has answered and has stopped receiving.
     bool have_all_stopped(monotonic_time now) const;
-    /// Number of replicas that neither answer nor are known not to run.
-    std::size_t silent_replicas(monotonic_time now) const;
+    /// Returns the replicas without an answer that counts.
+    std::vector<std::string> unanswered(monotonic_time now) const;
 
     /// Highest position that an answer of a replica reports.
     log_position furthest_position(monotonic_time now) const;
@@ -87,7 +90,7 @@
     std::optional<log_position> m_final_position; ///< Position with which the old leader stepped down.
     std::optional<monotonic_time> m_final_since;  ///< Time at which `m_final_position` was last confirmed.
     std::map<std::string, member_answer_record> m_answers; ///< Keyed by member id.
-    std::map<std::string, monotonic_time> m_not_running;   ///< Time of the last refusal, keyed by member id.
+    std::map<std::string, monotonic_time> m_refused_at;    ///< Time of the last refusal, keyed by member id.
 };
 
 } // namespace greengagehitch
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -146,6 +146,7 @@
         m_membership->identity().name,
         m_deposes_replaced_leaders,
         [this, name] { return m_reports->assessment_of(m_groups->group(name)).highest; },
+        [this](std::string const& zone) { return m_reports->hears_zone(zone); },
         m_last_orders[name],
         [this, name](bool is_held) {
             if (!is_held) {
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -596,6 +596,16 @@
     return now - received_at > max_recent_report_age() && has_lost_store_since(received_at);
 }
 
+bool report_service::hears_zone(std::string const& zone) const
+{
+    if (zone == m_membership->identity().availability_zone) {
+        return true;
+    }
+    auto const found = m_zones->reports().find(zone);
+    return found != m_zones->reports().end() &&
+           m_kernel.now() - found->second.received_at <= max_recent_report_age();
+}
+
 std::vector<std::string> report_service::peers_with_store() const
 {
     auto names = zone_peers_with_store();
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -75,6 +75,9 @@
     /// network partition of this VM is then more likely than a failure of all other zones and of the store.
     bool is_cut_off() const;
 
+    /// Returns whether VMs of the zone were heard recently; true for this VM's own zone.
+    bool hears_zone(std::string const& zone) const;
+
     /// Returns the peers that reported recently that they can reach the platform's store.
     std::vector<std::string> peers_with_store() const;
 
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -174,6 +174,15 @@
     }
 }
 
+void session_fleet::set_zone_refused(std::string const& zone, bool is_refused)
+{
+    set_zone_cut(zone, is_refused);
+    m_are_connections_refused = is_refused;
+    for (auto const& each : m_vms) {
+        each->can_reach_store = true;
+    }
+}
+
 void session_fleet::change_configuration(std::function<void(served_configuration&)> const& change)
 {
     change(m_configuration);
@@ -284,6 +293,13 @@
         [this, self](backend_connection_target const& target, backend_connection_events events) {
             auto const number = m_next_connection++;
             if (!can_reach_member(*self, target.member)) {
+                if (m_are_connections_refused) {
+                    run_after_latency(self->index, [opened = events.opened](session_vm&) {
+                        member_answer answer;
+                        answer.error = member_error::refused;
+                        opened(std::move(answer));
+                    });
+                }
                 return backend_connection_id{number};
             }
             m_member_of_connection[number] = target.member;
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -64,6 +64,9 @@
     /// Cuts a zone off from the other zones and the store, or reconnects it. The VMs of the zone still reach
     /// its members.
     void set_zone_cut(std::string const& zone, bool is_cut);
+    /// Cuts a zone off from the other zones only, or reconnects it. Connections to members across the cut are
+    /// refused instead of remaining without an answer.
+    void set_zone_refused(std::string const& zone, bool is_refused);
 
     /// Applies `change` to the configuration and increments its version. VMs receive it with the next
     /// periodic publication.
@@ -146,6 +149,7 @@
     std::map<std::uint64_t, std::size_t> m_vm_of_connection;                ///< Keyed by connection number.
     std::map<std::string, std::string> m_zone_of_member;                    ///< Keyed by member id.
     std::set<std::string> m_cut_zones;
+    bool m_are_connections_refused = false; ///< Whether connections across a cut are refused.
     std::uint64_t m_next_connection = 1;
     std::set<std::string> m_draining; ///< Ids of the draining members.
     std::set<std::string> m_unlisted; ///< Ids of the members that are not in the directory.
--- a/tests/failover/takeover_evidence_tests.cpp
+++ b/tests/failover/takeover_evidence_tests.cpp
@@ -55,7 +55,7 @@
     fixture.now += long_ago;
     fixture.answer("r1", 10, new_term);
     cr_assert(!fixture.evidence.have_all_stopped(fixture.now));
-    cr_assert(fixture.evidence.silent_replicas(fixture.now) == 1);
+    cr_assert(fixture.evidence.unanswered(fixture.now) == std::vector<std::string>{"r2"});
 }
 
 /// Guards against lost commits: a member that refused a connection may run again, and receive, soon
@@ -63,13 +63,13 @@
 Test(takeover_evidence, member_that_refused_a_connection_is_not_taken_as_stopped_for_good)
 {
     evidence_fixture fixture;
-    cr_assert(fixture.evidence.record_not_running("r2", fixture.now));
-    cr_assert(!fixture.evidence.is_running("r2", fixture.now));
+    cr_assert(fixture.evidence.record_refusal("r2", fixture.now));
+    cr_assert(fixture.evidence.refuses_connections("r2", fixture.now));
     fixture.now += long_ago;
-    cr_assert(fixture.evidence.is_running("r2", fixture.now));
-    fixture.evidence.record_not_running("r2", fixture.now);
+    cr_assert(!fixture.evidence.refuses_connections("r2", fixture.now));
+    fixture.evidence.record_refusal("r2", fixture.now);
     fixture.answer("r2", 10);
-    cr_assert(fixture.evidence.is_running("r2", fixture.now));
+    cr_assert(!fixture.evidence.refuses_connections("r2", fixture.now));
 }
 
 /// Guards against lost commits: an order to stop of an earlier takeover does not hold for the next term.
@@ -114,7 +114,7 @@
     evidence_fixture fixture;
     fixture.answer("leader", 12);
     fixture.evidence.discard_answer("leader");
-    fixture.evidence.record_not_running("leader", fixture.now);
+    fixture.evidence.record_refusal("leader", fixture.now);
     cr_assert(fixture.evidence.final_position(fixture.now) == log_position(old_term, 12));
     fixture.now += long_ago;
     cr_assert(!fixture.evidence.final_position(fixture.now));
--- a/tests/sessions/zone_partition_tests.cpp
+++ b/tests/sessions/zone_partition_tests.cpp
@@ -206,3 +206,20 @@
         cr_assert(fixture.ready_vms("a") == 3);
     }
 }
+
+/// Guards against lost acknowledged commits: behind a cut that refuses connections, the members of the other
+/// zones seemed not to run, and the store gave the failover lock, though the leader went on acknowledging.
+Test(zone_partition, zone_whose_connections_are_refused_replaces_no_leader_though_it_reaches_the_store)
+{
+    partition_fixture fixture;
+    fixture.load_for(1s);
+    std::string const zone = "c";
+    cr_assert(fixture.leader_zone() != zone);
+    fixture.fleet.set_zone_refused(zone, true);
+    fixture.load_for(13s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+    fixture.fleet.set_zone_refused(zone, false);
+    fixture.load_for(2s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+    cr_assert(fixture.fleet.group().holds_all_acknowledged());
+}
