failover: Judge a takeover anew when members or zones answer again

Three causes of one class, a fact that no longer holds: (1) a zone counted as in contact for 1.5 s after it was last heard, so refusals after a cut counted as members that do not run; contact now counts from the start of the takeover on. (2) A leader behind a cut acknowledges through the replacement of a member that leaves, which cannot register from there; while that is possible, nobody is ordered. (3) A takeover that began behind a cut went on after it, stepped a healthy leader down and stopped replicas, which left the group without a leader for 1.5 s and let the member that leaves lead again. A leader is now only asked until the lock is held, a takeover ends when its cause is gone, and nothing is chosen for 0.7 s after members or the leader's zone are heard again.

Evidence: zone_partition_tests.cpp: leader_that_leaves_behind_a_cut_loses_no_commit_that_its_replacement_received failed before (the leader was not replaced within 3 s after the cut) and with (3) alone (a commit was lost); takeover_that_began_behind_a_cut_deposes_no_leader_that_ answers_again passes either way and is a guard only. All 75 tests of sessions pass.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -27,6 +27,12 @@
 /// Time for replicas to receive what the old leader sent them before it stepped down. Afterwards it leads
 /// again.
 constexpr duration max_catch_up_time = std::chrono::milliseconds(500);
+/// Time after the start of a takeover within which members that can be reached have answered.
+constexpr duration usual_answer_time = std::chrono::milliseconds(500);
+/// Time after the start of a takeover within which zones that can be reached have sent a report.
+constexpr duration usual_contact_time = std::chrono::milliseconds(1'300);
+/// Time after which the reports of other VMs reflect that a partition has ended.
+constexpr duration settling_time = std::chrono::milliseconds(700);
 /// Interval at which members are asked while a leader has stepped down and nobody leads.
 constexpr duration fenced_command_period = std::chrono::milliseconds(50);
 constexpr duration order_retry_delay = std::chrono::milliseconds(300);
@@ -69,7 +75,8 @@
 void group_takeover::tick()
 {
     auto const keep_alive = shared_from_this();
-    if (m_kernel.now() - m_phase_since > time_limit()) {
+    auto const now = m_kernel.now();
+    if (now - m_phase_since > time_limit() || elapsed() > max_takeover_time + max_survey_time) {
         end("takeover exceeded its time limit", true);
         return;
     }
@@ -82,11 +89,8 @@
 void group_takeover::set_phase(phase next)
 {
     m_phase = next;
-    // The replicas of a lost leader are stopped from the start.
-    if (is_handover(m_cause)) {
-        m_phase_since = m_kernel.now();
-        m_has_interfered = m_has_interfered || next >= phase::fencing;
-    }
+    m_phase_since = m_kernel.now();
+    m_has_interfered = m_has_interfered || next >= phase::fencing;
 }
 
 duration group_takeover::time_limit() const
@@ -102,9 +106,9 @@
 
 std::optional<command_kind> group_takeover::command_for(std::string const& member) const
 {
-    auto const still_serves = is_handover(m_cause) && m_phase < phase::fencing;
     if (member == m_evidence.old_leader()) {
-        return still_serves ? command_kind::status : command_kind::step_down;
+        // A takeover that turns out to be needless must not have deposed the leader.
+        return m_phase < phase::fencing ? command_kind::status : command_kind::step_down;
     }
     if (m_phase == phase::confirming && member == m_successor) {
         return std::nullopt;
@@ -181,10 +185,35 @@
             !is_successor);
         return;
     }
+    if (m_evidence.find_answer(member, m_kernel.now()) == nullptr) {
+        m_newly_answered_at = m_kernel.now();
+    }
     m_evidence.record_status(member, status, m_kernel.now());
     advance();
 }
 
+bool group_takeover::is_leader_answering() const
+{
+    auto const* const answer = m_evidence.find_answer(m_evidence.old_leader(), m_kernel.now());
+    return answer != nullptr && answer->role == member_role::primary;
+}
+
+bool group_takeover::has_settled()
+{
+    auto const now = m_kernel.now();
+    if (!has_contact(m_evidence.old_leader())) {
+        m_contact_since.reset();
+    }
+    else if (!m_contact_since) {
+        m_contact_since = now;
+    }
+    auto const is_settled = [&](std::optional<monotonic_time> const& time, duration usual_time) {
+        return !time || *time - m_started_at <= usual_time || now - *time >= settling_time;
+    };
+    return is_settled(m_newly_answered_at, usual_answer_time) &&
+           is_settled(m_contact_since, usual_contact_time);
+}
+
 void group_takeover::advance()
 {
     if (m_has_ended) {
@@ -200,6 +229,13 @@
 
 void group_takeover::choose_successor()
 {
+    if (!is_handover(m_cause) && !has_settled()) {
+        return;
+    }
+    if (!m_dependencies.is_needed()) {
+        end("the leader no longer has to be replaced", true);
+        return;
+    }
     auto const chosen = find_successor();
     if (!chosen || !is_old_leader_out_of_use()) {
         return;
@@ -247,6 +283,11 @@
         }
         successor_drawbacks found{member->entry.is_draining, group().is_evacuated(*member),
                                   group().is_warming_up(*member)};
+        // A replica that another VM stopped falls behind a leader that still serves.
+        auto const must_receive = is_handover(m_cause) && m_phase < phase::fencing;
+        if (must_receive && !m_evidence.is_receiving(id, m_kernel.now())) {
+            return std::nullopt;
+        }
         auto const is_no_better = (m_cause == takeover_cause::draining && found.is_leaving) ||
                                   (m_cause == takeover_cause::evacuated && found.is_evacuated);
         return is_no_better ? std::nullopt : std::optional(found);
@@ -262,7 +303,22 @@
     }
     auto const are_replicas_stopped = !is_handover(m_cause) || m_phase >= phase::ordering;
     return are_replicas_stopped && m_evidence.holds(member, m_evidence.furthest_position(now), now) &&
-           (m_evidence.have_all_stopped(now) || may_leave_out_replicas());
+           !may_have_unlisted_replica() && (m_evidence.have_all_stopped(now) || may_leave_out_replicas());
+}
+
+bool group_takeover::may_have_unlisted_replica() const
+{
+    auto const& members = group().members();
+    auto const is_replaced = [&members](member_entry const& leaving) {
+        return std::any_of(members.begin(), members.end(), [&leaving](auto const& each) {
+            return !each.second.entry.is_draining &&
+                   each.second.entry.availability_zone == leaving.availability_zone;
+        });
+    };
+    return !is_known_not_to_run(m_evidence.old_leader()) &&
+           std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
+               return each.second.is_draining && !has_contact(each.first) && !is_replaced(each.second);
+           });
 }
 
 bool group_takeover::may_leave_out_replicas() const
@@ -291,7 +347,7 @@
     }
     auto const& zone = found->second.availability_zone;
     auto const now = m_kernel.now();
-    return m_dependencies.hears_zone(zone) ||
+    return m_dependencies.heard_zone_since(zone, m_started_at) ||
            std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
                return each.second.availability_zone == zone &&
                       m_evidence.find_answer(each.first, now) != nullptr;
@@ -327,6 +383,11 @@
     if (m_phase != phase::fencing) {
         return;
     }
+    if (!is_handover(m_cause) && !is_leader_answering() && !m_evidence.final_position(m_kernel.now())) {
+        // The leader ended or was cut off meanwhile, so all replicas have to be heard.
+        set_phase(phase::surveying);
+        return;
+    }
     send_commands();
     start_timer(fenced_command_period, [](group_takeover& self) { self.poll_fencing(); });
     finish_fencing();
@@ -345,7 +406,9 @@
     }
     m_fenced_since = m_fenced_since.value_or(now);
     auto const holder = find_holder(*final_position);
-    if (now - *m_fenced_since < (holder ? fenced_command_period : max_catch_up_time)) {
+    // The replicas of a leader that was given up have stopped receiving.
+    auto const catch_up_time = is_handover(m_cause) ? max_catch_up_time : fenced_command_period;
+    if (now - *m_fenced_since < (holder ? fenced_command_period : catch_up_time)) {
         return;
     }
     m_successor = holder.value_or(m_evidence.old_leader());
@@ -398,7 +461,7 @@
     if (m_phase == phase::ordering) {
         send_order();
     }
-    else if (is_handover(m_cause) && !m_evidence.final_position(m_kernel.now())) {
+    else if ((is_handover(m_cause) || is_leader_answering()) && !m_evidence.final_position(m_kernel.now())) {
         start_fencing();
     }
     else {
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -73,8 +73,10 @@
         bool deposes_replaced_leaders; ///< Whether a promotion ends the replaced leader's leadership at once.
         /// Returns the highest position that any VM reported as acknowledged in the group.
         std::function<log_position()> highest_acknowledged;
-        /// Returns whether VMs of the availability zone were heard recently.
-        std::function<bool(std::string const& zone)> hears_zone;
+        /// Returns whether the leader still has to be replaced in the same way, as far as this VM knows now.
+        std::function<bool()> is_needed;
+        /// Returns whether VMs of the availability zone were heard recently, and since `time`.
+        std::function<bool(std::string const& zone, monotonic_time time)> heard_zone_since;
         /// Last order of the group that was not answered; outlives the takeover.
         std::optional<unanswered_order>& last_order;
         /// Called when the failover lock was acquired, or turned out to be another VM's.
@@ -115,6 +117,13 @@
     void handle_refusal(std::string const& member);
     void handle_lost(std::string const& member, member_error error);
 
+    /// Returns whether the old leader answers as the leader, and so can be ordered to step down.
+    bool is_leader_answering() const;
+    /// Returns false while members have begun to answer, or the old leader's zone to be heard, only a short
+    /// time ago. What made this VM start the takeover may then be over, and is judged anew by the reports
+    /// that follow.
+    bool has_settled();
+
     /// Takes the next step if what is known of the members allows it.
     void advance();
     void choose_successor();
@@ -127,11 +136,14 @@
     std::optional<std::string> find_holder(log_position position) const;
     /// Returns whether the member holds all commits that were or may be acknowledged.
     bool holds_all_commits(std::string const& member) const;
+    /// Returns whether the old leader may acknowledge through a replica that is in no directory yet: a member
+    /// that leaves has a replacement, which cannot register from a zone without contact.
+    bool may_have_unlisted_replica() const;
     /// Returns whether replicas without an answer may be left out, since they hardly hold commits that the
     /// others lack.
     bool may_leave_out_replicas() const;
-    /// Returns whether the member's availability zone can be reached, so that a refused connection is the
-    /// member's own.
+    /// Returns whether the member's availability zone was reached since the takeover started, so that a
+    /// refused connection is the member's own.
     bool has_contact(std::string const& member) const;
     bool is_known_not_to_run(std::string const& member) const;
     /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
@@ -163,6 +175,10 @@
     monotonic_time m_started_at;
     monotonic_time m_phase_since;
     monotonic_time m_commands_sent_at;
+    /// Time at which a member answered that had not answered before.
+    std::optional<monotonic_time> m_newly_answered_at;
+    /// Time since when the old leader's zone is in contact.
+    std::optional<monotonic_time> m_contact_since;
     /// Position of a leader that still serves, which a successor must have received before the leader steps
     /// down.
     std::optional<log_position> m_required_position;
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -111,6 +111,12 @@
     return furthest;
 }
 
+bool takeover_evidence::is_receiving(std::string const& member, monotonic_time now) const
+{
+    auto const* const answer = find_answer(member, now);
+    return answer != nullptr && answer->stopped_at_term < m_term;
+}
+
 bool takeover_evidence::holds(std::string const& member, log_position position, monotonic_time now) const
 {
     auto const* const answer = find_answer(member, now);
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -70,6 +70,8 @@
 
     /// Highest position that an answer of a replica reports.
     log_position furthest_position(monotonic_time now) const;
+    /// Returns whether a member reports that it was not ordered to stop receiving from the old leader.
+    bool is_receiving(std::string const& member, monotonic_time now) const;
     /// Returns whether a member reports that it holds `position`.
     bool holds(std::string const& member, log_position position, monotonic_time now) const;
     /// Returns the replica with the fewest drawbacks of those that hold `position`.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -146,7 +146,15 @@
         m_membership->identity().name,
         m_deposes_replaced_leaders,
         [this, name] { return m_reports->assessment_of(m_groups->group(name)).highest; },
-        [this](std::string const& zone) { return m_reports->hears_zone(zone); },
+        [this, name, cause] {
+            auto& current = m_groups->group(name);
+            auto const current_cause = find_cause(current);
+            return current.leader() == nullptr ||
+                   (current_cause && is_handover(*current_cause) == is_handover(cause));
+        },
+        [this](std::string const& zone, monotonic_time time) {
+            return m_reports->heard_zone_since(zone, time);
+        },
         m_last_orders[name],
         [this, name](bool is_held) {
             if (!is_held) {
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -596,13 +596,13 @@
     return now - received_at > max_recent_report_age() && has_lost_store_since(received_at);
 }
 
-bool report_service::hears_zone(std::string const& zone) const
+bool report_service::heard_zone_since(std::string const& zone, monotonic_time time) const
 {
     if (zone == m_membership->identity().availability_zone) {
         return true;
     }
     auto const found = m_zones->reports().find(zone);
-    return found != m_zones->reports().end() &&
+    return found != m_zones->reports().end() && found->second.received_at > time &&
            m_kernel.now() - found->second.received_at <= max_recent_report_age();
 }
 
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -75,8 +75,8 @@
     /// network partition of this VM is then more likely than a failure of all other zones and of the store.
     bool is_cut_off() const;
 
-    /// Returns whether VMs of the zone were heard recently; true for this VM's own zone.
-    bool hears_zone(std::string const& zone) const;
+    /// Returns whether VMs of the zone were heard recently, and since `time`; true for this VM's own zone.
+    bool heard_zone_since(std::string const& zone, monotonic_time time) const;
 
     /// Returns the peers that reported recently that they can reach the platform's store.
     std::vector<std::string> peers_with_store() const;
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -176,10 +176,12 @@
 
 void session_fleet::set_zone_refused(std::string const& zone, bool is_refused)
 {
-    set_zone_cut(zone, is_refused);
     m_are_connections_refused = is_refused;
-    for (auto const& each : m_vms) {
-        each->can_reach_store = true;
+    if (is_refused) {
+        m_cut_zones.insert(zone);
+    }
+    else {
+        m_cut_zones.erase(zone);
     }
 }
 
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -64,8 +64,9 @@
     /// Cuts a zone off from the other zones and the store, or reconnects it. The VMs of the zone still reach
     /// its members.
     void set_zone_cut(std::string const& zone, bool is_cut);
-    /// Cuts a zone off from the other zones only, or reconnects it. Connections to members across the cut are
-    /// refused instead of remaining without an answer.
+    /// Cuts the VMs of a zone off from the other zones, and its members from the VMs there, or reconnects
+    /// them. Connections across the cut are refused instead of remaining without an answer; members go on
+    /// replicating across it, and the store stays in reach.
     void set_zone_refused(std::string const& zone, bool is_refused);
 
     /// Applies `change` to the configuration and increments its version. VMs receive it with the next
--- a/tests/failover/takeover_evidence_tests.cpp
+++ b/tests/failover/takeover_evidence_tests.cpp
@@ -156,3 +156,13 @@
     cr_assert(fixture.evidence.find_holder({old_term, 10}, drawbacks, fixture.now) == "r3");
     cr_assert(!fixture.evidence.find_holder({old_term, 11}, drawbacks, fixture.now));
 }
+
+/// Guards against a handover to a replica that falls behind, as another VM has stopped it.
+Test(takeover_evidence, replica_that_was_stopped_for_the_new_term_does_not_receive)
+{
+    evidence_fixture fixture;
+    fixture.answer("r1", 10, new_term);
+    fixture.answer("r2", 10);
+    cr_assert(!fixture.evidence.is_receiving("r1", fixture.now));
+    cr_assert(fixture.evidence.is_receiving("r2", fixture.now));
+}
--- a/tests/sessions/zone_partition_tests.cpp
+++ b/tests/sessions/zone_partition_tests.cpp
@@ -223,3 +223,37 @@
     cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
     cr_assert(fixture.fleet.group().holds_all_acknowledged());
 }
+
+/// Guards against lost acknowledged commits: the leader that leaves is out of reach for most VMs and
+/// acknowledges through its replacement, which is in no directory yet.
+Test(zone_partition, leader_that_leaves_behind_a_cut_loses_no_commit_that_its_replacement_received)
+{
+    partition_fixture fixture;
+    fixture.load_for(1s);
+    auto const old_leader = fixture.fleet.group().leader();
+    auto const zone = fixture.leader_zone();
+    fixture.fleet.add_unlisted_replica("m-0-joining-" + zone);
+    fixture.fleet.drain_member(old_leader);
+    fixture.fleet.set_zone_refused(zone, true);
+    fixture.load_for(5s);
+    fixture.fleet.list_member("m-0-joining-" + zone);
+    fixture.fleet.set_zone_refused(zone, false);
+    fixture.load_for(3s);
+    cr_assert(fixture.fleet.group().leader() != old_leader);
+    cr_assert(fixture.fleet.group().holds_all_acknowledged());
+}
+
+/// Guards against a healthy leader that is deposed after a cut: a takeover that began behind the cut goes on
+/// with what its VM believed there.
+Test(zone_partition, takeover_that_began_behind_a_cut_deposes_no_leader_that_answers_again)
+{
+    partition_fixture fixture;
+    fixture.load_for(1s);
+    auto const zone = fixture.leader_zone() == "a" ? "b" : "a";
+    fixture.fleet.set_zone_refused(zone, true);
+    fixture.load_for(5s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+    fixture.fleet.set_zone_refused(zone, false);
+    fixture.load_for(3s);
+    cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
+}
