sessions: Send nothing on behalf of a caller that has disconnected

What callers would see: a caller that gives up and closes its connection while the leader answers with busy may find its write or its whole transaction committed, although it was told nothing. The VM sent the busy statement again after 15 ms (in a transaction, also a COMMIT) or 20 ms (single writes), and sent what had waited for a leader or for a token of the account's rate, without a look at whether the caller was still there.

Cause: disconnect() cleared the queue of later statements only. The retry timer of a transaction, statement_execution and the callback of the rate did not know of it.

Mend: disconnect() cancels the running statement_execution, which starts no further attempt and ends once no attempt is unanswered; the rate's callback and send_in_transaction end a statement whose caller has gone. An attempt that was sent may end, and its answer is recorded as before; the transaction is rolled back. Such statements are logged with a message of their own.

Not covered: a statement that waits in a dispatcher's queue or for a connection when its caller disconnects is still sent.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -59,6 +59,9 @@
     if (!m_is_running) {
         release_connection();
     }
+    else if (auto const execution = m_execution.lock()) {
+        execution->cancel();
+    }
 }
 
 bool client_session::close_if_idle()
@@ -228,6 +231,9 @@
     m_engine.rates().take(
         client_account, [self = shared_from_this(), statement,
                          on_admitted = std::move(on_admitted)](std::optional<duration> wait) {
+            if (self->end_if_disconnected(statement)) {
+                return;
+            }
             if (wait) {
                 self->refuse(statement, session_error::busy, "client account exceeds its rate limit", *wait);
                 return;
@@ -297,16 +303,32 @@
                           ? execution_mode::leader_read
                           : execution_mode::read;
     auto& group = m_engine.groups().group(execution.work.group);
-    std::make_shared<statement_execution>(
-        m_kernel, group, std::move(execution), mode,
-        [self = shared_from_this(), statement, mode](execution_result result) {
-            if (mode == execution_mode::write && result.answer.is_ok() && result.answer.position) {
-                self->m_minimum_position =
-                    std::max(self->m_minimum_position.value_or(log_position{}), *result.answer.position);
-            }
-            self->finish(statement, std::move(result.answer));
-        })
-        ->start();
+    execute(group, std::move(execution), mode,
+            [self = shared_from_this(), statement, mode](execution_result result) {
+                if (mode == execution_mode::write && result.answer.is_ok() && result.answer.position) {
+                    self->m_minimum_position =
+                        std::max(self->m_minimum_position.value_or(log_position{}), *result.answer.position);
+                }
+                self->finish(statement, std::move(result.answer));
+            });
+}
+
+void client_session::execute(database_group& group, execution_request execution, execution_mode mode,
+                             std::function<void(execution_result)> done)
+{
+    auto const started =
+        std::make_shared<statement_execution>(m_kernel, group, std::move(execution), mode, std::move(done));
+    m_execution = started;
+    started->start();
+}
+
+bool client_session::end_if_disconnected(session_statement const& statement)
+{
+    if (!m_is_closed) {
+        return false;
+    }
+    refuse(statement, session_error::aborted, "the caller disconnected before the statement was sent");
+    return true;
 }
 
 void client_session::run_in_transaction(session_statement const& statement)
@@ -332,23 +354,21 @@
     auto const may_use_replica =
         m_is_read_transaction && m_transaction_class.consistency != read_consistency::every_commit;
     auto& group = m_engine.groups().group(m_transaction_class.group);
-    std::make_shared<statement_execution>(m_kernel, group, *std::move(execution),
-                                          may_use_replica ? execution_mode::begin_read
-                                                          : execution_mode::begin,
-                                          [self = shared_from_this(), statement](execution_result result) {
-                                              if (!result.connection) {
-                                                  self->m_state = transaction_state::failed;
-                                                  self->finish(statement, std::move(result.answer));
-                                                  return;
-                                              }
-                                              self->m_connection = std::move(result.connection);
-                                              if (self->m_is_closed) {
-                                                  self->release_connection();
-                                                  return;
-                                              }
-                                              self->send_in_transaction(statement, 0);
-                                          })
-        ->start();
+    execute(group, *std::move(execution),
+            may_use_replica ? execution_mode::begin_read : execution_mode::begin,
+            [self = shared_from_this(), statement](execution_result result) {
+                if (!result.connection) {
+                    self->m_state = transaction_state::failed;
+                    self->finish(statement, std::move(result.answer));
+                    return;
+                }
+                self->m_connection = std::move(result.connection);
+                if (self->m_is_closed) {
+                    self->release_connection();
+                    return;
+                }
+                self->send_in_transaction(statement, 0);
+            });
 }
 
 void client_session::commit(session_statement const& statement)
@@ -365,6 +385,9 @@
 
 void client_session::send_in_transaction(session_statement const& statement, int retries)
 {
+    if (end_if_disconnected(statement)) {
+        return;
+    }
     if (!m_engine.groups().group(m_transaction_class.group).may_send_to(m_connection->member)) {
         if (statement.kind == statement_kind::commit) {
             roll_back();
@@ -548,7 +571,10 @@
     if (auto const age = m_engine.fleet().configuration_age()) {
         fields["configuration_age_ms"] = to_milliseconds(*age);
     }
-    m_kernel.log(log_level::info, "sessions", "statement was answered with an error", std::move(fields));
+    m_kernel.log(log_level::info, "sessions",
+                 m_is_closed ? "statement ended with an error after its caller had disconnected"
+                             : "statement was answered with an error",
+                 std::move(fields));
 }
 
 } // namespace greengagehitch
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -33,7 +33,7 @@
     void handle(session_statement statement);
 
     /// Ends the session after its caller disconnected. Discards queued statements and rolls back an open
-    /// transaction.
+    /// transaction. A statement that was sent may end first; nothing further is sent but the rollback.
     void disconnect();
 
     /// Returns true if no statement is outstanding and no transaction is open.
@@ -73,6 +73,10 @@
     void admit(std::string const& client_account, session_statement const& statement,
                std::function<void()> on_admitted);
     void run_admitted(execution_request execution);
+    void execute(database_group& group, execution_request execution, execution_mode mode,
+                 std::function<void(execution_result)> done);
+    /// Ends a statement that was not sent before its caller disconnected. Returns true if it did so.
+    bool end_if_disconnected(session_statement const& statement);
     std::optional<execution_request> make_execution_request(session_statement statement,
                                                             std::string const& client_account);
 
@@ -97,6 +101,7 @@
     served_class m_transaction_class;
     std::string m_transaction_account;
     std::optional<transaction_connection> m_connection;
+    std::weak_ptr<statement_execution> m_execution; ///< Of the running statement; empty for none.
     std::optional<log_position> m_minimum_position; ///< Position of the session's last commit.
     std::deque<session_statement> m_queue;
     bool m_is_running = false;
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -128,6 +128,21 @@
     start_next_attempt();
 }
 
+void statement_execution::cancel()
+{
+    m_is_cancelled = true;
+    end_if_cancelled();
+}
+
+bool statement_execution::end_if_cancelled()
+{
+    if (m_is_cancelled && m_in_flight == 0) {
+        // Nothing was run: an attempt that may have run ends the execution with its answer.
+        refuse(session_error::aborted, "the caller disconnected before the statement was sent");
+    }
+    return m_is_cancelled;
+}
+
 bool statement_execution::needs_leader() const
 {
     return m_must_use_leader || m_mode == execution_mode::leader_read || m_mode == execution_mode::write ||
@@ -146,7 +161,7 @@
 
 void statement_execution::start_next_attempt()
 {
-    if (!m_done) {
+    if (!m_done || end_if_cancelled()) {
         return;
     }
     if (m_kernel.now() >= m_deadline || ++m_attempts > max_attempts) {
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -64,6 +64,10 @@
 
     void start();
 
+    /// Ends the execution after its caller disconnected: sends nothing further. An attempt that was sent may
+    /// end; its result is passed to the callback.
+    void cancel();
+
 private:
     struct attempt {
         std::string member;
@@ -73,6 +77,8 @@
     };
 
     bool needs_leader() const;
+    /// Ends the execution if it was cancelled and no attempt is unanswered. Returns true if it was cancelled.
+    bool end_if_cancelled();
     void start_next_attempt();
     void start_next_attempt_after(duration delay);
     void wait_for_confirmed_position();
@@ -111,6 +117,7 @@
     std::size_t m_in_flight = 0;   ///< Attempts that were sent and are not yet answered.
     std::size_t m_failed_runs = 0; ///< Attempts that a member answered with a failure.
     bool m_must_use_leader = false;
+    bool m_is_cancelled = false;
     monotonic_time m_position_requested_at;
     bool m_has_requested_position = false;
 };
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -126,6 +126,8 @@
         m_group_of_connection.erase(found);
     }
     m_vm_of_connection.erase(number);
+    m_answered.erase(number);
+    m_state_of_connection.erase(number);
 }
 
 void session_fleet::kill_vm(std::size_t index)
@@ -270,7 +272,11 @@
         return m_clock.start_timer(delay, std::move(callback));
     };
     hooks.kernel.cancel_timer = [this](timer_id timer) { m_clock.cancel_timer(timer); };
-    hooks.kernel.log = [](log_record const&) {};
+    hooks.kernel.log = [this](log_record const& record) {
+        if (m_on_log) {
+            m_on_log(record);
+        }
+    };
     hooks.send_datagram = [this, self](endpoint const& target, std::string const& datagram) {
         m_datagram_bytes += datagram.size();
         auto* const to = find_vm(target);
@@ -295,7 +301,8 @@
             auto const number = static_cast<std::uint64_t>(id);
             auto const found = m_group_of_connection.find(number);
             if (found != m_group_of_connection.end() &&
-                can_reach_member(*self, m_member_of_connection.at(number))) {
+                can_reach_member(*self, m_member_of_connection.at(number)) &&
+                !answers_busy(number, commands)) {
                 found->second->send(number, commands);
             }
         },
@@ -364,9 +371,44 @@
 {
     auto* const group = m_group_of_member.at(target.member);
     m_group_of_connection[number] = group;
+    m_answered[number] = events.answered;
+    events.answered = [this, number, answered = events.answered](member_answer answer) {
+        m_state_of_connection[number] = answer.state;
+        answered(std::move(answer));
+    };
     group->open(number, target, std::move(events));
 }
 
+void session_fleet::set_member_busy(std::string const& id, bool is_busy)
+{
+    if (is_busy) {
+        m_busy.insert(id);
+    }
+    else {
+        m_busy.erase(id);
+    }
+}
+
+bool session_fleet::answers_busy(std::uint64_t number, std::vector<member_command> const& commands)
+{
+    if (!m_busy.contains(m_member_of_connection.at(number)) || commands.size() != 1 ||
+        commands.front().kind != command_kind::caller_statement) {
+        return false;
+    }
+    m_clock.start_timer(2 * m_shape.group.latency, [this, number] {
+        auto const found = m_answered.find(number);
+        if (found == m_answered.end()) {
+            return;
+        }
+        member_answer answer;
+        answer.error = member_error::busy;
+        answer.state = m_state_of_connection[number];
+        auto const answered = found->second;
+        answered(std::move(answer));
+    });
+    return true;
+}
+
 void session_fleet::send_message(std::size_t from, std::string const& to, std::string const& message)
 {
     auto* const target = find_vm(to);
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -61,6 +61,10 @@
     /// Cuts a VM off from its peers, or reconnects it.
     void set_peer_cut(std::size_t index, bool is_cut) { m_vms[index]->can_reach_peers = !is_cut; }
 
+    /// Makes a member answer single statements of callers with the error `busy`, without running them, or
+    /// ends this. A transaction stays open. Statements that are sent together with other commands run.
+    void set_member_busy(std::string const& id, bool is_busy);
+
     /// Cuts a zone off from the other zones and the store, or reconnects it. The VMs of the zone still reach
     /// its members.
     void set_zone_cut(std::string const& zone, bool is_cut);
@@ -77,6 +81,9 @@
     void add_unlisted_replica(std::string const& id, std::size_t group = 0);
     void list_member(std::string const& id) { m_unlisted.erase(id); }
 
+    /// Sets the function that receives the log records of all VMs.
+    void set_on_log(std::function<void(log_record const&)> on_log) { m_on_log = std::move(on_log); }
+
     /// Returns the total size of the datagrams that VMs have sent, without headers.
     std::size_t datagram_bytes() const { return m_datagram_bytes; }
     /// Returns the number of accepted promotion orders for members that were not the leader.
@@ -132,6 +139,8 @@
     void close_connection(std::uint64_t number);
     void open_connection(std::uint64_t number, backend_connection_target const& target,
                          backend_connection_events events);
+    /// Returns whether a busy member answers these commands itself, which it then does after the latency.
+    bool answers_busy(std::uint64_t number, std::vector<member_command> const& commands);
     /// Checks the fence of a promotion order after the latency, and promotes the member if it is current.
     void execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done);
     /// Returns the directory of all members that are not down.
@@ -144,7 +153,13 @@
     std::map<std::uint64_t, virtual_database_group*> m_group_of_connection; ///< Keyed by connection number.
     std::map<std::uint64_t, std::string> m_member_of_connection;            ///< Keyed by connection number.
     std::map<std::uint64_t, std::size_t> m_vm_of_connection;                ///< Keyed by connection number.
-    std::map<std::string, std::string> m_zone_of_member;                    ///< Keyed by member id.
+    /// Delivers the answers of members, keyed by connection number.
+    std::map<std::uint64_t, std::function<void(member_answer)>> m_answered;
+    /// State of the transaction in the last answer, keyed by connection number.
+    std::map<std::uint64_t, transaction_state> m_state_of_connection;
+    std::function<void(log_record const&)> m_on_log;
+    std::set<std::string> m_busy;                        ///< Ids of the members that answer with `busy`.
+    std::map<std::string, std::string> m_zone_of_member; ///< Keyed by member id.
     std::set<std::string> m_cut_zones;
     std::uint64_t m_next_connection = 1;
     std::set<std::string> m_draining; ///< Ids of the draining members.
