sessions: End the transaction with a COMMIT that fails

What callers saw: a COMMIT of a transaction without statements is sent after a begin at the leader. If this begin failed, the answer said that the transaction was in state failed, and the session refused the next BEGIN as malformed until a ROLLBACK. The same held for a COMMIT that was refused because the key had been withdrawn or could not be checked. In a transaction that had failed earlier, or after an evacuation, a COMMIT ended it.

Cause: begin_and_run and refuse() set the state without regard to the statement.

Mend: one function, fail_transaction, rolls back and leaves the state idle for a COMMIT and failed for any other statement. The errors are the same as before; nothing was committed in these cases.

Evidence: test-sessions client_session/commit_of_an_empty_transaction_that_cannot_begin_ends_it and client_session/commit_that_is_refused_for_its_key_ends_the_transaction failed on the code before (state failed, idle asked), both pass now.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -358,7 +358,7 @@
             may_use_replica ? execution_mode::begin_read : execution_mode::begin,
             [self = shared_from_this(), statement](execution_result result) {
                 if (!result.connection) {
-                    self->m_state = transaction_state::failed;
+                    self->fail_transaction(statement);
                     self->finish(statement, std::move(result.answer));
                     return;
                 }
@@ -389,9 +389,6 @@
         return;
     }
     if (!m_engine.groups().group(m_transaction_class.group).may_send_to(m_connection->member)) {
-        if (statement.kind == statement_kind::commit) {
-            roll_back();
-        }
         refuse(statement, session_error::aborted,
                "the member's availability zone is evacuated; the transaction is rolled back");
         return;
@@ -484,8 +481,7 @@
         group.record_not_leading(m_connection->member);
     }
     if (state != transaction_state::open || !is_answer(*error)) {
-        m_state = transaction_state::failed;
-        release_connection();
+        fail_transaction(statement);
     }
     finish(statement, std::move(result));
 }
@@ -496,6 +492,12 @@
     release_connection();
 }
 
+void client_session::fail_transaction(session_statement const& statement)
+{
+    m_state = statement.kind == statement_kind::commit ? transaction_state::idle : transaction_state::failed;
+    release_connection();
+}
+
 void client_session::release_connection()
 {
     // Destroying the pinned connection rolls back a transaction that is still open.
@@ -516,8 +518,7 @@
     answer.error_text = std::move(text);
     answer.retry_after = retry_after;
     if (m_state == transaction_state::open && error != session_error::malformed) {
-        release_connection();
-        m_state = transaction_state::failed;
+        fail_transaction(statement);
     }
     finish(statement, std::move(answer));
 }
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -57,6 +57,8 @@
     void begin(session_statement const& statement);
     void commit(session_statement const& statement);
     void roll_back();
+    /// Rolls back a transaction that `statement` failed in. A COMMIT ends the transaction also when it fails.
+    void fail_transaction(session_statement const& statement);
     void run_single_statement(session_statement const& statement);
     void run_in_transaction(session_statement const& statement);
     void begin_and_run(session_statement const& statement);
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -320,3 +320,47 @@
     fixture.fleet.clock().run_for(1500ms);
     cr_assert(busy.was_closed());
 }
+
+/// Guards against a session that stays in a failed transaction after the COMMIT that ended it. The
+/// transaction had sent no statement, so the COMMIT had to begin it at a member first, which failed.
+Test(client_session, commit_of_an_empty_transaction_that_cannot_begin_ends_it)
+{
+    fleet_with_callers fixture;
+    auto caller = fixture.caller(0, read_consistency::every_commit);
+    cr_assert(caller.send_and_wait(begin()).is_ok());
+    auto const ids = fixture.fleet.group().ids();
+    for (auto const& id : ids) {
+        fixture.fleet.group().crash(id);
+    }
+    auto const committed = caller.send_and_wait(commit());
+    cr_assert(!committed.is_ok());
+    cr_assert(committed.state == transaction_state::idle);
+    for (auto const& id : ids) {
+        fixture.fleet.group().restart(id);
+    }
+    fixture.fleet.clock().run_for(5s);
+    cr_assert(caller.send_and_wait(begin()).is_ok());
+    auto const write = session_caller::write("x");
+    cr_assert(caller.send_and_wait(write).is_ok());
+    cr_assert(caller.send_and_wait(commit()).is_ok());
+    cr_assert(fixture.fleet.group().count_in_log(write.id) == 1);
+}
+
+/// Guards against a session that stays in a failed transaction after a COMMIT that was refused because its
+/// key had been withdrawn.
+Test(client_session, commit_that_is_refused_for_its_key_ends_the_transaction)
+{
+    fleet_with_callers fixture;
+    auto caller = fixture.caller(0, read_consistency::every_commit);
+    cr_assert(caller.send_and_wait(begin()).is_ok());
+    auto const write = session_caller::write("x");
+    cr_assert(caller.send_and_wait(write).is_ok());
+    fixture.fleet.change_configuration(
+        [](auto& configuration) { configuration.account_of_key.erase("key-0"); });
+    fixture.fleet.clock().run_for(1s);
+    auto const committed = caller.send_and_wait(commit());
+    cr_assert(committed.error == session_error::unknown_key);
+    cr_assert(committed.state == transaction_state::idle);
+    fixture.fleet.clock().run_for(1s);
+    cr_assert(fixture.fleet.group().count_in_log(write.id) == 0);
+}
