members: Judge a replica behind all known positions as older than they are

What callers saw: no read was older than its class allows, since each read carries its minimum position and a member below it answers that it lags; lagging_replica/replica_behind_the_whole_history_answers_no_bounded_read shows this on the code before as well, 100 reads with a replica 12 s behind. But reads went to a replica that could not answer them, and took one more round trip.

Cause: covered_until returned the time of the oldest sample for a position below all samples. At a VM that has just started the history is short, so a replica that is many seconds behind looked as far behind as the history is long, and was expected to hold the position that the read needed.

Mend: nothing is known of the time up to which such a position was covered, so the result lies before all times that a class of work reads. A probe every 200 ms, as before, finds out when the replica has caught up.

Evidence: test-sessions lagging_replica/started_vm_sends_no_reads_to_a_replica_that_is_far_behind counted 11 of 30 reads sent to the replica in the time after the VM's start before, at most one is allowed, and passes now; test-members leader_position_history/position_older_than_all_samples_is_not_covered_when_they_begin failed before and passes now.

--- a/libraries/members/leader_position_history.cpp
+++ b/libraries/members/leader_position_history.cpp
@@ -47,7 +47,7 @@
     if (m_samples.empty() || m_samples.back().position <= position) {
         return std::nullopt;
     }
-    auto reached = m_samples.front().sent_at;
+    auto reached = m_samples.front().sent_at - max_sample_age;
     for (auto const& each : m_samples) {
         if (each.position > position) {
             break;
--- a/libraries/members/leader_position_history.h
+++ b/libraries/members/leader_position_history.h
@@ -26,8 +26,8 @@
     std::optional<log_position> position_covering(monotonic_time time) const;
 
     /// Returns the time up to which a log that ends at `position` holds all acknowledged commits. Returns
-    /// std::nullopt if there are no samples or `position` is not below the newest sample. For a position
-    /// below all samples, returns the time of the oldest sample.
+    /// std::nullopt if there are no samples or `position` is not below the newest sample. The time is not
+    /// known for a position below all samples; the result is then before all times that classes of work read.
     std::optional<monotonic_time> covered_until(log_position position) const;
 
     /// Returns the send time of the first sample at or above `position`, or std::nullopt if `position` is
