membership: Keep a reported shutdown when an older zone report arrives

What callers would see: work for a VM that has told its peers that it is shutting down, lost when its process ends. A zone report that was written before and lists the VM as serving made it count as live again, until its next heartbeat.

Cause: record_indirect_contact cleared is_leaving for each zone report that lists the peer.

A process that was started anew clears it at once with its first own message. A shutdown that is known from a zone report only is cleared by the next one, as before, so an older report of this kind still delays no restarted VM.

Evidence: test-membership membership/older_zone_report_does_not_cancel_a_reported_shutdown failed before (400 ms after the shutdown the VM accepted work) and passes now. zone_report_long_after_the_shutdown_shows_that_the_vm_serves_again passes either way and guards restarted VMs of other zones.

--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -35,6 +35,10 @@
 /// Largest accepted processor time of a peer, in thousandths of one core.
 constexpr std::uint32_t max_processor_permille = 1'024'000;
 constexpr double permille = 1'000;
+/// Time after a peer's own report of its shutdown from which the report of another VM that lists it as
+/// serving shows that it has restarted. Reports that arrive earlier may have been written before the
+/// shutdown.
+constexpr duration shutdown_spread_time = std::chrono::seconds(1);
 
 std::uint32_t to_permille(double share)
 {
@@ -165,6 +169,7 @@
         peer.incarnation = envelope->sender_incarnation;
         peer.last_sequence = 0;
         peer.is_leaving = false;
+        peer.reported_leaving_at.reset();
         peer.started_at.reset();
     }
     if (auto const* const message = std::get_if<heartbeat>(&envelope->message)) {
@@ -197,9 +202,14 @@
 void membership_service::record_indirect_contact(std::string const& name)
 {
     auto const found = m_peers.find(name);
-    if (found != m_peers.end()) {
-        found->second.indirect_contact_at = m_kernel.now();
-        found->second.is_leaving = false;
+    if (found == m_peers.end()) {
+        return;
+    }
+    auto const now = m_kernel.now();
+    auto& peer = found->second;
+    peer.indirect_contact_at = now;
+    if (!peer.reported_leaving_at || now - *peer.reported_leaving_at >= shutdown_spread_time) {
+        peer.is_leaving = false;
     }
 }
 
@@ -411,7 +421,10 @@
 {
     peer.last_sequence = std::max(peer.last_sequence, message.sequence);
     apply_own_report(peer, message.sender);
-    peer.is_leaving = peer.is_leaving || message.sender.is_leaving;
+    if (message.sender.is_leaving) {
+        peer.is_leaving = true;
+        peer.reported_leaving_at = m_kernel.now();
+    }
     peer.subscriptions = {message.subscriptions.begin(), message.subscriptions.end()};
     auto const echoed = m_sent_heartbeats.find(message.echoed_sequence);
     if (echoed != m_sent_heartbeats.end()) {
--- a/libraries/membership/membership_service.h
+++ b/libraries/membership/membership_service.h
@@ -44,6 +44,8 @@
     std::deque<std::uint64_t> former_incarnations;
     bool is_listed = false;  ///< True when the platform's list contains the peer.
     bool is_leaving = false; ///< True when the peer is shutting down.
+    /// Time of the last heartbeat in which the peer itself reported that it is shutting down.
+    std::optional<monotonic_time> reported_leaving_at;
     /// Processor time of the peer, as a fraction of one core, from the platform's list or the peer's own
     /// report; 0 until known.
     double processor_share = 0;
@@ -110,7 +112,8 @@
     /// True when the peer is not shutting down and is listed or reachable.
     bool accepts_work(peer_state const& peer) const;
 
-    /// Records that another VM reported a peer as serving.
+    /// Records that another VM reported a peer as serving. If the peer has reported that it is shutting down,
+    /// only a report that was certainly written later shows that it has restarted.
     void record_indirect_contact(std::string const& peer);
     /// Records a report that a peer is shutting down.
     void record_leaving(std::string const& peer);
--- a/tests/membership/membership_tests.cpp
+++ b/tests/membership/membership_tests.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "membership/membership_service.h"
 
+using namespace std::chrono_literals;
 using namespace greengagehitch;
 
 namespace {
@@ -11,10 +12,10 @@
 
 /// Membership of one VM, to which a test passes the datagrams of a peer.
 struct membership_fixture {
-    static kernel_hooks make_kernel_hooks()
+    kernel_hooks make_kernel_hooks()
     {
         kernel_hooks hooks;
-        hooks.now = [] { return monotonic_time{}; };
+        hooks.now = [this] { return now; };
         hooks.random = [] { return std::uint64_t{0}; };
         hooks.start_timer = [](duration, std::function<void()> const&) { return timer_id::none; };
         hooks.cancel_timer = [](timer_id) {};
@@ -30,6 +31,7 @@
         membership.handle_datagram(peer_codec(secret).encode({"vm-2", incarnation, std::move(message)}));
     }
 
+    monotonic_time now{1h};
     kernel core{make_kernel_hooks()};
     platform_hooks platform;
     membership_service membership{core,
@@ -62,3 +64,30 @@
     fixture.receive(2, false);
     cr_assert(!fixture.membership.peers().at("vm-2").is_leaving);
 }
+
+/// Guards against work for a VM that shuts down. The zone report that listed it as serving was written before
+/// its own report and arrived after it.
+Test(membership, older_zone_report_does_not_cancel_a_reported_shutdown)
+{
+    membership_fixture fixture;
+    fixture.receive(1, false);
+    fixture.receive(1, true);
+    fixture.now += 400ms;
+    fixture.membership.record_indirect_contact("vm-2");
+    auto const& peer = fixture.membership.peers().at("vm-2");
+    cr_assert(peer.is_leaving);
+    cr_assert(!fixture.membership.accepts_work(peer));
+}
+
+/// Guards against a VM of another zone that has restarted and gets no work, since its own messages seldom
+/// arrive.
+Test(membership, zone_report_long_after_the_shutdown_shows_that_the_vm_serves_again)
+{
+    membership_fixture fixture;
+    fixture.receive(1, true);
+    fixture.now += 10s;
+    fixture.membership.record_indirect_contact("vm-2");
+    auto const& peer = fixture.membership.peers().at("vm-2");
+    cr_assert(!peer.is_leaving);
+    cr_assert(fixture.membership.accepts_work(peer));
+}
