sessions: Evaluate the answer to a transaction whose caller has gone

What callers saw: a leader that answers no commit was not suspected for it where callers give up before the statement's timeout; they kept being sent there until another commit or single write waited for the whole time.

Cause: begin_and_run and handle_transaction_answer returned early when the caller or the connection was gone, so that neither a commit nor a missing answer was recorded, nothing was logged, and the session stayed with a running statement.

Mend: the answer is evaluated as for a present caller; only a busy statement is not sent again. finish() releases the connection then. That the connection is there is an invariant: it is released only while no statement is running, which is now checked instead of passed over without an answer.

Evidence: test-sessions disconnect/commit_without_an_answer_makes_the_leader_suspect failed before (commits_stuck_since unset 100 ms after the statement's timeout) and passes now. The other case, a connection that is gone while its caller waits, was not found to be reachable.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "base/verify.h"
 #include "sessions/session_engine.h"
 
 namespace greengagehitch {
@@ -363,10 +364,6 @@
                     return;
                 }
                 self->m_connection = std::move(result.connection);
-                if (self->m_is_closed) {
-                    self->release_connection();
-                    return;
-                }
                 self->send_in_transaction(statement, 0);
             });
 }
@@ -427,22 +424,17 @@
 void client_session::handle_transaction_answer(session_statement const& statement, int retries,
                                                monotonic_time sent_at, member_answer answer)
 {
-    if (!m_connection || m_is_closed) {
-        release_connection();
-        m_is_running = false;
-        return;
-    }
+    // A connection is released only while no statement is running.
+    VERIFY(m_connection);
     auto const is_commit = statement.kind == statement_kind::commit;
     m_served_by = m_connection->member;
     auto const is_unsent = answer.error == member_error::not_started;
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
     if ((is_unsent || (may_repeat && answer.state == transaction_state::open)) &&
-        retries < max_busy_retries) {
+        retries < max_busy_retries && !m_is_closed) {
         m_kernel.start_timer(busy_retry_delay, [self = shared_from_this(), statement, retries] {
-            if (self->m_connection) {
-                self->send_in_transaction(statement, retries + 1);
-            }
+            self->send_in_transaction(statement, retries + 1);
         });
         return;
     }
--- a/tests/sessions/disconnect_tests.cpp
+++ b/tests/sessions/disconnect_tests.cpp
@@ -151,3 +151,21 @@
     auto next = departing_caller::open(departing.fleet, 0);
     cr_assert(next.send_and_wait(session_caller::write("y")).is_ok());
 }
+
+/// Guards against a leader that does not respond to commits and is not suspected: the answers to statements
+/// whose callers had disconnected before the timeout were dropped.
+Test(disconnect, commit_without_an_answer_makes_the_leader_suspect)
+{
+    departing_caller departing(0);
+    auto const write = session_caller::write("x");
+    departing.begin_and_write(write);
+    auto const leader = departing.fleet.group().leader();
+    departing.fleet.group().faults(leader).lost_answer_share = 1;
+    departing.caller.send(session_caller::make_statement(statement_kind::commit, "COMMIT"));
+    departing.fleet.clock().run_for(500ms);
+    departing.caller.disconnect();
+    departing.fleet.clock().run_for(600ms);
+    auto& groups = departing.fleet.vm(0).sessions().groups();
+    auto const& members = groups.group(departing.fleet.group().name()).members();
+    cr_assert(members.at(leader).commits_stuck_since.has_value());
+}
