sessions: Log the account of statements in classes that are open to all

What operators saw: the line of a refused statement named no client account, or the account of an earlier key, when its class needs no key. Rates are taken from the right account; only the log was wrong.

Cause: authorize() recorded the account for classes that need a key only.

Mend: it records the account in both cases, "-" for a caller without a known key.

Evidence: test-sessions client_session/error_in_a_class_that_is_open_to_all_is_logged_with_its_account failed before (account-0, account-1 asked) and passes now.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -209,7 +209,8 @@
     auto const& keys = m_engine.fleet().configuration()->account_of_key;
     auto const found = keys.find(m_key);
     if (work->is_open_to_all) {
-        return found == keys.end() ? std::string("-") : found->second;
+        m_account = found == keys.end() ? std::string("-") : found->second;
+        return m_account;
     }
     if (!m_engine.may_trust_keys()) {
         refuse(statement, session_error::busy,
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -111,7 +111,7 @@
     monotonic_time m_arrived_at;
     monotonic_time m_last_active_at;
     std::string m_served_by; ///< Id of the member that last answered in a transaction; empty for none.
-    std::string m_account;   ///< Client account of the statement that was authorized last.
+    std::string m_account;   ///< Client account of the statement that was authorized last; "-" for none.
 };
 
 } // namespace greengagehitch
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -364,3 +364,30 @@
     fixture.fleet.clock().run_for(1s);
     cr_assert(fixture.fleet.group().count_in_log(write.id) == 0);
 }
+
+/// Guards against log lines that name no client account, or that of an earlier key: the account of a
+/// statement was recorded for classes that need a key only.
+Test(client_session, error_in_a_class_that_is_open_to_all_is_logged_with_its_account)
+{
+    fleet_with_callers fixture;
+    auto const database = session_fleet::database_of(0, read_consistency::every_commit);
+    std::vector<std::string> accounts;
+    fixture.fleet.set_on_log([&accounts](log_record const& record) {
+        if (record.message == "statement was answered with an error") {
+            accounts.push_back(record.fields["client_account"].asString());
+        }
+    });
+    auto with_key = fixture.caller(0, read_consistency::every_commit);
+    cr_assert(with_key.send_and_wait(session_caller::read("x")).is_ok());
+    fixture.fleet.change_configuration([&database](auto& configuration) {
+        configuration.classes[database].is_open_to_all = true;
+        configuration.account_of_key["key-0"] = session_fleet::account_name(1);
+    });
+    fixture.fleet.clock().run_for(1s);
+    session_caller without_key(fixture.fleet, 0, database, "");
+    cr_assert(!with_key.send_and_wait(session_caller::execute("none", "a")).is_ok());
+    cr_assert(!without_key.send_and_wait(session_caller::execute("none", "a")).is_ok());
+    cr_assert(accounts.size() == 2);
+    cr_assert(accounts[0] == session_fleet::account_name(1), "%s", accounts[0].c_str());
+    cr_assert(accounts[1] == "-", "%s", accounts[1].c_str());
+}
