brokers: Send no request whose caller disconnected while it waited

What callers would see: a caller that gives up while its write or COMMIT waits for a slot or a connection at the broker finds it committed later. Under load this is the usual moment to give up, and each such request took a slot from callers that were still there.

Cause: a request in the queue of a dispatcher, here or at another VM, knew nothing of its caller.

Mend: a request carries a request_cancellation, which the session triggers when its caller disconnects. The dispatcher looks at it when the request gets its slot and right before the commands are sent, and answers with not_started, which is true. For a request at another VM the message relay_cancel does the same there; it is the last kind of relay_message, so kinds keep their numbers. A broker of an older build runs such requests as before and logs that a message could not be decoded. What was sent may end. A VM that refuses a cancelled request does not count it against the member.

Not run: builds of two versions beside each other (meta/mixed_builds).

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -158,7 +158,7 @@
     m_kernel.start_timer(
         is_expired ? duration::zero() : std::chrono::milliseconds(retry_interval_ms),
         [this, is_expired, commands, member, request = std::move(request), done = std::move(done)] {
-            if (is_expired) {
+            if (is_expired || request.is_cancelled()) {
                 done(make_failed_reply(commands, member_error::not_started, "no broker is known yet"));
                 return;
             }
@@ -214,10 +214,23 @@
     ++m_relayed;
     m_zones->record_sent(vm);
     schedule_check();
+    if (request.cancellation) {
+        relay_cancellation(*request.cancellation, vm, request_id);
+    }
     relay_request message{request_id, group, member, connection_id, std::move(request)};
     m_channels.send(vm, address_of(vm), encode_relay_message(std::move(message)));
 }
 
+void broker_service::relay_cancellation(request_cancellation& cancellation, std::string const& vm,
+                                        std::uint64_t request_id)
+{
+    cancellation.add_hook([this, lifetime = m_kernel.lifetime(), vm, request_id] {
+        if (!lifetime.expired() && m_pending.contains(request_id)) {
+            send_message(vm, relay_cancel{request_id});
+        }
+    });
+}
+
 void broker_service::send_message(std::string const& vm, relay_message const& message)
 {
     m_channels.send(vm, address_of(vm), encode_relay_message(message));
@@ -316,6 +329,13 @@
         m_channels_of_peers.insert(from);
         run_for_peer(from, std::move(*request));
     }
+    else if (auto const* const cancel = std::get_if<relay_cancel>(&*decoded)) {
+        auto const found = m_cancellations.find({from, cancel->request_id});
+        if (found != m_cancellations.end()) {
+            auto const cancellation = found->second;
+            cancellation->cancel();
+        }
+    }
     else if (auto const* const report = std::get_if<connection_report>(&*decoded)) {
         m_reports->handle(*report);
     }
@@ -334,8 +354,11 @@
     }
     ++m_peer_requests_running;
     ++m_served;
+    message.request.cancellation = std::make_shared<request_cancellation>();
+    m_cancellations[{from, request_id}] = message.request.cancellation;
     auto reply = [this, from, request_id](member_reply result) {
         --m_peer_requests_running;
+        m_cancellations.erase({from, request_id});
         relay_reply answer{request_id, std::move(result.answers), 0};
         if (result.connection) {
             answer.connection_id = m_next_connection_id++;
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -151,6 +151,9 @@
     void relay(std::string const& vm, std::string const& group, std::string const& member,
                std::uint64_t connection_id, member_request request, reply_callback done);
     void run_for_peer(channel_id from, relay_request message);
+    /// Tells the broker when the caller of a relayed request has disconnected.
+    void relay_cancellation(request_cancellation& cancellation, std::string const& vm,
+                            std::uint64_t request_id);
     void handle_relay_reply(std::string const& vm, relay_reply reply);
     pinned_connection_pointer make_pinned_connection(std::string const& vm, std::string const& group,
                                                      std::string const& member, std::uint64_t connection_id);
@@ -179,6 +182,8 @@
     std::optional<connection_reports> m_reports;        ///< Set when the service starts.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
+    /// Cancellations of the requests that run for peers, keyed by the peer's connection and its request id.
+    std::map<std::pair<channel_id, std::uint64_t>, std::shared_ptr<request_cancellation>> m_cancellations;
     std::optional<zone_monitor> m_zones; ///< Set when the service starts.
     bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -240,6 +240,9 @@
                "transaction was rolled back while the statement waited");
         return;
     }
+    if (refuse_if_cancelled(queued)) {
+        return;
+    }
     if (queued->connection) {
         send(queued, queued->connection);
         return;
@@ -247,6 +250,16 @@
     acquire_connection(queued);
 }
 
+bool member_dispatcher::refuse_if_cancelled(queued_request_pointer const& queued)
+{
+    if (!queued->request.is_cancelled()) {
+        return false;
+    }
+    free_slot(*queued, false);
+    refuse(queued, member_error::not_started, "the caller disconnected while the request waited");
+    return true;
+}
+
 void member_dispatcher::acquire_connection(queued_request_pointer const& queued)
 {
     auto const keep_alive = shared_from_this();
@@ -313,6 +326,13 @@
                                       backend_connection_pointer const& connection)
 {
     auto& request = queued->request;
+    if (request.is_cancelled()) {
+        if (!queued->connection) {
+            m_pool->release(connection);
+        }
+        refuse_if_cancelled(queued);
+        return;
+    }
     auto const is_in_time = may_send(request);
     if (!is_in_time || (request.needs_slot && m_options.warm_up && !m_options.warm_up->try_take())) {
         if (!queued->connection) {
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -91,6 +91,8 @@
     void start_waiting_requests();
     bool try_start_next();
     start_condition condition_of(member_queue::entry const& entry, bool must_be_repeatable) const;
+    /// Refuses a request whose caller has disconnected. Returns true if it did so.
+    bool refuse_if_cancelled(queued_request_pointer const& queued);
     /// Returns false for a statement of a caller while none may be sent to the member.
     bool may_send(member_request const& request) const;
     void start(queued_request_pointer const& queued);
--- a/libraries/brokers/member_request.h
+++ b/libraries/brokers/member_request.h
@@ -9,6 +9,7 @@
 
 #include <msgpack.hpp>
 
+#include "brokers/request_cancellation.h"
 #include "members/backend_connection.h"
 #include "members/member_command.h"
 
@@ -32,6 +33,10 @@
     bool commits_write = false;
     /// Whether another VM found shortly before that the member was not running.
     bool was_member_absent = false;
+    /// Null for requests that are not cancelled. Not part of relay messages.
+    std::shared_ptr<request_cancellation> cancellation;
+
+    bool is_cancelled() const { return cancellation && cancellation->is_cancelled(); }
     MSGPACK_DEFINE(client_account, values, prepared, commands, time_limit_ms, queue_limit_ms, priority,
                    needs_slot, keeps_connection, needs_proven_leader, commits_write, was_member_absent)
 };
--- a/libraries/brokers/relay_messages.h
+++ b/libraries/brokers/relay_messages.h
@@ -86,8 +86,15 @@
     MSGPACK_DEFINE(vm)
 };
 
+/// Tells the broker that the caller of a relay_request has disconnected. A request that still waits is not
+/// sent to the member; it is answered all the same.
+struct relay_cancel {
+    std::uint64_t request_id = 0;
+    MSGPACK_DEFINE(request_id)
+};
+
 using relay_message = std::variant<relay_request, relay_reply, relay_release, relay_ping, document_request,
-                                   document_reply, connection_report, hand_over_notice>;
+                                   document_reply, connection_report, hand_over_notice, relay_cancel>;
 
 std::string encode_relay_message(relay_message const& message);
 absl::StatusOr<relay_message> try_decode_relay_message(std::string_view bytes);
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -59,8 +59,10 @@
     // A running statement uses the connection until it is answered.
     if (!m_is_running) {
         release_connection();
+        return;
     }
-    else if (auto const execution = m_execution.lock()) {
+    m_cancellation->cancel();
+    if (auto const execution = m_execution.lock()) {
         execution->cancel();
     }
 }
@@ -100,6 +102,7 @@
     m_arrived_at = m_kernel.now();
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
+    m_cancellation = std::make_shared<request_cancellation>();
     ++m_engine.counters().statements;
     process(statement);
 }
@@ -253,6 +256,7 @@
     execution.minimum_position = m_minimum_position;
     execution.arrived_at = m_arrived_at;
     execution.is_write = statement.kind == statement_kind::write;
+    execution.cancellation = m_cancellation;
     if (statement.kind == statement_kind::execute) {
         auto const found = m_prepared.find(statement.name);
         if (found == m_prepared.end()) {
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -103,8 +103,9 @@
     served_class m_transaction_class;
     std::string m_transaction_account;
     std::optional<transaction_connection> m_connection;
-    std::weak_ptr<statement_execution> m_execution; ///< Of the running statement; empty for none.
-    std::optional<log_position> m_minimum_position; ///< Position of the session's last commit.
+    std::shared_ptr<request_cancellation> m_cancellation; ///< Of the running statement.
+    std::weak_ptr<statement_execution> m_execution;       ///< Of the running statement; empty for none.
+    std::optional<log_position> m_minimum_position;       ///< Position of the session's last commit.
     std::deque<session_statement> m_queue;
     bool m_is_running = false;
     bool m_is_closed = false;
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -101,6 +101,7 @@
     request.values = execution.values;
     request.prepared = execution.prepared;
     request.priority = execution.work.priority;
+    request.cancellation = execution.cancellation;
     member_command command;
     command.id = execution.statement.id;
     if (execution.prepared) {
@@ -474,6 +475,11 @@
         return true;
     }
     log_attempt(member, error);
+    if (m_is_cancelled && error == member_error::not_started) {
+        // The dispatcher refused it for the caller's departure, which says nothing about the member.
+        end_if_cancelled();
+        return true;
+    }
     switch (error) {
     case member_error::read_only:
         m_group.record_not_leading(member);
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -25,6 +25,7 @@
     std::optional<log_position> minimum_position; ///< Position of the session's last commit.
     monotonic_time arrived_at;
     bool is_write = false;
+    std::shared_ptr<request_cancellation> cancellation; ///< Tells when the caller has disconnected.
 };
 
 /// Connection that an open transaction holds, and the id of the member at its other end.
--- a/tests/sessions/disconnect_tests.cpp
+++ b/tests/sessions/disconnect_tests.cpp
@@ -137,6 +137,49 @@
     cr_assert(departing.fleet.group().count_in_log(write.id) == 0);
 }
 
+/// Guards against a write that is sent after its caller disconnected, since it had to wait until its broker
+/// had opened a connection for its client account.
+Test(disconnect, write_that_waits_for_a_connection_is_not_sent)
+{
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        departing_caller departing(vm);
+        auto const write = session_caller::write("x");
+        departing.caller.send(write);
+        departing.fleet.clock().run_for(10ms);
+        cr_assert(departing.caller.answers().empty());
+        departing.caller.disconnect();
+        departing.fleet.clock().run_for(2s);
+        cr_assert(departing.fleet.group().count_in_log(write.id) == 0, "VM %zu", vm);
+        auto next = departing_caller::open(departing.fleet, vm);
+        cr_assert(next.send_and_wait(session_caller::write("y")).is_ok());
+    }
+}
+
+/// Guards against a transaction that is committed after its caller disconnected, since the COMMIT had to wait
+/// for a slot at the broker.
+Test(disconnect, commit_that_waits_for_a_slot_is_not_sent)
+{
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        session_fleet_shape shape;
+        shape.group.mean_statement_time = 100ms;
+        departing_caller departing(vm, shape);
+        auto& fleet = departing.fleet;
+        auto const write = session_caller::write("x");
+        departing.begin_and_write(write);
+        std::vector<session_caller> others;
+        for (std::size_t i = 0; i < 12; ++i) {
+            others.push_back(departing_caller::open(fleet, (vm + 1 + i % 4) % vms, 0s));
+            others.back().send(session_caller::read("y"));
+        }
+        fleet.clock().run_for(30ms);
+        departing.caller.send(session_caller::make_statement(statement_kind::commit, "COMMIT"));
+        fleet.clock().run_for(4ms);
+        departing.caller.disconnect();
+        fleet.clock().run_for(3s);
+        cr_assert(fleet.group().count_in_log(write.id) == 0, "VM %zu", vm);
+    }
+}
+
 /// Guards against an answer that is lost with its caller: what was sent before the caller disconnected may
 /// end, and the connection then serves others.
 Test(disconnect, write_that_was_sent_ends_and_its_connection_serves_others)
