brokers: Forget the contact with a VM that has left the fleet

What would be seen: a state that grows with each VM that was ever replaced, and is never smaller until the process ends.

Cause: m_health keeps the last contact with each broker, and nothing removed an entry.

The state dump shows the number as `contacts`.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -10,6 +10,8 @@
 constexpr duration check_period = std::chrono::milliseconds(60);
 /// Period at which the other zones are judged while no request is pending.
 constexpr duration zone_check_period = std::chrono::milliseconds(200);
+/// Period at which the contacts with VMs that left the fleet are removed.
+constexpr duration contact_sweep_period = std::chrono::seconds(10);
 /// Time limit of a status request that shows whether a member of a silent zone can be reached.
 constexpr std::uint32_t member_probe_limit_ms = 200;
 /// Placeholder account for requests that are not sent on behalf of a client account.
@@ -48,6 +50,13 @@
                 }
             }});
     m_kernel.start_periodic(zone_check_period, [this] { m_zones->check(); });
+    m_kernel.start_periodic(contact_sweep_period, [this] { forget_former_vms(); });
+}
+
+void broker_service::forget_former_vms()
+{
+    auto const& peers = m_membership->peers();
+    std::erase_if(m_health, [&peers](auto const& each) { return !peers.contains(each.first); });
 }
 
 Json::Value broker_service::dump() const
@@ -57,6 +66,7 @@
     state["served"] = Json::UInt64(m_served);
     state["pending"] = Json::UInt64(m_pending.size());
     state["leases"] = Json::UInt64(m_peer_connections.size());
+    state["contacts"] = Json::UInt64(m_health.size());
     state["zones"] = m_zones->dump();
     for (auto const& [member, broker] : m_choice->brokers()) {
         state["brokers"][member] = broker;
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -163,6 +163,8 @@
     /// Returns whether a broker of the member could not reach it a short time ago.
     bool was_absent(std::string const& member) const;
     void send_ping(std::string const& vm);
+    /// Removes the contacts with VMs that are no longer known to the membership.
+    void forget_former_vms();
     void probe_member_of(std::string const& zone);
     void handle_zone_change(std::string const& zone, bool is_silent);
     void exclude_route(std::string const& member, std::string const& vm);
