--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include "base/verify.h"
 #include "sessions/session_engine.h"
 
 namespace greengagehitch {
@@ -58,6 +59,11 @@
     // A running statement uses the connection until it is answered.
     if (!m_is_running) {
         release_connection();
+        return;
+    }
+    m_cancellation->cancel();
+    if (auto const execution = m_execution.lock()) {
+        execution->cancel();
     }
 }
 
@@ -96,6 +102,7 @@
     m_arrived_at = m_kernel.now();
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
+    m_cancellation = std::make_shared<request_cancellation>();
     ++m_engine.counters().statements;
     process(statement);
 }
@@ -205,7 +212,8 @@
     auto const& keys = m_engine.fleet().configuration()->account_of_key;
     auto const found = keys.find(m_key);
     if (work->is_open_to_all) {
-        return found == keys.end() ? std::string("-") : found->second;
+        m_account = found == keys.end() ? std::string("-") : found->second;
+        return m_account;
     }
     if (!m_engine.may_trust_keys()) {
         refuse(statement, session_error::busy,
@@ -228,6 +236,9 @@
     m_engine.rates().take(
         client_account, [self = shared_from_this(), statement,
                          on_admitted = std::move(on_admitted)](std::optional<duration> wait) {
+            if (self->end_if_disconnected(statement)) {
+                return;
+            }
             if (wait) {
                 self->refuse(statement, session_error::busy, "client account exceeds its rate limit", *wait);
                 return;
@@ -245,6 +256,7 @@
     execution.minimum_position = m_minimum_position;
     execution.arrived_at = m_arrived_at;
     execution.is_write = statement.kind == statement_kind::write;
+    execution.cancellation = m_cancellation;
     if (statement.kind == statement_kind::execute) {
         auto const found = m_prepared.find(statement.name);
         if (found == m_prepared.end()) {
@@ -297,16 +309,32 @@
                           ? execution_mode::leader_read
                           : execution_mode::read;
     auto& group = m_engine.groups().group(execution.work.group);
-    std::make_shared<statement_execution>(
-        m_kernel, group, std::move(execution), mode,
-        [self = shared_from_this(), statement, mode](execution_result result) {
-            if (mode == execution_mode::write && result.answer.is_ok() && result.answer.position) {
-                self->m_minimum_position =
-                    std::max(self->m_minimum_position.value_or(log_position{}), *result.answer.position);
-            }
-            self->finish(statement, std::move(result.answer));
-        })
-        ->start();
+    execute(group, std::move(execution), mode,
+            [self = shared_from_this(), statement, mode](execution_result result) {
+                if (mode == execution_mode::write && result.answer.is_ok() && result.answer.position) {
+                    self->m_minimum_position =
+                        std::max(self->m_minimum_position.value_or(log_position{}), *result.answer.position);
+                }
+                self->finish(statement, std::move(result.answer));
+            });
+}
+
+void client_session::execute(database_group& group, execution_request execution, execution_mode mode,
+                             std::function<void(execution_result)> done)
+{
+    auto const started =
+        std::make_shared<statement_execution>(m_kernel, group, std::move(execution), mode, std::move(done));
+    m_execution = started;
+    started->start();
+}
+
+bool client_session::end_if_disconnected(session_statement const& statement)
+{
+    if (!m_is_closed) {
+        return false;
+    }
+    refuse(statement, session_error::aborted, "the caller disconnected before the statement was sent");
+    return true;
 }
 
 void client_session::run_in_transaction(session_statement const& statement)
@@ -332,23 +360,17 @@
     auto const may_use_replica =
         m_is_read_transaction && m_transaction_class.consistency != read_consistency::every_commit;
     auto& group = m_engine.groups().group(m_transaction_class.group);
-    std::make_shared<statement_execution>(m_kernel, group, *std::move(execution),
-                                          may_use_replica ? execution_mode::begin_read
-                                                          : execution_mode::begin,
-                                          [self = shared_from_this(), statement](execution_result result) {
-                                              if (!result.connection) {
-                                                  self->m_state = transaction_state::failed;
-                                                  self->finish(statement, std::move(result.answer));
-                                                  return;
-                                              }
-                                              self->m_connection = std::move(result.connection);
-                                              if (self->m_is_closed) {
-                                                  self->release_connection();
-                                                  return;
-                                              }
-                                              self->send_in_transaction(statement, 0);
-                                          })
-        ->start();
+    execute(group, *std::move(execution),
+            may_use_replica ? execution_mode::begin_read : execution_mode::begin,
+            [self = shared_from_this(), statement](execution_result result) {
+                if (!result.connection) {
+                    self->fail_transaction(statement);
+                    self->finish(statement, std::move(result.answer));
+                    return;
+                }
+                self->m_connection = std::move(result.connection);
+                self->send_in_transaction(statement, 0);
+            });
 }
 
 void client_session::commit(session_statement const& statement)
@@ -365,10 +387,10 @@
 
 void client_session::send_in_transaction(session_statement const& statement, int retries)
 {
+    if (end_if_disconnected(statement)) {
+        return;
+    }
     if (!m_engine.groups().group(m_transaction_class.group).may_send_to(m_connection->member)) {
-        if (statement.kind == statement_kind::commit) {
-            roll_back();
-        }
         refuse(statement, session_error::aborted,
                "the member's availability zone is evacuated; the transaction is rolled back");
         return;
@@ -407,22 +429,17 @@
 void client_session::handle_transaction_answer(session_statement const& statement, int retries,
                                                monotonic_time sent_at, member_answer answer)
 {
-    if (!m_connection || m_is_closed) {
-        release_connection();
-        m_is_running = false;
-        return;
-    }
+    // A connection is released only while no statement is running.
+    VERIFY(m_connection);
     auto const is_commit = statement.kind == statement_kind::commit;
     m_served_by = m_connection->member;
     auto const is_unsent = answer.error == member_error::not_started;
     auto const may_repeat =
         answer.error == member_error::busy || answer.error == member_error::unknown_prepared;
     if ((is_unsent || (may_repeat && answer.state == transaction_state::open)) &&
-        retries < max_busy_retries) {
+        retries < max_busy_retries && !m_is_closed) {
         m_kernel.start_timer(busy_retry_delay, [self = shared_from_this(), statement, retries] {
-            if (self->m_connection) {
-                self->send_in_transaction(statement, retries + 1);
-            }
+            self->send_in_transaction(statement, retries + 1);
         });
         return;
     }
@@ -461,8 +478,7 @@
         group.record_not_leading(m_connection->member);
     }
     if (state != transaction_state::open || !is_answer(*error)) {
-        m_state = transaction_state::failed;
-        release_connection();
+        fail_transaction(statement);
     }
     finish(statement, std::move(result));
 }
@@ -473,6 +489,12 @@
     release_connection();
 }
 
+void client_session::fail_transaction(session_statement const& statement)
+{
+    m_state = statement.kind == statement_kind::commit ? transaction_state::idle : transaction_state::failed;
+    release_connection();
+}
+
 void client_session::release_connection()
 {
     // Destroying the pinned connection rolls back a transaction that is still open.
@@ -493,8 +515,7 @@
     answer.error_text = std::move(text);
     answer.retry_after = retry_after;
     if (m_state == transaction_state::open && error != session_error::malformed) {
-        release_connection();
-        m_state = transaction_state::failed;
+        fail_transaction(statement);
     }
     finish(statement, std::move(answer));
 }
@@ -548,7 +569,10 @@
     if (auto const age = m_engine.fleet().configuration_age()) {
         fields["configuration_age_ms"] = to_milliseconds(*age);
     }
-    m_kernel.log(log_level::info, "sessions", "statement was answered with an error", std::move(fields));
+    m_kernel.log(log_level::info, "sessions",
+                 m_is_closed ? "statement ended with an error after its caller had disconnected"
+                             : "statement was answered with an error",
+                 std::move(fields));
 }
 
 } // namespace greengagehitch
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -33,7 +33,7 @@
     void handle(session_statement statement);
 
     /// Ends the session after its caller disconnected. Discards queued statements and rolls back an open
-    /// transaction.
+    /// transaction. A statement that was sent may end first; nothing further is sent but the rollback.
     void disconnect();
 
     /// Returns true if no statement is outstanding and no transaction is open.
@@ -57,6 +57,8 @@
     void begin(session_statement const& statement);
     void commit(session_statement const& statement);
     void roll_back();
+    /// Rolls back a transaction that `statement` failed in. A COMMIT ends the transaction also when it fails.
+    void fail_transaction(session_statement const& statement);
     void run_single_statement(session_statement const& statement);
     void run_in_transaction(session_statement const& statement);
     void begin_and_run(session_statement const& statement);
@@ -73,6 +75,10 @@
     void admit(std::string const& client_account, session_statement const& statement,
                std::function<void()> on_admitted);
     void run_admitted(execution_request execution);
+    void execute(database_group& group, execution_request execution, execution_mode mode,
+                 std::function<void(execution_result)> done);
+    /// Ends a statement that was not sent before its caller disconnected. Returns true if it did so.
+    bool end_if_disconnected(session_statement const& statement);
     std::optional<execution_request> make_execution_request(session_statement statement,
                                                             std::string const& client_account);
 
@@ -97,14 +103,16 @@
     served_class m_transaction_class;
     std::string m_transaction_account;
     std::optional<transaction_connection> m_connection;
-    std::optional<log_position> m_minimum_position; ///< Position of the session's last commit.
+    std::shared_ptr<request_cancellation> m_cancellation; ///< Of the running statement.
+    std::weak_ptr<statement_execution> m_execution;       ///< Of the running statement; empty for none.
+    std::optional<log_position> m_minimum_position;       ///< Position of the session's last commit.
     std::deque<session_statement> m_queue;
     bool m_is_running = false;
     bool m_is_closed = false;
     monotonic_time m_arrived_at;
     monotonic_time m_last_active_at;
     std::string m_served_by; ///< Id of the member that last answered in a transaction; empty for none.
-    std::string m_account;   ///< Client account of the statement that was authorized last.
+    std::string m_account;   ///< Client account of the statement that was authorized last; "-" for none.
 };
 
 } // namespace greengagehitch
