--- a/standins/platform_store/virtual_store.cpp
+++ b/standins/platform_store/virtual_store.cpp
@@ -13,7 +13,13 @@
 
 namespace {
 
-enum http_status { http_ok = 200, http_not_found = 404, http_gone = 410, http_condition_failed = 412 };
+enum http_status {
+    http_ok = 200,
+    http_not_found = 404,
+    http_gone = 410,
+    http_condition_failed = 412,
+    http_unavailable = 503
+};
 
 std::map<std::string, std::string> parse_query(std::string const& path)
 {
@@ -53,6 +59,12 @@
             done(answered);
         };
         m_clock.start_timer(m_latency, [this, caller, request, respond = std::move(respond)] {
+            if (!m_is_available && m_rejects_calls) {
+                http_response rejection;
+                rejection.status = http_unavailable;
+                respond(rejection);
+                return;
+            }
             if (!can_answer(caller)) {
                 m_clock.start_timer(request.timeout, [respond] { respond({}); });
                 return;
@@ -91,6 +103,7 @@
 {
     VERIFY(older.version <= m_contents.version);
     m_contents = std::move(older);
+    m_discarded_version = std::min(m_discarded_version, m_contents.version);
     ++m_era;
     for (auto const& waiting : std::exchange(m_polls, {})) {
         waiting->done({});
@@ -171,7 +184,7 @@
     auto const table = field(query, "table");
     auto const after = std::stoull(field(query, "after"));
     auto const wait = std::chrono::milliseconds(std::stoul(field(query, "wait-ms")));
-    if (after > m_contents.version || has_changes(table, after) || wait == duration::zero()) {
+    if (!can_show_changes(after) || has_changes(table, after) || wait == duration::zero()) {
         done(changes(table, after));
         return;
     }
@@ -186,6 +199,11 @@
     });
 }
 
+bool virtual_store::can_show_changes(std::uint64_t after) const
+{
+    return m_keeps_history && after <= m_contents.version && after >= m_discarded_version;
+}
+
 bool virtual_store::has_changes(std::string const& table, std::uint64_t after) const
 {
     return std::any_of(m_contents.history.begin(), m_contents.history.end(), [&](copy::change const& each) {
@@ -196,7 +214,7 @@
 http_response virtual_store::changes(std::string const& table, std::uint64_t after) const
 {
     Json::Value root(Json::objectValue);
-    if (after > m_contents.version) {
+    if (!can_show_changes(after)) {
         return answer(http_gone, std::move(root));
     }
     root["rows"] = Json::Value(Json::arrayValue);
--- a/standins/platform_store/virtual_store.h
+++ b/standins/platform_store/virtual_store.h
@@ -53,8 +53,17 @@
     /// Replaces the contents by an older copy and starts a new era.
     void restore(copy older);
 
+    /// Sets the time from a request to its answer.
+    void set_latency(duration latency) { m_latency = latency; }
+    /// Forgets all changes so far; only a whole read shows them.
+    void discard_history() { m_discarded_version = m_contents.version; }
+    /// While the store keeps no history, no read of changes succeeds.
+    void set_keeps_history(bool keeps_history) { m_keeps_history = keeps_history; }
+
     /// While the store is unavailable, calls are not answered.
     void set_available(bool is_available) { m_is_available = is_available; }
+    /// While the store is unavailable and `rejects_calls` is true, calls are rejected at once.
+    void set_rejects_calls(bool rejects_calls) { m_rejects_calls = rejects_calls; }
     /// Makes the store unreachable for one VM, or reachable again.
     void set_cut(std::string const& caller, bool is_cut);
 
@@ -76,6 +85,8 @@
     /// Answers a feed at once if there are changes or the version is unknown; otherwise lets it wait.
     void poll(std::string const& caller, std::map<std::string, std::string> const& query,
               http_response_callback done);
+    /// Returns whether the store has the version and all later changes.
+    bool can_show_changes(std::uint64_t after) const;
     bool has_changes(std::string const& table, std::uint64_t after) const;
     http_response changes(std::string const& table, std::uint64_t after) const;
     http_response answer(int status, Json::Value root) const;
@@ -86,7 +97,10 @@
     duration m_latency;
     copy m_contents;
     std::uint64_t m_era = 1;
+    std::uint64_t m_discarded_version = 0; ///< Latest version whose change the feed no longer shows.
     bool m_is_available = true;
+    bool m_keeps_history = true;
+    bool m_rejects_calls = false;
     std::set<std::string> m_cut;
     std::vector<std::shared_ptr<waiting_poll>> m_polls;
     std::map<std::string, std::vector<std::string>> m_paths; ///< Paths that were called, keyed by caller.
--- /dev/null
+++ b/tests/platform/store_watcher_tests.cpp
@@ -0,0 +1,43 @@
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+#include "watched_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+constexpr std::size_t members = 3;
+
+/// One VM and a directory that the store returns in three parts.
+struct large_directory_fixture {
+    std::size_t parts_read() { return fleet.store.calls("vm-0", "/rows-get?table=servers"); }
+
+    watched_fleet fleet{{"a"}, members / 3};
+};
+
+} // namespace
+
+/// Guards against live members that are taken to have left: while one read of the whole directory went from
+/// part to part, another began and dropped the parts that the first had received.
+Test(store_watcher, whole_reads_of_a_slow_store_keep_all_members)
+{
+    large_directory_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fleet.store.set_latency(900ms);
+    fleet.store.put("servers", "m-0-a", watched_fleet::member("draining", "replica", 2));
+    fleet.store.discard_history();
+    auto lowest = members;
+    for (auto i = 0; i < 200; ++i) {
+        fleet.clock().run_for(100ms);
+        lowest = std::min(lowest, fleet.state(0).members().size());
+    }
+    auto const missing = fleet.log_count("member is missing from the directory");
+    cr_assert(missing == 0, "%zu times a member was taken to be missing; %zu listed at least", missing,
+              lowest);
+    cr_assert(lowest == members);
+    cr_assert(fleet.vms_without_drain("m-0-a").empty());
+}
--- a/tests/platform/watched_fleet.h
+++ b/tests/platform/watched_fleet.h
@@ -17,7 +17,9 @@
 /// VMs that read the configuration and the member directory from a store in virtual time.
 class watched_fleet {
 public:
-    explicit watched_fleet(std::vector<std::string> zones) : m_fleet(shape_of(std::move(zones)), 1)
+    /// `page_size` is the number of rows that VMs read from the store at once.
+    explicit watched_fleet(std::vector<std::string> zones, std::size_t page_size = 500)
+        : m_fleet(shape_of(std::move(zones)), 1), m_page_size(page_size)
     {
         store.put("op", "config", configuration(1));
         for (auto const* const id : {"m-0-a", "m-0-b", "m-0-c"}) {
@@ -85,6 +87,29 @@
         return names;
     }
 
+    /// Names of the VMs on which this configuration version is active and known to have been the newest at a
+    /// time after `time`.
+    std::string vms_that_confirm(std::uint64_t version, monotonic_time time)
+    {
+        std::string names;
+        for (std::size_t i = 0; i < vms(); ++i) {
+            auto const age = state(i).configuration_age();
+            auto const is_confirmed = version_at(i) == version && age && clock().now() - *age > time;
+            names += is_confirmed ? name(i) + ", " : "";
+        }
+        return names;
+    }
+
+    /// Names of the VMs whose directory contains a member.
+    std::string vms_that_list(std::string const& member)
+    {
+        std::string names;
+        for (std::size_t i = 0; i < vms(); ++i) {
+            names += state(i).members().contains(member) ? name(i) + ", " : "";
+        }
+        return names;
+    }
+
     /// Names of the VMs that do not know a member to be draining.
     std::string vms_without_drain(std::string const& member)
     {
@@ -112,7 +137,7 @@
               watcher(core, client, fleet.state(index), fleet.m_fleet.vm(index).reports(),
                       fleet.m_fleet.vm(index).documents(),
                       {std::chrono::milliseconds(1'500), std::chrono::milliseconds(600),
-                       std::chrono::milliseconds(2'300)}),
+                       std::chrono::milliseconds(2'300), fleet.m_page_size}),
               adapter(core, client, {name(index), "a", {"10.0.0.1", 7000}, 1, std::chrono::seconds(25)})
         {
             client.set_era_hook([this](std::uint64_t previous, std::uint64_t) {
@@ -139,6 +164,7 @@
     }
 
     session_fleet m_fleet;
+    std::size_t m_page_size;
     std::map<std::string, std::size_t> m_log_counts;
 
 public:
