--- a/tests/platform/store_watcher_tests.cpp
+++ b/tests/platform/store_watcher_tests.cpp
@@ -41,3 +41,22 @@
     cr_assert(lowest == members);
     cr_assert(fleet.vms_without_drain("m-0-a").empty());
 }
+
+/// Guards against a change that is never seen: the position of the last part was recorded for the whole
+/// directory, and an entry of the first part had changed since that part was read.
+Test(store_watcher, entry_that_changes_while_the_directory_is_read_is_seen)
+{
+    large_directory_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fleet.store.set_latency(400ms);
+    fleet.store.raise_version(1);
+    fleet.store.discard_history();
+    auto const parts_before = fixture.parts_read();
+    while (fixture.parts_read() < parts_before + 2) {
+        fleet.clock().run_for(10ms);
+    }
+    fleet.store.put("servers", "m-0-a", watched_fleet::member("draining", "replica", 2));
+    fleet.store.raise_version(1);
+    fleet.clock().run_for(10s);
+    cr_assert(fleet.vms_without_drain("m-0-a").empty());
+}
