--- /dev/null
+++ b/tests/platform/member_connector_tests.cpp
@@ -0,0 +1,105 @@
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "platform/member_connector.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+
+namespace {
+
+/// Time within which an answer of this machine must have been handled.
+constexpr duration answer_limit = 2s;
+
+/// Member that answers each connection with the same bytes and keeps it open.
+struct member_connector_fixture {
+    explicit member_connector_fixture(std::string answer) : greeting(std::move(answer))
+    {
+        cr_assert(acceptor.try_listen({"127.0.0.1", 0}).ok());
+    }
+
+    /// Opens a connection. Returns the first answer, or no value if none arrived in time.
+    std::optional<member_answer> open()
+    {
+        std::optional<member_answer> result;
+        backend_connection_events events;
+        events.opened = [&result](member_answer answer) { result = std::move(answer); };
+        events.answered = [](member_answer const&) {};
+        events.lost = [](member_error) {};
+        backend_connection_target target;
+        target.group = "group";
+        target.client_account = "account";
+        target.member = "member";
+        target.address = {"127.0.0.1", acceptor.port()};
+        hooks.open(target, std::move(events));
+        auto const end = loop.now() + answer_limit;
+        while (!result && loop.now() < end) {
+            loop.run_once(10ms);
+        }
+        return result;
+    }
+
+    /// Returns whether the caller closes the connection in time.
+    bool is_closed_by_caller()
+    {
+        auto const end = loop.now() + answer_limit;
+        while (!is_closed && loop.now() < end) {
+            loop.run_once(10ms);
+        }
+        return is_closed;
+    }
+
+    reactor loop;
+    std::string greeting;
+    std::shared_ptr<tcp_stream> accepted;
+    bool is_closed = false;
+    tcp_acceptor acceptor{loop, [this](std::shared_ptr<tcp_stream> stream) {
+                              accepted = std::move(stream);
+                              tcp_stream::events events;
+                              events.bytes = [this](std::string_view) { accepted->send(greeting); };
+                              events.ended = [this] { is_closed = true; };
+                              accepted->start(std::move(events));
+                          }};
+    member_connector connector{loop};
+    backend_connection_hooks hooks = connector.hooks();
+};
+
+} // namespace
+
+Test(member_connector, ready_line_opens_the_connection)
+{
+    member_connector_fixture fixture("READY I 3.12\r\n");
+    auto const answer = fixture.open();
+    cr_assert(answer && answer->is_ok());
+}
+
+Test(member_connector, error_line_refuses_the_connection)
+{
+    member_connector_fixture fixture("ERROR WRONGNODE m-1\r\n");
+    auto const answer = fixture.open();
+    cr_assert(answer && answer->error == member_error::wrong_member);
+}
+
+/// Guards against a connection that occupies a slot of its member until the timeout of the handshake: a line
+/// that is not valid while the connection opens was ignored.
+Test(member_connector, invalid_line_while_opening_closes_the_connection)
+{
+    member_connector_fixture fixture("HELLO\r\n");
+    auto const answer = fixture.open();
+    cr_assert(answer, "no answer in time");
+    cr_assert(answer->error == member_error::refused);
+    cr_assert(fixture.is_closed_by_caller());
+}
+
+/// Guards against a connection whose answers belong to other requests: a valid line after one that is not
+/// valid opened it.
+Test(member_connector, valid_line_after_an_invalid_one_does_not_open_the_connection)
+{
+    member_connector_fixture fixture("HELLO\r\nREADY I 3.12\r\n");
+    auto const answer = fixture.open();
+    cr_assert(answer && answer->error == member_error::refused);
+    cr_assert(fixture.is_closed_by_caller());
+}
