--- /dev/null
+++ b/tests/platform/platform_adapter_tests.cpp
@@ -0,0 +1,101 @@
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "platform/platform_adapter.h"
+#include "virtual_clock.h"
+#include "virtual_store.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+constexpr auto vms_table = "greengagehitch-vms";
+constexpr duration register_period = 25s;
+
+/// One VM that lists the VMs of its fleet in the platform's store.
+struct vm_list_fixture {
+    vm_list_fixture() { adapter.start(); }
+
+    /// Writes the entry of another VM as that VM does.
+    void put(std::string const& name)
+    {
+        store.put(vms_table, name,
+                  R"({"availability_zone":"a","host":"10.0.0.2","port":7000,"processor_share":1.0})");
+    }
+
+    /// Names of the listed VMs, or no value if the list could not be read.
+    std::optional<std::set<std::string>> list()
+    {
+        std::optional<std::set<std::string>> names;
+        adapter.hooks().list_vms([&names](absl::StatusOr<std::vector<vm_record>> const& records) {
+            if (records.ok()) {
+                names.emplace();
+                for (auto const& record : *records) {
+                    names->insert(record.name);
+                }
+            }
+        });
+        clock.run_for(1s);
+        return names;
+    }
+
+    /// Another VM, which renews its own entry.
+    struct peer_vm {
+        explicit peer_vm(vm_list_fixture& fixture)
+            : core(fixture.make_hooks()), client(fixture.store.hook("vm-1"), fixture.store.hook("vm-1"), 1s),
+              adapter(core, client, {"vm-1", "a", {"10.0.0.2", 7000}, 1, register_period})
+        {
+            adapter.start();
+        }
+
+        kernel core;
+        store_client client;
+        platform_adapter adapter;
+    };
+
+    void start_peer()
+    {
+        peer = std::make_unique<peer_vm>(*this);
+        clock.run_for(1s);
+    }
+
+    kernel_hooks make_hooks()
+    {
+        return {[this] { return clock.now(); }, [this] { return clock.random()(); },
+                [this](duration delay, std::function<void()> callback) {
+                    return clock.start_timer(delay, std::move(callback));
+                },
+                [this](timer_id timer) { clock.cancel_timer(timer); }, [](log_record const&) {}};
+    }
+
+    virtual_clock clock{1};
+    virtual_store store{clock, 4ms};
+    kernel core{make_hooks()};
+    store_client client{store.hook("vm-0"), store.hook("vm-0"), 1s};
+    platform_adapter adapter{core, client, {"vm-0", "a", {"10.0.0.1", 7000}, 1, register_period}};
+    std::unique_ptr<peer_vm> peer;
+};
+
+} // namespace
+
+/// Guards against a fleet that does not know its last VMs: the list was read up to the largest number of rows
+/// that the store returns at once.
+Test(vm_list, list_of_a_large_fleet_names_all_vms)
+{
+    constexpr std::size_t vms = 1'700;
+    vm_list_fixture fixture;
+    for (std::size_t i = 1; i < vms; ++i) {
+        fixture.put(fmt::format("vm-{}", i));
+    }
+    auto const listed = fixture.list();
+    cr_assert(listed, "the list was not read");
+    cr_assert(listed->size() == vms, "%zu of %zu VMs are listed", listed->size(), vms);
+}
