--- a/tests/platform/platform_adapter_tests.cpp
+++ b/tests/platform/platform_adapter_tests.cpp
@@ -51,7 +51,8 @@
     struct peer_vm {
         explicit peer_vm(vm_list_fixture& fixture)
             : core(fixture.make_hooks()), client(fixture.store.hook("vm-1"), fixture.store.hook("vm-1"), 1s),
-              adapter(core, client, {"vm-1", "a", {"10.0.0.2", 7000}, 1, register_period})
+              adapter(core, client,
+                      {"vm-1", "a", {"10.0.0.2", 7000}, 1, register_period, fixture.unix_time_ms()})
         {
             adapter.start();
         }
@@ -67,6 +68,12 @@
         clock.run_for(1s);
     }
 
+    std::uint64_t unix_time_ms() const
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(clock.now().time_since_epoch()).count());
+    }
+
     kernel_hooks make_hooks()
     {
         return {[this] { return clock.now(); }, [this] { return clock.random()(); },
@@ -99,3 +106,58 @@
     cr_assert(listed, "the list was not read");
     cr_assert(listed->size() == vms, "%zu of %zu VMs are listed", listed->size(), vms);
 }
+
+/// Guards against a VM that counts as live after it has stopped: an entry that a restore of the store brought
+/// back had another version than the last one and counted as renewed.
+Test(vm_list, restored_entry_of_a_stopped_vm_is_not_renewed)
+{
+    vm_list_fixture fixture;
+    fixture.start_peer();
+    cr_assert(fixture.list() == (std::set<std::string>{"vm-0", "vm-1"}));
+    auto const copy = fixture.store.contents();
+    fixture.clock.run_for(2 * register_period);
+    fixture.list();
+    fixture.peer.reset();
+    fixture.clock.run_for(2 * register_period);
+    fixture.store.restore(copy);
+    fixture.adapter.handle_restore();
+    cr_assert(fixture.list()->contains("vm-1"), "the last renewal was two periods ago");
+    // Three periods after the last renewal.
+    fixture.clock.run_for(register_period + 5s);
+    cr_assert(fixture.list() == (std::set<std::string>{"vm-0"}));
+}
+
+/// A VM that runs renews its entry after a restore, and its new version may be below the last one.
+Test(vm_list, vm_that_renews_its_entry_after_a_restore_stays_listed)
+{
+    vm_list_fixture fixture;
+    fixture.start_peer();
+    fixture.list();
+    auto const copy = fixture.store.contents();
+    fixture.store.raise_version(100);
+    fixture.clock.run_for(2 * register_period);
+    fixture.list();
+    fixture.store.restore(copy);
+    for (auto i = 0; i < 8; ++i) {
+        cr_assert(fixture.list()->contains("vm-1"), "after %d periods", i);
+        fixture.clock.run_for(register_period);
+    }
+}
+
+/// A VM that was started again counts its renewals anew.
+Test(vm_list, vm_that_starts_again_before_the_restore_is_known_stays_listed)
+{
+    vm_list_fixture fixture;
+    fixture.start_peer();
+    auto const copy = fixture.store.contents();
+    fixture.clock.run_for(4 * register_period);
+    fixture.list();
+    fixture.peer.reset();
+    fixture.clock.run_for(2 * register_period);
+    fixture.store.restore(copy);
+    fixture.start_peer();
+    fixture.clock.run_for(1s);
+    fixture.list();
+    fixture.clock.run_for(2 * register_period);
+    cr_assert(fixture.list()->contains("vm-1"));
+}
