--- a/tests/platform/store_restore_tests.cpp
+++ b/tests/platform/store_restore_tests.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t zone_size = 12;
 /// Rows that VMs wrote in the seconds that a restore loses. Nobody writes them again.
 constexpr std::uint64_t lost_writes = 10;
+/// Time after the store's return in which the operator writes again what the store has lost.
+constexpr auto operator_delay = 100ms;
 
 /// Zone of twelve VMs and one VM of another zone.
 struct store_restore_fixture {
@@ -152,3 +154,57 @@
         cr_assert(rows.contains({"greengagehitch-vms", watched_fleet::name(i)}), "vm-%zu", i);
     }
 }
+
+/// Guards against a withdrawn key that is accepted: the store lost the configuration 2 before any VM had read
+/// it, and VMs took the configuration 1 of the copy for the newest until the operator had written again.
+Test(store_restore, configuration_of_the_copy_is_not_confirmed_before_the_operator_writes_again)
+{
+    // The store returns at several times, since VMs try to reach it at times of their own.
+    for (auto outage = 1'000ms; outage < 4'000ms; outage += operator_delay / 2) {
+        watched_fleet fleet({"a", "b"});
+        auto const copy = fleet.store.contents();
+        // This VM has read the store up to a version that the copy does not have.
+        fleet.store.raise_version(lost_writes);
+        fleet.restart(0);
+        fleet.clock().run_for(4s);
+        fleet.store.put("op", "config", watched_fleet::configuration(2));
+        auto const written_at = fleet.clock().now();
+        fleet.store.set_rejects_calls(true);
+        fleet.store.set_available(false);
+        fleet.clock().run_for(outage);
+        fleet.store.restore(copy);
+        fleet.store.set_available(true);
+        for (auto i = 0; i < 10; ++i) {
+            fleet.clock().run_for(operator_delay / 10);
+            auto const wrong = fleet.vms_that_confirm(1, written_at);
+            cr_assert(wrong.empty(), "after an outage of %d ms: %s", static_cast<int>(outage.count()),
+                      wrong.c_str());
+        }
+        fleet.store.put("op", "config", watched_fleet::configuration(2));
+        fleet.clock().run_for(configuration_limit);
+        auto const late = fleet.vms_without(2);
+        cr_assert(late.empty(), "after an outage of %d ms: %s", static_cast<int>(outage.count()),
+                  late.c_str());
+    }
+}
+
+/// Guards against requests with keys that stay refused: a configuration that the operator does not write
+/// again, since the restore has not lost one, must be confirmed all the same.
+Test(store_restore, configuration_that_was_not_lost_is_confirmed_again)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    auto const copy = fleet.store.contents();
+    fleet.store.raise_version(lost_writes);
+    fleet.store.set_available(false);
+    fleet.clock().run_for(1s);
+    fleet.store.restore(copy);
+    fleet.store.set_available(true);
+    auto const returned_at = fleet.clock().now();
+    fleet.clock().run_for(5s);
+    auto const confirmed = fleet.vms_that_confirm(1, returned_at);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        cr_assert(confirmed.find(watched_fleet::name(i) + ",") != std::string::npos, "%s: %s",
+                  watched_fleet::name(i).c_str(), confirmed.c_str());
+    }
+}
--- a/tests/platform/watched_fleet.h
+++ b/tests/platform/watched_fleet.h
@@ -133,7 +133,7 @@
                   },
                   [&fleet](timer_id timer) { fleet.clock().cancel_timer(timer); },
                   [&fleet](log_record const& record) { ++fleet.m_log_counts[std::string(record.message)]; }}),
-              client(fleet.store.hook(name(index)), fleet.store.hook(name(index)), std::chrono::seconds(1)),
+              client(guarded_hook(fleet, index), guarded_hook(fleet, index), std::chrono::seconds(1)),
               watcher(core, client, fleet.state(index), fleet.m_fleet.vm(index).reports(),
                       fleet.m_fleet.vm(index).documents(),
                       {std::chrono::milliseconds(1'500), std::chrono::milliseconds(600),
@@ -149,6 +149,20 @@
             watcher.start();
         }
 
+        /// Returns a hook whose calls are not answered after the VM was stopped.
+        http_call_hook guarded_hook(watched_fleet& fleet, std::size_t index)
+        {
+            return [call = fleet.store.hook(name(index)), weak = std::weak_ptr(lifetime)](
+                       http_client_request const& request, http_response_callback done) {
+                call(request, [weak, done = std::move(done)](http_response const& response) {
+                    if (!weak.expired()) {
+                        done(response);
+                    }
+                });
+            };
+        }
+
+        std::shared_ptr<bool> lifetime = std::make_shared<bool>(true);
         kernel core;
         store_client client;
         store_watcher watcher;
