--- a/tests/platform/store_restore_tests.cpp
+++ b/tests/platform/store_restore_tests.cpp
@@ -15,6 +15,10 @@
 constexpr std::uint64_t lost_writes = 10;
 /// Time after the store's return in which the operator writes again what the store has lost.
 constexpr auto operator_delay = 100ms;
+/// Time after which the platform removes the entry of a member that is silent.
+constexpr duration expiry_of_entries = 3'600ms;
+/// Time in which all VMs drop a member whose entry was removed; they learn of it one after the other.
+constexpr duration drop_limit = 7s;
 
 /// Zone of twelve VMs and one VM of another zone.
 struct store_restore_fixture {
@@ -208,3 +212,90 @@
                   watched_fleet::name(i).c_str(), confirmed.c_str());
     }
 }
+
+/// Guards against requests that are sent to members that have left: the copy from before showed their
+/// entries, which VMs took for those of new members until the platform removed them again.
+Test(store_restore, member_that_left_before_the_restore_is_not_listed_again)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fixture.lose_writes([&fleet] {
+        fleet.store.erase("servers", "m-0-b");
+        fleet.clock().run_for(6s);
+    });
+    cr_assert(fleet.vms_that_list("m-0-b").empty(), "before the restore: %s",
+              fleet.vms_that_list("m-0-b").c_str());
+    fleet.store.set_available(true);
+    for (duration time{}; time < expiry_of_entries; time += 100ms) {
+        fleet.clock().run_for(100ms);
+        auto const wrong = fleet.vms_that_list("m-0-b");
+        cr_assert(wrong.empty(), "after %.0f ms: %s", to_milliseconds(time), wrong.c_str());
+    }
+    fleet.store.erase("servers", "m-0-b");
+    fleet.clock().run_for(10s);
+    cr_assert(fleet.vms_that_list("m-0-b").empty());
+}
+
+/// Guards against requests that are sent to a member that has left: VMs keep a member for a while after its
+/// entry disappeared, and a restore within that time made them take it for one that has returned. The VM of
+/// zone b reads the store itself and has not seen the removal.
+Test(store_restore, member_that_left_right_before_the_restore_is_dropped_as_soon_as_without_it)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    auto const copy = fleet.store.contents();
+    fleet.store.erase("servers", "m-0-b");
+    fleet.clock().run_for(1s);
+    fleet.store.restore(copy);
+    fleet.clock().run_for(expiry_of_entries);
+    fleet.store.erase("servers", "m-0-b");
+    fleet.clock().run_for(drop_limit - 1s - expiry_of_entries);
+    for (std::size_t i = 0; i < zone_size; ++i) {
+        cr_assert(!fleet.state(i).members().contains("m-0-b"), "vm-%zu", i);
+    }
+}
+
+Test(store_restore, member_that_left_without_a_restore_is_dropped_in_time)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fleet.store.erase("servers", "m-0-b");
+    fleet.clock().run_for(drop_limit);
+    auto const wrong = fleet.vms_that_list("m-0-b");
+    cr_assert(wrong.empty(), "%s", wrong.c_str());
+}
+
+/// The entry of a live member expired, for instance since the member could not reach the store.
+Test(store_restore, removed_member_that_writes_again_after_the_restore_is_listed)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fixture.lose_writes([&fleet] {
+        fleet.store.erase("servers", "m-0-b");
+        fleet.clock().run_for(6s);
+    });
+    fleet.store.set_available(true);
+    fleet.clock().run_for(500ms);
+    fleet.store.put("servers", "m-0-b", watched_fleet::member("ready", "replica", 2));
+    fleet.clock().run_for(3s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        cr_assert(fleet.state(i).members().contains("m-0-b"), "vm-%zu", i);
+    }
+}
+
+/// Guards against a live member that is never used again: its heartbeats leave the restored entry as it is,
+/// and the platform does not remove it.
+Test(store_restore, restored_entry_that_the_store_keeps_is_listed_in_the_end)
+{
+    store_restore_fixture fixture;
+    auto& fleet = fixture.fleet;
+    fixture.lose_writes([&fleet] {
+        fleet.store.erase("servers", "m-0-b");
+        fleet.clock().run_for(6s);
+    });
+    fleet.store.set_available(true);
+    fleet.clock().run_for(12s);
+    for (std::size_t i = 0; i < fleet.vms(); ++i) {
+        cr_assert(fleet.state(i).members().contains("m-0-b"), "vm-%zu", i);
+    }
+}
