--- a/tests/platform/store_watcher_tests.cpp
+++ b/tests/platform/store_watcher_tests.cpp
@@ -60,3 +60,24 @@
     fleet.clock().run_for(10s);
     cr_assert(fleet.vms_without_drain("m-0-a").empty());
 }
+
+/// Guards against a busy loop: a store that never has the requested changes was read in whole and asked
+/// for changes again without a delay.
+Test(store_watcher, store_that_keeps_no_history_is_read_at_a_bounded_rate)
+{
+    /// Calls in ten seconds: two for each of the delays, which grow to between 0.5 s and 1 s.
+    constexpr std::size_t max_calls = 50;
+    watched_fleet fleet({"a"});
+    fleet.store.set_keeps_history(false);
+    auto const before =
+        fleet.store.calls("vm-0", "/rows-get?table=op") + fleet.store.calls("vm-0", "/rows-feed?table=op");
+    fleet.store.put("op", "config", watched_fleet::configuration(2));
+    fleet.clock().run_for(10s);
+    auto const calls = fleet.store.calls("vm-0", "/rows-get?table=op") +
+                       fleet.store.calls("vm-0", "/rows-feed?table=op") - before;
+    cr_assert(calls <= max_calls, "%zu calls", calls);
+    cr_assert(fleet.vms_without(2).empty());
+    fleet.store.put("op", "config", watched_fleet::configuration(3));
+    fleet.clock().run_for(3s);
+    cr_assert(fleet.vms_without(3).empty());
+}
