limits: Let a zone give up a share before the other side of a cut takes it

An account whose callers began a burst just after a zone, or the VM through which a zone's reports go, had been cut off was admitted beyond its rate and burst: both sides saw their own demand grow and that of the other side at the old value, so the shares summed to as much as 1.8 until the reports expired, which both sides also found at different times.

Now, once a zone has been silent for 0.3 of the lifetime of reports, growth of the own zone's demand counts only as far as all zones were in contact after it was reported. After 0.7 of the lifetime a share may no longer rely on contact with a zone that has sent neither report nor token message; a share that is larger without it still begins at the end of the lifetime. The difference is longer than a report period, so the loser is always first. The ages are checked every 0.1 s, and a zone report with other VMs divides the rates at once.

Ruled out: counting the own growth always only after contact.

--- a/libraries/limits/rate_contacts.cpp
+++ b/libraries/limits/rate_contacts.cpp
@@ -12,6 +12,13 @@
 constexpr duration max_start_difference = std::chrono::seconds(2);
 /// Number of report lifetimes after which a silent peer or zone is forgotten.
 constexpr int retained_lifetimes = 4;
+/// Fraction of the lifetime of reports within which a zone reports again unless a report is lost. When a zone
+/// is silent for longer, the demands of this zone may be unknown to it.
+constexpr double fresh_contact = 0.3;
+/// Fraction of the lifetime of reports after which a zone's share may no longer rely on contact with a zone.
+/// The rest of the lifetime is longer than a report period, so the zone on the other side of a cut has given
+/// up what it had by its contact with this one before this one uses it.
+constexpr double certain_contact = 0.7;
 /// Number of VMs that vote on the lender of a zone, and of votes that make a majority.
 constexpr std::size_t elector_count = 3;
 constexpr std::size_t majority_of_electors = 2;
@@ -29,6 +36,20 @@
     return demands;
 }
 
+/// Returns the smaller demand for each account. An account that is missing has no demand.
+rate_division::demands_map smaller_of(rate_division::demands_map const& left,
+                                      rate_division::demands_map const& right)
+{
+    rate_division::demands_map result;
+    for (auto const& [account, demand] : left) {
+        auto const other = right.find(account);
+        if (other != right.end()) {
+            result[account] = std::min(demand, other->second);
+        }
+    }
+    return result;
+}
+
 bool contains(std::vector<name_hash> const& names, std::string const& name)
 {
     return std::find(names.begin(), names.end(), hash_name(name)) != names.end();
@@ -49,6 +70,13 @@
 bool rate_contacts::handle_zone_report(zone_report const& report, std::vector<std::string> const& vms)
 {
     auto& entry = m_zones[report.availability_zone];
+    if (is_own_zone(report.availability_zone)) {
+        m_former_demands.push_back({entry.received_at, std::move(entry.demands)});
+        while (m_former_demands.size() > 1 &&
+               m_kernel.now() - m_former_demands[1].reported_at > m_report_lifetime) {
+            m_former_demands.pop_front();
+        }
+    }
     entry.received_at = m_kernel.now();
     entry.receives_from_this_vm = contains(report.reachable_zones, m_membership.identity().availability_zone);
     entry.demands = decode_demands(report.demands);
@@ -61,31 +89,105 @@
     return std::exchange(entry.vm_hashes, report.vms) != report.vms;
 }
 
+void rate_contacts::record_message(std::string const& peer)
+{
+    auto const zone = m_zones.find(m_membership.availability_zone_of(peer));
+    if (zone != m_zones.end()) {
+        zone->second.heard_at = m_kernel.now();
+    }
+}
+
 void rate_contacts::divide(demands_map const& own_demands)
 {
     remove_silent();
-    m_division.reset(m_membership.fleet_size());
-    m_division.add_own_demands(own_demands);
     m_zone_peers_in_contact = 0;
-    m_other_zones_in_contact = 0;
     for (auto const& [name, peer] : m_peers) {
         if (is_in_contact(peer)) {
             ++m_zone_peers_in_contact;
-            m_division.add_zone_peer(peer.demands);
         }
     }
+    m_other_zones_in_contact = count_zones(&rate_contacts::is_counted);
+    m_certain_zones = count_zones(&rate_contacts::is_certain);
+    m_fresh_zones = count_zones(&rate_contacts::is_fresh);
+    m_division = divide_among(own_demands, &rate_contacts::is_counted);
+    m_certain_division.reset();
+    if (m_certain_zones != m_other_zones_in_contact) {
+        m_certain_division = divide_among(own_demands, &rate_contacts::is_certain);
+    }
+    set_lenders();
+}
+
+bool rate_contacts::has_lost_contact() const
+{
+    return count_zones(&rate_contacts::is_counted) < m_other_zones_in_contact ||
+           count_zones(&rate_contacts::is_certain) < m_certain_zones ||
+           count_zones(&rate_contacts::is_fresh) < m_fresh_zones;
+}
+
+bool rate_contacts::is_certain(zone_state const& zone) const
+{
+    return is_in_contact(zone) &&
+           m_kernel.now() - std::max(zone.received_at, zone.heard_at) <= part_of_lifetime(certain_contact);
+}
+
+bool rate_contacts::is_fresh(zone_state const& zone) const
+{
+    return is_in_contact(zone) && m_kernel.now() - zone.received_at <= part_of_lifetime(fresh_contact);
+}
+
+duration rate_contacts::part_of_lifetime(double part) const
+{
+    return std::chrono::duration_cast<duration>(part * m_report_lifetime);
+}
+
+std::size_t rate_contacts::count_zones(zone_predicate counts) const
+{
+    return static_cast<std::size_t>(std::count_if(m_zones.begin(), m_zones.end(), [&](auto const& each) {
+        return !is_own_zone(each.first) && (this->*counts)(each.second);
+    }));
+}
+
+rate_division rate_contacts::divide_among(demands_map const& own_demands, zone_predicate counts) const
+{
+    auto const now = m_kernel.now();
+    rate_division division;
+    division.reset(m_membership.fleet_size());
+    division.add_own_demands(own_demands);
+    for (auto const& [name, peer] : m_peers) {
+        if (is_in_contact(peer)) {
+            division.add_zone_peer(peer.demands);
+        }
+    }
+    auto received_by_all = now;
     for (auto const& [zone, state] : m_zones) {
-        if (is_own_zone(zone)) {
-            if (m_kernel.now() - state.received_at <= m_report_lifetime) {
-                m_division.set_reported_zone_demands(state.demands);
-            }
+        if (!is_own_zone(zone) && (this->*counts)(state)) {
+            division.add_other_zone(state.vms.size(), state.demands);
+            received_by_all = std::min(received_by_all, state.received_at);
         }
-        else if (is_in_contact(state)) {
-            ++m_other_zones_in_contact;
-            m_division.add_other_zone(state.vms.size(), state.demands);
+    }
+    auto const own_zone = m_zones.find(m_membership.identity().availability_zone);
+    if (own_zone != m_zones.end() && now - own_zone->second.received_at <= m_report_lifetime) {
+        auto const& state = own_zone->second;
+        division.set_reported_zone_demands(now - received_by_all <= part_of_lifetime(fresh_contact)
+                                               ? state.demands
+                                               : known_zone_demands(state, received_by_all));
+    }
+    return division;
+}
+
+rate_contacts::demands_map rate_contacts::known_zone_demands(zone_state const& own_zone,
+                                                             monotonic_time received_by_all) const
+{
+    if (own_zone.received_at <= received_by_all) {
+        return own_zone.demands;
+    }
+    demands_map const* known = nullptr;
+    for (auto const& each : m_former_demands) {
+        if (each.reported_at <= received_by_all) {
+            known = &each.demands;
         }
     }
-    set_lenders();
+    return known == nullptr ? demands_map() : smaller_of(*known, own_zone.demands);
 }
 
 void rate_contacts::remove_silent()
@@ -136,8 +238,8 @@
         return 0;
     }
     auto const& own = m_membership.identity().name;
-    return m_division.share_of(client_account, capacity,
-                               {fleet_lender(client_account) == own, zone_lender(client_account) == own});
+    return certain_share_of(client_account, capacity,
+                            {fleet_lender(client_account) == own, zone_lender(client_account) == own});
 }
 
 double rate_contacts::share_in_place_of_lender(std::string const& client_account, double capacity)
@@ -145,7 +247,15 @@
     auto const& lender = fleet_lender(client_account);
     auto const is_fleet_lender =
         lender == m_membership.identity().name || lender == zone_lender(client_account);
-    return m_division.share_of(client_account, capacity, {is_fleet_lender, true});
+    return certain_share_of(client_account, capacity, {is_fleet_lender, true});
+}
+
+double rate_contacts::certain_share_of(std::string const& client_account, double capacity,
+                                       rate_division::lender_role role) const
+{
+    auto const share = m_division.share_of(client_account, capacity, role);
+    return m_certain_division ? std::min(share, m_certain_division->share_of(client_account, capacity, role))
+                              : share;
 }
 
 std::vector<std::string> rate_contacts::electors(std::string const& client_account) const
--- a/libraries/limits/rate_contacts.h
+++ b/libraries/limits/rate_contacts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,10 +38,16 @@
     /// lenders.
     bool handle_zone_report(zone_report const& report, std::vector<std::string> const& vms);
 
+    /// Records that a message about tokens has arrived from a peer, which shows that its zone is not cut off.
+    void record_message(std::string const& peer);
+
     /// Chooses the lenders, and divides the rates, among the VMs in contact. `own_demands` are those that
     /// this VM has published.
     void divide(demands_map const& own_demands);
 
+    /// True when the reports of zones have become too old since the last division.
+    bool has_lost_contact() const;
+
     /// Returns the share of the account's rate that this VM owns, in [0, 1]. `capacity` is the number of
     /// tokens that all owners may hold.
     double share_of(std::string const& client_account, double capacity);
@@ -105,10 +112,19 @@
         /// True when the zone's report lists this VM's zone as reachable.
         bool receives_from_this_vm = false;
         monotonic_time received_at;
+        monotonic_time heard_at; ///< Time of the last message about tokens from a VM of the zone.
         start_times started;
         lender_choice lenders;
     };
 
+    using zone_predicate = bool (rate_contacts::*)(zone_state const&) const;
+
+    /// Demands of this zone in an earlier report of it.
+    struct former_demands {
+        monotonic_time reported_at;
+        demands_map demands;
+    };
+
     static start_times decode_start_times(monotonic_time received_at, std::uint32_t shortest_uptime_ms,
                                           std::uint32_t longest_uptime_ms);
 
@@ -118,13 +134,28 @@
     {
         return entry.receives_from_this_vm && m_kernel.now() - entry.received_at <= m_report_lifetime;
     }
+    bool is_counted(zone_state const& zone) const { return is_in_contact(zone); }
+    /// True when the zone is certainly not cut off.
+    bool is_certain(zone_state const& zone) const;
+    /// True when the zone has reported within the last period.
+    bool is_fresh(zone_state const& zone) const;
     bool is_own_zone(std::string const& zone) const
     {
         return zone == m_membership.identity().availability_zone;
     }
+    duration part_of_lifetime(double part) const;
+    std::size_t count_zones(zone_predicate counts) const;
     /// Removes peers and zones that have not reported for so long that they count as replaced.
     void remove_silent();
     void set_lenders();
+    /// Divides the rates among the VMs of this zone in contact and those of the other zones that count.
+    rate_division divide_among(demands_map const& own_demands, zone_predicate counts) const;
+    /// Returns the demands of this zone that the other zones know. A demand that has grown counts only once
+    /// they have received it: while it is unknown to them, their shares do not become smaller.
+    demands_map known_zone_demands(zone_state const& own_zone, monotonic_time received_by_all) const;
+    /// Returns the smaller of the shares with and without the zones that may be cut off.
+    double certain_share_of(std::string const& client_account, double capacity,
+                            rate_division::lender_role role) const;
 
     kernel& m_kernel;
     membership_service& m_membership;
@@ -134,7 +165,12 @@
     duration m_report_lifetime = std::chrono::seconds(3);
     std::size_t m_zone_peers_in_contact = 0;
     std::size_t m_other_zones_in_contact = 0;
+    std::size_t m_certain_zones = 0; ///< Those of them that are certainly not cut off.
+    std::size_t m_fresh_zones = 0;   ///< Those of them that have reported within the last period.
     rate_division m_division;
+    /// Without the zones that may be cut off; none while there is no such zone.
+    std::optional<rate_division> m_certain_division;
+    std::deque<former_demands> m_former_demands; ///< Of this zone; the newest last.
     bool m_can_vote = false; ///< True when this zone has enough VMs for a vote on its lender.
     /// Last time at which that was true.
     std::optional<monotonic_time> m_could_vote_at;
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -39,6 +39,8 @@
 /// keep operations beyond the rate from causing as many token requests.
 constexpr duration empty_lender_pause = std::chrono::milliseconds(80);
 constexpr duration empty_surplus_pause = std::chrono::milliseconds(200);
+/// Period of checks whether the reports of zones have become too old.
+constexpr duration contact_check_period = std::chrono::milliseconds(100);
 /// Longest time after a restart of all VMs for which the tokens that accrued since are restored.
 constexpr duration max_recovered_uptime = std::chrono::seconds(2);
 /// Time after which a caller retries when no configuration has been received yet.
@@ -81,6 +83,11 @@
         [this](peer_state const& peer, token_grant const& grant) { handle_grant(peer.name, grant); });
     m_started_at = m_kernel.now();
     divide();
+    m_kernel.start_periodic(contact_check_period, [this] {
+        if (m_contacts->has_lost_contact()) {
+            divide();
+        }
+    });
 }
 
 Json::Value rate_shares::dump() const
@@ -506,6 +513,7 @@
 
 void rate_shares::handle_token_request(std::string const& peer, token_request const& request)
 {
+    m_contacts->record_message(peer);
     if (request.wanted == 0) {
         handle_vote_request(peer, request);
         return;
@@ -534,6 +542,7 @@
 
 void rate_shares::handle_grant(std::string const& peer, token_grant const& grant)
 {
+    m_contacts->record_message(peer);
     auto const found = m_buckets.find(grant.client_account);
     if (found == m_buckets.end()) {
         return;
--- a/tests/limits/rate_load_tests.cpp
+++ b/tests/limits/rate_load_tests.cpp
@@ -275,7 +275,7 @@
 Test(rate_load, idle_lender_that_is_cut_off_uses_no_share_that_others_took_over)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        for (auto const length : {8000ms}) {
+        for (auto const length : {2500ms, 4000ms, 8000ms}) {
             hot_account_fixture fixture(120, seed);
             auto const lender = fixture.fleet_lender();
             auto vms = fixture.all_vms();
@@ -291,6 +291,24 @@
     }
 }
 
+/// Failure: a zone is cut off from the others just before a burst, so each side knows of its own demand only.
+Test(rate_load, burst_on_both_sides_of_a_new_zone_cut_exceeds_no_window)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        for (auto const length : {1500ms, 3200ms, 7000ms}) {
+            hot_account_fixture fixture(120, seed);
+            fixture.demand(fixture.all_vms(), 0.1, 1s);
+            fixture.fleet().clock().run_for(3s);
+            std::string const zone(1, static_cast<char>('a' + fixture.fleet_lender() % 4));
+            fixture.fleet().set_zone_cut(zone, true);
+            fixture.demand(fixture.all_vms(), 6, length);
+            fixture.fleet().set_zone_cut(zone, false);
+            fixture.demand(fixture.all_vms(), 6, 7s);
+            fixture.assert_every_window_is_within_the_bound();
+        }
+    }
+}
+
 /// Failure: the lender of an account, and then the one that replaced it, is killed and restarted again and
 /// again in a burst.
 Test(rate_load, lenders_that_restart_again_and_again_exceed_no_window)
