tests: Run callers that return after a restart with more seeds

The test ran with seed 11 only.

At nine tenths of the rate the fleet lender's bucket is full for seconds and its tokens overflow, while other zones use up what they hold; when the demand then exceeds the rate for half a second, up to 30 tokens are missing that one bucket for the whole fleet would hold.

--- a/tests/limits/rate_load_tests.cpp
+++ b/tests/limits/rate_load_tests.cpp
@@ -367,7 +367,18 @@
 /// Failure: all VMs of a busy fleet restart, and the callers return at once.
 Test(rate_load, callers_that_return_after_a_restart_of_all_vms_are_not_refused)
 {
-    refuse_few_callers_that_return_after_a_restart(11);
+    for (std::uint64_t const seed : {11, 1, 2, 3, 4, 5, 6, 7}) {
+        refuse_few_callers_that_return_after_a_restart(seed);
+    }
+}
+
+/// Failure: as above, with seeds whose demand is uneven: tokens that the fleet lender had no room for are
+/// missing when all zones have more callers shortly after.
+Test(rate_load, callers_that_return_unevenly_after_a_restart_of_all_vms_are_not_refused)
+{
+    for (std::uint64_t const seed : {8, 9}) {
+        refuse_few_callers_that_return_after_a_restart(seed);
+    }
 }
 
 /// Failure: a lender restarts alone; its former process may have used all tokens just before.
