allotment: Take no grant from a row that is invalid

A row of grants in the platform's table that was malformed ended every VM that read it by an exception, and one whose grants exceed the whole by VERIFY; a row that was no JSON at all was taken for an empty one and overwritten, so that the VMs whose grants it held used them beside the new ones.

Cause: decode_holders did not check types and returned no error.

A row that this library cannot have written is now logged, once for each version, and left alone.

Before, test-allotment: allotment_service/malformed_row_is_left_alone_and_logged ended with "in Json::Value::find(begin, end): requires objectValue", and row_above_the_full_share_is_left_alone_and_logged with "invariant violated: held <= full_share". Both pass now.

--- a/libraries/allotment/allotment_service.cpp
+++ b/libraries/allotment/allotment_service.cpp
@@ -86,14 +86,33 @@
     return to_json_line(root);
 }
 
-std::map<std::string, std::pair<std::uint64_t, share>> decode_holders(std::string const& text)
+/// Decodes the grants of a row. Returns an error for a row that this library cannot have written.
+absl::StatusOr<std::map<std::string, std::pair<std::uint64_t, share>>>
+decode_holders(std::optional<table_row> const& row)
 {
     std::map<std::string, std::pair<std::uint64_t, share>> holders;
-    auto const root = try_parse_json(text);
-    if (root.ok() && root->isObject()) {
-        for (auto const& vm : root->getMemberNames()) {
-            holders[vm] = {(*root)[vm]["incarnation"].asUInt64(), (*root)[vm]["share"].asInt64()};
+    if (!row || row->version == 0) {
+        return holders;
+    }
+    auto const root = try_parse_json(row->value);
+    if (!root.ok()) {
+        return root.status();
+    }
+    if (!root->isObject()) {
+        return absl::InvalidArgumentError("the row is no object");
+    }
+    share held = 0;
+    for (auto const& vm : root->getMemberNames()) {
+        auto const& grant = (*root)[vm];
+        if (!grant.isObject() || !grant["incarnation"].isUInt64() || !grant["share"].isInt64()) {
+            return absl::InvalidArgumentError("a grant lacks its incarnation or share");
         }
+        auto const amount = grant["share"].asInt64();
+        if (amount < 0 || amount > full_share - held) {
+            return absl::OutOfRangeError("the grants are negative or exceed the full share");
+        }
+        held += amount;
+        holders[vm] = {grant["incarnation"].asUInt64(), amount};
     }
     return holders;
 }
@@ -533,7 +552,13 @@
 {
     auto const now = m_kernel.now();
     auto const& self = m_membership->identity();
-    auto holders = row ? decode_holders(row->value) : holder_table();
+    auto decoded = decode_holders(row);
+    if (!decoded.ok()) {
+        // What other VMs own is unknown, so this VM takes nothing and leaves the row to the operators.
+        log_invalid_row(name, row->version, decoded.status());
+        return;
+    }
+    auto holders = *std::move(decoded);
     auto const own = holders.find(self.name);
     if (own != holders.end() && own->second.first == self.incarnation) {
         // An earlier conditional put took effect although its response was lost.
@@ -601,17 +626,39 @@
             if (!row.ok() || !*row) {
                 return;
             }
-            auto holders = decode_holders((*row)->value);
-            if (holders.erase(m_membership->identity().name) == 0) {
+            auto holders = decode_holders(*row);
+            auto const& self = m_membership->identity();
+            if (!holders.ok()) {
+                log_invalid_row(name, (*row)->version, holders.status());
                 return;
             }
-            m_platform.put_row(row_key(name), (*row)->version, encode_holders(holders),
+            auto const own = holders->find(self.name);
+            if (own == holders->end()) {
+                return;
+            }
+            holders->erase(own);
+            m_platform.put_row(row_key(name), (*row)->version, encode_holders(*holders),
                                m_kernel.guard<absl::StatusOr<std::uint64_t>>([](auto const& /*put*/) {
                                    // After a failure other VMs reclaim the grant after `reclaim_delay`.
                                }));
         }));
 }
 
+void allotment_service::log_invalid_row(std::string const& name, std::uint64_t version,
+                                        absl::Status const& reason)
+{
+    auto const [logged, is_new] = m_invalid_versions.try_emplace(name, version);
+    if (!is_new && std::exchange(logged->second, version) == version) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["row"] = row_key(name);
+    fields["version"] = Json::UInt64(version);
+    fields["reason"] = std::string(reason.message());
+    m_kernel.log(log_level::warning, service_name, "grants in the table are invalid and were not used",
+                 std::move(fields));
+}
+
 void allotment_service::update_absent_vms()
 {
     auto const now = m_kernel.now();
--- a/libraries/allotment/allotment_service.h
+++ b/libraries/allotment/allotment_service.h
@@ -112,6 +112,8 @@
     void put_grant(std::string const& name, std::uint64_t row_version, holder_table const& holders,
                    share owned);
     void remove_own_grant(std::string const& name);
+    /// Logs a row that cannot be used, once for each of its versions.
+    void log_invalid_row(std::string const& name, std::uint64_t version, absl::Status const& reason);
     void update_absent_vms();
 
     kernel& m_kernel;
@@ -120,6 +122,8 @@
     std::map<std::string, std::unique_ptr<allotment>> m_allotments;
     /// Time since which the platform no longer lists a VM, keyed by VM name.
     std::map<std::string, monotonic_time> m_absent_since;
+    /// Version of the invalid row that was logged last, keyed by allotment.
+    std::map<std::string, std::uint64_t> m_invalid_versions;
     std::uint64_t m_next_number = 1; ///< Number of the next request or loan.
     monotonic_time m_started_at;
     std::optional<monotonic_time> m_last_tick;
