allotment: Let a VM that shuts down remove only its own grant

A VM that shuts down removes its grant 1.6 s later. When its next process had taken a grant by then, that one was removed, and the process used it although other VMs could take the same share.

Cause: remove_own_grant compared the VM's name and not its incarnation.

Before, test-allotment: allotment_service/late_removal_keeps_the_grant_of_a_newer_incarnation found the row without the new grant; it passes now.

--- a/libraries/allotment/allotment_service.cpp
+++ b/libraries/allotment/allotment_service.cpp
@@ -633,7 +633,8 @@
                 return;
             }
             auto const own = holders->find(self.name);
-            if (own == holders->end()) {
+            // The grant of a newer process with this VM's name stays.
+            if (own == holders->end() || own->second.first != self.incarnation) {
                 return;
             }
             holders->erase(own);
--- a/tests/allotment/allotment_service_tests.cpp
+++ b/tests/allotment/allotment_service_tests.cpp
@@ -122,3 +122,16 @@
     cr_assert(fixture.row() == value);
     cr_assert(fixture.warnings() > 0);
 }
+
+/// Failure: a VM shuts down and starts again; the delayed removal by its former process takes the new grant.
+Test(allotment_service, late_removal_keeps_the_grant_of_a_newer_incarnation)
+{
+    allotment_fixture fixture;
+    fixture.run_for(5s);
+    cr_assert(fixture.has_grant());
+    fixture.shut_down();
+    std::string const value = R"({"vm-1":{"incarnation":8,"share":500000}})";
+    fixture.set_row(value);
+    fixture.run_for(5s);
+    cr_assert(fixture.row() == value);
+}
