failover: Take no replica for the leader, and replace a successor that ends before it leads

What no replica received was not acknowledged, if all of them have stopped. - The end of a refused connection was reported as a lost one and took back that the old leader has ended (takeover_evidence/ refused_connection_that_is_reported_as_lost...). A refusal renews the final position only if it shows a stopped process. Answers count from the time at which their command was sent, so that a VM that was suspended reads none as fresh.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -54,10 +54,10 @@
     : m_name(std::move(group)), m_cause(cause), m_dependencies(std::move(dependencies)),
       m_kernel(m_dependencies.core), m_term(new_term), m_evidence(old_leader, new_term),
       m_control(m_kernel, m_dependencies.connection_hooks, m_name,
-                {[this](std::string const& member, replication_status const& status) {
-                     handle_status(member, status);
+                {[this](std::string const& member, replication_status const& status, monotonic_time sent_at) {
+                     handle_status(member, status, sent_at);
                  },
-                 [this](std::string const& member) { handle_refusal(member); },
+                 [this](std::string const& member, member_error error) { handle_refusal(member, error); },
                  [this](std::string const& member, member_error error) { handle_lost(member, error); }}),
       m_started_at(m_kernel.now()), m_phase_since(m_started_at), m_has_interfered(!is_handover(cause))
 {
@@ -104,18 +104,15 @@
     return max_takeover_time;
 }
 
-std::optional<command_kind> group_takeover::command_for(std::string const& member) const
+command_kind group_takeover::command_for(std::string const& member) const
 {
-    if (member == m_evidence.old_leader()) {
+    if (member == m_evidence.old_leader() && !m_evidence.is_old_leader_replica(m_kernel.now())) {
         // A takeover that turns out to be needless must not have deposed the leader.
         return m_phase < phase::fencing ? command_kind::status : command_kind::step_down;
     }
-    if (m_phase == phase::confirming && member == m_successor) {
-        return std::nullopt;
-    }
     // A replica that stopped would not receive what the old leader sent before it stepped down.
     auto const must_receive = is_handover(m_cause) && m_phase < phase::ordering;
-    auto const is_ordered = m_phase == phase::ordering && member == m_successor;
+    auto const is_ordered = m_phase >= phase::ordering && member == m_successor;
     return must_receive || is_ordered ? command_kind::status : command_kind::stop_receiving;
 }
 
@@ -141,26 +138,46 @@
         m_required_position = leader->received;
     }
     for (auto const& [id, entry] : m_targets) {
-        if (auto const kind = command_for(id)) {
-            member_command command;
-            command.kind = *kind;
-            command.term = m_term;
-            m_control.send(entry, command);
-        }
+        member_command command;
+        command.kind = command_for(id);
+        command.term = m_term;
+        m_control.send(entry, command);
     }
 }
 
-void group_takeover::handle_refusal(std::string const& member)
+void group_takeover::handle_refusal(std::string const& member, member_error error)
 {
-    if (m_evidence.record_refusal(member, m_kernel.now())) {
+    if (m_has_ended) {
+        return;
+    }
+    // Another member at the address may be the same one after a restart.
+    auto const is_stopped = error == member_error::refused && has_contact(member);
+    if (m_evidence.record_refusal(member, is_stopped, m_kernel.now())) {
         Json::Value fields(Json::objectValue);
         fields["member"] = member;
+        fields["error"] = std::string(find_name(member_error_names, error));
         fields["has_contact"] = has_contact(member);
         log("member refused the connection", std::move(fields));
     }
+    if (m_phase == phase::confirming && member == m_successor) {
+        log("successor ended before it led; choosing another one");
+        choose_again();
+        return;
+    }
     advance();
 }
 
+void group_takeover::choose_again()
+{
+    m_successor.clear();
+    if (is_handover(m_cause)) {
+        start_fencing();
+    }
+    else {
+        set_phase(phase::surveying);
+    }
+}
+
 void group_takeover::handle_lost(std::string const& member, member_error error)
 {
     if (!m_evidence.discard_answer(member)) {
@@ -172,7 +189,8 @@
     log("member may have restarted; discarding its replication status", std::move(fields));
 }
 
-void group_takeover::handle_status(std::string const& member, replication_status const& status)
+void group_takeover::handle_status(std::string const& member, replication_status const& status,
+                                   monotonic_time sent_at)
 {
     if (m_has_ended) {
         return;
@@ -185,10 +203,15 @@
             !is_successor);
         return;
     }
+    if (status.term >= m_term && m_phase < phase::ordering) {
+        // A member ignores orders of terms that are not newer than the one it knows.
+        m_term = status.term + 1;
+        m_evidence.set_term(m_term);
+    }
     if (m_evidence.find_answer(member, m_kernel.now()) == nullptr) {
         m_newly_answered_at = m_kernel.now();
     }
-    m_evidence.record_status(member, status, m_kernel.now());
+    m_evidence.record_status(member, status, sent_at);
     advance();
 }
 
@@ -257,8 +280,8 @@
 {
     auto const now = m_kernel.now();
     auto const& old_leader = m_evidence.old_leader();
-    if (auto const final_position = m_evidence.final_position(now)) {
-        auto const holder = find_holder(*final_position);
+    if (auto const bound = acknowledged_bound()) {
+        auto const holder = find_holder(*bound);
         auto const can_lead_again =
             m_evidence.find_answer(old_leader, now) != nullptr && group().find_member(old_leader) != nullptr;
         return holder || !can_lead_again ? holder : std::optional(old_leader);
@@ -274,6 +297,18 @@
     return furthest && holds_all_commits(*furthest) ? furthest : std::nullopt;
 }
 
+std::optional<log_position> group_takeover::acknowledged_bound() const
+{
+    auto const now = m_kernel.now();
+    auto const final_position = m_evidence.final_position(now);
+    // Commits of a given up leader that none of its replicas has received were never acknowledged.
+    auto const are_replicas_complete =
+        !is_handover(m_cause) && m_evidence.have_all_stopped(now) && !may_have_unlisted_replica();
+    return final_position && are_replicas_complete
+               ? std::min(*final_position, m_evidence.furthest_position(now))
+               : final_position;
+}
+
 std::optional<std::string> group_takeover::find_holder(log_position position) const
 {
     auto const drawbacks = [this](std::string const& id) -> std::optional<successor_drawbacks> {
@@ -298,8 +333,8 @@
 bool group_takeover::holds_all_commits(std::string const& member) const
 {
     auto const now = m_kernel.now();
-    if (auto const final_position = m_evidence.final_position(now)) {
-        return m_evidence.holds(member, *final_position, now);
+    if (auto const bound = acknowledged_bound()) {
+        return m_evidence.holds(member, *bound, now);
     }
     auto const are_replicas_stopped = !is_handover(m_cause) || m_phase >= phase::ordering;
     return are_replicas_stopped && m_evidence.holds(member, m_evidence.furthest_position(now), now) &&
@@ -375,7 +410,10 @@
 void group_takeover::start_fencing()
 {
     set_phase(phase::fencing);
-    poll_fencing();
+    if (!m_is_polling) {
+        m_is_polling = true;
+        poll_fencing();
+    }
 }
 
 void group_takeover::poll_fencing()
@@ -396,25 +434,30 @@
 void group_takeover::finish_fencing()
 {
     auto const now = m_kernel.now();
-    auto const final_position = m_evidence.final_position(now);
-    if (!final_position) {
+    auto const bound = acknowledged_bound();
+    if (!bound) {
         return;
     }
-    if (m_evidence.holds(m_successor, *final_position, now)) {
+    if (m_evidence.holds(m_successor, *bound, now)) {
         start_ordering();
         return;
     }
     m_fenced_since = m_fenced_since.value_or(now);
-    auto const holder = find_holder(*final_position);
+    auto const holder = find_holder(*bound);
     // The replicas of a leader that was given up have stopped receiving.
     auto const catch_up_time = is_handover(m_cause) ? max_catch_up_time : fenced_command_period;
     if (now - *m_fenced_since < (holder ? fenced_command_period : catch_up_time)) {
         return;
     }
-    m_successor = holder.value_or(m_evidence.old_leader());
+    auto const& old_leader = m_evidence.old_leader();
+    if (!holder &&
+        (m_evidence.find_answer(old_leader, now) == nullptr || group().find_member(old_leader) == nullptr)) {
+        return;
+    }
+    m_successor = holder.value_or(old_leader);
     Json::Value fields(Json::objectValue);
     fields["member"] = m_successor;
-    fields["position"] = Json::UInt64(final_position->position);
+    fields["position"] = Json::UInt64(bound->position);
     log("chose another member, since the successor lacks commits of the leader that stepped down",
         std::move(fields));
     acquire_lock();
@@ -510,14 +553,13 @@
 
 void group_takeover::handle_missing_evidence()
 {
-    auto const can_change = !is_handover(m_cause) && find_successor() != m_successor;
     log("what members reported does not show that the successor holds all commits");
-    if (!can_change) {
+    auto const other = find_successor();
+    if (is_handover(m_cause) ? !other || *other == m_successor : other == m_successor) {
         start_timer(command_period, [](group_takeover& self) { self.send_order(); });
         return;
     }
-    m_successor.clear();
-    set_phase(phase::surveying);
+    choose_again();
 }
 
 void group_takeover::handle_order_answer(absl::Status const& status)
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -112,9 +112,9 @@
     duration time_limit() const;
 
     void send_commands();
-    std::optional<command_kind> command_for(std::string const& member) const;
-    void handle_status(std::string const& member, replication_status const& status);
-    void handle_refusal(std::string const& member);
+    command_kind command_for(std::string const& member) const;
+    void handle_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
+    void handle_refusal(std::string const& member, member_error error);
     void handle_lost(std::string const& member, member_error error);
 
     /// Returns whether the old leader answers as the leader, and so can be ordered to step down.
@@ -127,6 +127,8 @@
     /// Takes the next step if what is known of the members allows it.
     void advance();
     void choose_successor();
+    /// Looks for another successor than the one that was ordered.
+    void choose_again();
     void start_fencing();
     void poll_fencing();
     /// Orders a successor of the leader that has stepped down, or lets that leader lead again.
@@ -134,6 +136,8 @@
     void start_ordering();
     std::optional<std::string> find_successor();
     std::optional<std::string> find_holder(log_position position) const;
+    /// Highest position that the old leader may have acknowledged; std::nullopt unless it has stepped down.
+    std::optional<log_position> acknowledged_bound() const;
     /// Returns whether the member holds all commits that were or may be acknowledged.
     bool holds_all_commits(std::string const& member) const;
     /// Returns whether the old leader may acknowledge through a replica that is in no directory yet: a member
@@ -189,9 +193,10 @@
     /// answers are needed have stopped receiving.
     std::optional<monotonic_time> m_old_leader_expires_at;
     std::optional<monotonic_time>
-        m_fenced_since;       ///< Time at which the old leader was seen to have stepped down.
-    int m_order_attempts = 0; ///< Number of promotion orders that were attempted.
-    bool m_has_interfered;    ///< Whether members were ordered anything that callers notice.
+        m_fenced_since;        ///< Time at which the old leader was seen to have stepped down.
+    int m_order_attempts = 0;  ///< Number of promotion orders that were attempted.
+    bool m_is_polling = false; ///< Whether the timer of poll_fencing() runs.
+    bool m_has_interfered;     ///< Whether members were ordered anything that callers notice.
     bool m_has_ended = false;
 };
 
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -46,7 +46,7 @@
             send_on(*current, id, command);
         }
         else if (m_kernel.now() - started_at < command_timeout && is_refusal(*answer.error)) {
-            receiver->refused(id);
+            receiver->refused(id, *answer.error);
         }
     });
 }
@@ -83,14 +83,15 @@
                              member_command const& command)
 {
     connection.send({command}, command_timeout,
-                    [id, events = std::weak_ptr(m_events)](std::vector<member_answer> const& answers) {
+                    [id, events = std::weak_ptr(m_events),
+                     sent_at = m_kernel.now()](std::vector<member_answer> const& answers) {
                         auto const receiver = events.lock();
                         if (!receiver) {
                             return;
                         }
                         auto const& answer = answers.front();
                         if (answer.is_ok() && answer.replication) {
-                            receiver->answered(id, *answer.replication);
+                            receiver->answered(id, *answer.replication, sent_at);
                         }
                         else {
                             receiver->lost(id, answer.error.value_or(member_error::malformed));
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -17,9 +17,12 @@
 class member_control {
 public:
     struct event_hooks {
-        std::function<void(std::string const& member, replication_status const&)> answered;
-        /// The connection was refused at once, or another member runs at the member's address.
-        std::function<void(std::string const& member)> refused;
+        /// The command that was sent at `sent_at` was answered.
+        std::function<void(std::string const& member, replication_status const&, monotonic_time sent_at)>
+            answered;
+        /// The connection was refused at once (refused), or another member runs at the member's address
+        /// (wrong_member).
+        std::function<void(std::string const& member, member_error)> refused;
         /// The connection was lost, so the member may have restarted.
         std::function<void(std::string const& member, member_error)> lost;
     };
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -17,41 +17,72 @@
     return now - at <= answer_lifetime;
 }
 
+void takeover_evidence::set_term(std::uint64_t term)
+{
+    m_term = term;
+    m_was_leading = false;
+    m_final_position.reset();
+}
+
+void takeover_evidence::set_replicas(std::set<std::string> replicas)
+{
+    m_replicas = std::move(replicas);
+    auto const answer = m_answers.find(m_old_leader);
+    if (answer != m_answers.end() && answer->second.status.role == member_role::replica && !m_was_leading) {
+        m_replicas.insert(m_old_leader);
+    }
+}
+
+bool takeover_evidence::is_old_leader_replica(monotonic_time now) const
+{
+    auto const* const answer = find_answer(m_old_leader, now);
+    return answer != nullptr && answer->role == member_role::replica && !m_was_leading;
+}
+
 void takeover_evidence::record_status(std::string const& member, replication_status const& status,
-                                      monotonic_time now)
+                                      monotonic_time sent_at)
 {
     m_refused_at.erase(member);
-    m_answers[member] = {status, now};
-    if (status.role == member_role::primary && status.term + 1 == m_term && member != m_old_leader) {
+    m_answers[member] = {status, sent_at};
+    if (status.role == member_role::primary && status.term + 1 == m_term) {
         m_old_leader = member;
+        m_was_leading = true;
+        m_replicas.erase(member);
     }
-    m_replicas.erase(m_old_leader);
     if (member != m_old_leader) {
         return;
     }
     m_final_position.reset();
-    if (status.role == member_role::replica) {
-        m_final_position = status.received;
-        m_final_since = now;
+    if (status.role == member_role::primary) {
+        return;
+    }
+    if (!m_was_leading) {
+        m_replicas.insert(member);
+        return;
     }
+    m_final_position = status.received;
+    m_final_since = sent_at;
+    m_is_final_in_doubt = false;
 }
 
-bool takeover_evidence::record_refusal(std::string const& member, monotonic_time now)
+bool takeover_evidence::record_refusal(std::string const& member, bool is_stopped, monotonic_time now)
 {
     m_answers.erase(member);
-    if (member == m_old_leader) {
+    if (member == m_old_leader && is_stopped && is_current(m_final_since, now)) {
         m_final_since = now;
+        m_is_final_in_doubt = false;
     }
     return m_refused_at.insert_or_assign(member, now).second;
 }
 
 bool takeover_evidence::discard_answer(std::string const& member)
 {
-    if (member == m_old_leader) {
+    auto const had_answer = m_answers.erase(member) != 0;
+    if (member == m_old_leader && had_answer) {
         // It may have restarted as the leader, so the position counts again only once this is ruled out.
-        m_final_since.reset();
+        m_is_final_in_doubt = true;
     }
-    return m_answers.erase(member) != 0;
+    return had_answer;
 }
 
 replication_status const* takeover_evidence::find_answer(std::string const& member, monotonic_time now) const
@@ -76,7 +107,7 @@
 
 std::optional<log_position> takeover_evidence::final_position(monotonic_time now) const
 {
-    return m_final_since && is_current(*m_final_since, now) ? m_final_position : std::nullopt;
+    return !m_is_final_in_doubt && is_current(m_final_since, now) ? m_final_position : std::nullopt;
 }
 
 bool takeover_evidence::have_all_stopped(monotonic_time now) const
@@ -84,8 +115,8 @@
     return std::all_of(m_replicas.begin(), m_replicas.end(), [&](std::string const& id) {
         auto const* const answer = find_answer(id, now);
         // A leader of an older term receives nothing from the old leader.
-        return answer != nullptr &&
-               (answer->stopped_at_term >= m_term || answer->role == member_role::primary);
+        return answer != nullptr && (answer->stopped_at_term >= m_term ||
+                                     (answer->role == member_role::primary && answer->term < m_term));
     });
 }
 
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -41,14 +41,21 @@
 
     std::string const& old_leader() const { return m_old_leader; }
 
-    /// Sets the ids of all replicas that may have received commits.
-    void set_replicas(std::set<std::string> replicas) { m_replicas = std::move(replicas); }
-
-    /// Records an answer of a member. A member that leads the term before the successor's is the old leader
-    /// after a restart under another id.
-    void record_status(std::string const& member, replication_status const& status, monotonic_time now);
-    /// Records that a connection to a member was refused. Returns true if this is new.
-    bool record_refusal(std::string const& member, monotonic_time now);
+    /// Sets the ids of all members that may have received commits, but for the old leader.
+    void set_replicas(std::set<std::string> replicas);
+    /// Returns whether the member that was taken for the old leader follows another.
+    bool is_old_leader_replica(monotonic_time now) const;
+
+    /// Sets the term of the successor, after a member reported a newer one than was known.
+    void set_term(std::uint64_t term);
+
+    /// Records an answer of a member to a command that was sent at `sent_at`. A member that leads the term
+    /// before the successor's is the old leader, perhaps after a restart under another id. A member that is a
+    /// replica and was not seen leading is a replica like any other.
+    void record_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
+    /// Records that a connection to a member was refused. With `is_stopped`, this shows that the process that
+    /// was last heard has ended and no other has taken its place. Returns true if the refusal is new.
+    bool record_refusal(std::string const& member, bool is_stopped, monotonic_time now);
     /// Discards the last answer of a member whose connection was lost, since the member may have restarted.
     /// Returns false if there is none.
     bool discard_answer(std::string const& member);
@@ -60,7 +67,8 @@
     /// reached; a network partition may refuse connections as well.
     bool refuses_connections(std::string const& member, monotonic_time now) const;
 
-    /// Position of the old leader if it has stepped down. It has acknowledged no commit above it.
+    /// Position of the old leader if it was seen leading and has stepped down. It has acknowledged no commit
+    /// above it.
     std::optional<log_position> final_position(monotonic_time now) const;
 
     /// Returns whether every known replica has answered and has stopped receiving.
@@ -89,8 +97,11 @@
     std::string m_old_leader;
     std::uint64_t m_term;
     std::set<std::string> m_replicas;
+    bool m_was_leading = false; ///< Whether the old leader answered as the leader during this takeover.
     std::optional<log_position> m_final_position; ///< Position with which the old leader stepped down.
-    std::optional<monotonic_time> m_final_since;  ///< Time at which `m_final_position` was last confirmed.
+    monotonic_time m_final_since;                 ///< Time at which `m_final_position` was last confirmed.
+    /// Whether the old leader may have restarted since then.
+    bool m_is_final_in_doubt = false;
     std::map<std::string, member_answer_record> m_answers; ///< Keyed by member id.
     std::map<std::string, monotonic_time> m_refused_at;    ///< Time of the last refusal, keyed by member id.
 };
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint16_t peer_port = 7000;
 constexpr duration publish_period = 300ms;
 constexpr duration answer_timeout = 20s;
+constexpr duration failed_order_time = 500ms;
 
 std::string next_statement_id()
 {
@@ -460,6 +461,12 @@
 
 void session_fleet::execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done)
 {
+    if (m_do_orders_fail) {
+        m_clock.start_timer(failed_order_time, [done = std::move(done)] {
+            done(absl::UnavailableError("platform did not answer"));
+        });
+        return;
+    }
     m_clock.start_timer(m_shape.latency, [this, order, done = std::move(done)] {
         auto& fence = m_fences[order.group];
         auto* const group = m_group_of_member.at(order.member);
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -77,6 +77,9 @@
     /// periodic publication.
     void change_configuration(std::function<void(served_configuration&)> const& change);
 
+    /// Sets whether the platform fails to carry out promotion orders, and reports so after 500 ms.
+    void set_orders_fail(bool do_fail) { m_do_orders_fail = do_fail; }
+
     /// Marks a member as draining in the directory.
     void drain_member(std::string const& id);
 
@@ -183,6 +186,7 @@
     std::uint64_t m_next_channel = 1;
     std::size_t m_datagram_bytes = 0;
     std::size_t m_promotions = 0;
+    bool m_do_orders_fail = false;
     std::size_t m_stale_promotion_orders = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/tests/failover/takeover_evidence_tests.cpp
+++ b/tests/failover/takeover_evidence_tests.cpp
@@ -63,11 +63,11 @@
 Test(takeover_evidence, member_that_refused_a_connection_is_not_taken_as_stopped_for_good)
 {
     evidence_fixture fixture;
-    cr_assert(fixture.evidence.record_refusal("r2", fixture.now));
+    cr_assert(fixture.evidence.record_refusal("r2", true, fixture.now));
     cr_assert(fixture.evidence.refuses_connections("r2", fixture.now));
     fixture.now += long_ago;
     cr_assert(!fixture.evidence.refuses_connections("r2", fixture.now));
-    fixture.evidence.record_refusal("r2", fixture.now);
+    fixture.evidence.record_refusal("r2", true, fixture.now);
     fixture.answer("r2", 10);
     cr_assert(!fixture.evidence.refuses_connections("r2", fixture.now));
 }
@@ -98,6 +98,7 @@
 Test(takeover_evidence, leader_that_may_have_restarted_has_no_final_position)
 {
     evidence_fixture fixture;
+    fixture.answer_as_leader("leader", 12);
     fixture.answer("leader", 12);
     fixture.evidence.discard_answer("leader");
     cr_assert(!fixture.evidence.final_position(fixture.now));
@@ -112,9 +113,10 @@
 Test(takeover_evidence, leader_that_stepped_down_and_ended_keeps_its_final_position_while_it_is_not_running)
 {
     evidence_fixture fixture;
+    fixture.answer_as_leader("leader", 12);
     fixture.answer("leader", 12);
     fixture.evidence.discard_answer("leader");
-    fixture.evidence.record_refusal("leader", fixture.now);
+    fixture.evidence.record_refusal("leader", true, fixture.now);
     cr_assert(fixture.evidence.final_position(fixture.now) == log_position(old_term, 12));
     fixture.now += long_ago;
     cr_assert(!fixture.evidence.final_position(fixture.now));
@@ -124,6 +126,7 @@
 Test(takeover_evidence, leader_that_restarted_under_another_id_is_the_old_leader)
 {
     evidence_fixture fixture;
+    fixture.answer_as_leader("leader", 12);
     fixture.answer("leader", 12);
     fixture.answer_as_leader("r3", 12);
     cr_assert(fixture.evidence.old_leader() == "r3");
@@ -166,3 +169,39 @@
     cr_assert(!fixture.evidence.is_receiving("r1", fixture.now));
     cr_assert(fixture.evidence.is_receiving("r2", fixture.now));
 }
+
+/// Guards against a group without a leader: member_control also reports the end of the connection that
+/// was refused, which took back that the old leader does not run, each time before the order.
+Test(takeover_evidence, refused_connection_that_is_reported_as_lost_afterwards_keeps_the_final_position)
+{
+    evidence_fixture fixture;
+    fixture.answer_as_leader("leader", 12);
+    fixture.answer("leader", 12);
+    fixture.evidence.discard_answer("leader");
+    fixture.evidence.record_refusal("leader", true, fixture.now);
+    cr_assert(!fixture.evidence.discard_answer("leader"));
+    cr_assert(fixture.evidence.final_position(fixture.now) == log_position(old_term, 12));
+}
+
+/// Guards against lost acknowledged commits: the VM takes a replica as the old leader, since it missed a
+/// change of leaders.
+Test(takeover_evidence, position_below_that_of_a_replica_does_not_bound_what_was_acknowledged)
+{
+    evidence_fixture fixture;
+    fixture.answer("leader", 8);
+    fixture.answer("r1", 10);
+    auto const final_position = fixture.evidence.final_position(fixture.now);
+    cr_assert(!final_position || *final_position >= log_position(old_term, 10));
+}
+
+/// Guards against lost acknowledged commits: a member that runs at the old leader's address, or a network
+/// that refuses connections, does not show that the leader which stepped down has not led again.
+Test(takeover_evidence, refusal_that_shows_no_stopped_process_does_not_renew_the_final_position)
+{
+    evidence_fixture fixture;
+    fixture.answer_as_leader("leader", 12);
+    fixture.answer("leader", 12);
+    fixture.evidence.discard_answer("leader");
+    fixture.evidence.record_refusal("leader", false, fixture.now);
+    cr_assert(!fixture.evidence.final_position(fixture.now));
+}
--- a/tests/sessions/handover_tests.cpp
+++ b/tests/sessions/handover_tests.cpp
@@ -114,3 +114,45 @@
     fixture.write_until([] { return false; }, 1s);
     cr_assert(fixture.group().holds_all_acknowledged());
 }
+
+/// Guards against a group without a leader: the successor crashes once its order was accepted, while other
+/// members hold every commit. The takeover went on asking it, and made the draining leader lead again.
+Test(handover, successor_that_crashes_before_it_leads_is_replaced_by_another)
+{
+    std::string successor;
+    {
+        handover_fixture undisturbed;
+        undisturbed.fleet.drain_member(undisturbed.old_leader);
+        cr_assert(undisturbed.write_until([&] { return undisturbed.is_replaced(); }, drain_limit));
+        successor = undisturbed.group().leader();
+    }
+    handover_fixture fixture;
+    fixture.fleet.drain_member(fixture.old_leader);
+    auto const drained_at = fixture.fleet.clock().now();
+    cr_assert(fixture.write_until([&] { return fixture.was_ordered(); }, drain_limit));
+    fixture.group().crash(successor);
+    cr_assert(!fixture.is_replaced());
+    auto const left = drained_at + drain_limit - fixture.fleet.clock().now();
+    cr_assert(fixture.write_until([&] { return fixture.is_replaced(); }, left));
+    fixture.write_until([] { return false; }, 1s);
+    cr_assert(fixture.group().holds_all_acknowledged());
+}
+
+/// Guards against a group without a leader: the platform carries out no orders for a time, and a leader that
+/// still served had stepped down before that was known. The limit is that of
+/// draining_leader_is_replaced_before_it_shuts_down.
+Test(handover, leader_goes_on_serving_while_the_platform_carries_out_no_order)
+{
+    handover_fixture fixture;
+    fixture.fleet.set_orders_fail(true);
+    fixture.fleet.drain_member(fixture.old_leader);
+    auto& group = fixture.group();
+    auto const end = fixture.fleet.clock().now() + 5s;
+    while (fixture.fleet.clock().now() < end) {
+        auto const before = group.acknowledged();
+        cr_assert(fixture.write_until([&] { return group.acknowledged() > before; }, 2s));
+    }
+    fixture.fleet.set_orders_fail(false);
+    cr_assert(fixture.write_until([&] { return fixture.is_replaced(); }, drain_limit));
+    cr_assert(group.holds_all_acknowledged());
+}
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -186,3 +186,47 @@
     fixture.write_for(3s);
     cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
 }
+
+/// Guards against a group that never commits: the replicas receive nothing from the leader, which answers
+/// VMs. It steps down with commits that nobody else has and that nobody saw acknowledged, and was ordered to
+/// lead again.
+Test(takeover, leader_from_which_no_replica_receives_is_replaced)
+{
+    takeover_fixture fixture;
+    fixture.write_for(1s);
+    auto& group = fixture.fleet.group();
+    auto const old = group.leader();
+    group.faults(old).is_isolated = true;
+    fixture.write_for(14s);
+    cr_assert(group.leader() != old);
+    cr_assert(group.holds_all_acknowledged());
+}
+
+/// Guards against lost acknowledged commits: a VM that learned of the last leader only from others takes the
+/// leader before it, a replica by now, as the one that stepped down, and its position as the bound of what
+/// was acknowledged.
+Test(takeover, replica_that_led_an_older_term_does_not_bound_what_was_acknowledged)
+{
+    for (std::size_t vm = 0; vm < 5; ++vm) {
+        takeover_fixture fixture;
+        auto& group = fixture.fleet.group();
+        std::string const behind = "m-0-bb";
+        fixture.fleet.add_unlisted_replica(behind);
+        fixture.fleet.list_member(behind);
+        fixture.write_for(1s);
+        // A late order is carried out.
+        group.promote("m-0-b");
+        fixture.fleet.clock().run_for(400ms);
+        group.faults("m-0-a").is_replication_cut = true;
+        group.faults(behind).is_replication_cut = true;
+        auto caller = fixture.caller(vm);
+        for (int i = 0; i < 40; ++i) {
+            caller.send_and_wait(session_caller::write("x"));
+        }
+        cr_assert(group.leader() == "m-0-b");
+        group.crash("m-0-b");
+        fixture.fleet.clock().run_for(20s);
+        cr_assert(group.leader() != "m-0-b", "nobody was promoted, caller at VM %zu", vm);
+        cr_assert(group.holds_all_acknowledged(), "caller at VM %zu, leader %s", vm, group.leader().c_str());
+    }
+}
