failover: Choose another successor only before its term has begun

Found while reading the change again: a successor that refused connections after its order was accepted was replaced on what members had reported before, also if its term had begun and it had acknowledged commits, and also if only the path to it was cut. Another one is now chosen only while no member knows the new term and the refusal is known to be the member's own; otherwise the takeover ends and the next one asks anew.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -159,8 +159,8 @@
         fields["has_contact"] = has_contact(member);
         log("member refused the connection", std::move(fields));
     }
-    if (m_phase == phase::confirming && member == m_successor) {
-        log("successor ended before it led; choosing another one");
+    if (m_phase == phase::confirming && member == m_successor && is_known_not_to_run(member)) {
+        log("successor ended before its leadership was confirmed");
         choose_again();
         return;
     }
@@ -169,6 +169,11 @@
 
 void group_takeover::choose_again()
 {
+    if (m_has_term_begun) {
+        // What members reported says nothing about the commits of the new term.
+        end("the new term has begun, and its leader is lost", true);
+        return;
+    }
     m_successor.clear();
     if (is_handover(m_cause)) {
         start_fencing();
@@ -203,6 +208,7 @@
             !is_successor);
         return;
     }
+    m_has_term_begun = m_has_term_begun || (status.term >= m_term && m_phase >= phase::ordering);
     if (status.term >= m_term && m_phase < phase::ordering) {
         // A member ignores orders of terms that are not newer than the one it knows.
         m_term = status.term + 1;
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -193,10 +193,11 @@
     /// answers are needed have stopped receiving.
     std::optional<monotonic_time> m_old_leader_expires_at;
     std::optional<monotonic_time>
-        m_fenced_since;        ///< Time at which the old leader was seen to have stepped down.
-    int m_order_attempts = 0;  ///< Number of promotion orders that were attempted.
-    bool m_is_polling = false; ///< Whether the timer of poll_fencing() runs.
-    bool m_has_interfered;     ///< Whether members were ordered anything that callers notice.
+        m_fenced_since;            ///< Time at which the old leader was seen to have stepped down.
+    int m_order_attempts = 0;      ///< Number of promotion orders that were attempted.
+    bool m_has_term_begun = false; ///< Whether a member knows the new term, so that the successor has led.
+    bool m_is_polling = false;     ///< Whether the timer of poll_fencing() runs.
+    bool m_has_interfered;         ///< Whether members were ordered anything that callers notice.
     bool m_has_ended = false;
 };
 
