review: Show that a planned stop cuts statements that it has accepted

Case 2 sends SIGTERM to one daemon while callers keep their sessions busy. The daemon accepts their statements until it ends 5.3 s later, within the grace period of 6 s, and leaves those that members work on without an answer.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -54,4 +54,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case))
+    run_case(FOLDER, case)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -243,7 +243,7 @@
 
 
 def run_case(folder, case):
-    """Runs `case(fleet, has_trouble)`, which returns a list of broken rules. Returns the exit code."""
+    """Runs `case(fleet, has_trouble)`, which returns a list of broken rules, and ends the process."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
@@ -261,7 +261,10 @@
         return 1 if broken else 0
 
     try:
-        return asyncio.run(run())
+        code = asyncio.new_event_loop().run_until_complete(run())
     except Exception as error:  # A case that cannot run says so with the exit code.
         print("the case could not run: %r" % error, file=sys.stderr)
-        return 2
+        code = 2
+    # Connections of the stand-ins may still be open; nothing is left to be done for them.
+    sys.stdout.flush()
+    os._exit(code)
--- a/review/standins/wire_stand_ins.py
+++ b/review/standins/wire_stand_ins.py
@@ -455,9 +455,9 @@
             self.roll_back("COMMIT at a member that does not lead")
             self.fail("READONLY")
             return
-        await asyncio.sleep(member.work)
         statements = ["%s=%s" % each for each in writes]
         self.note_run(identity, "COMMIT", "COMMIT of [%s]" % ", ".join(statements))
+        await asyncio.sleep(member.work)
         self.reset_transaction()
         if writes and not await member.commit(writes):
             self.writer.close()
@@ -482,8 +482,8 @@
         if self.state == "T" and not self.is_read_only and member.role != "primary":
             self.fail("READONLY")
             return
-        await asyncio.sleep(member.work)
         self.note_run(identity, text, text + (" in its transaction" if self.state == "T" else ""))
+        await asyncio.sleep(member.work)
         if verb == "READ":
             own = dict(self.transaction)
             self.done(member.proof(), [own.get(arguments[0], member.data.get(arguments[0], "none"))])
