--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,8 +20,7 @@
     fleet.add_tenant("school", "key-2")
     fleet.publish_configuration()
     fleet.start_heartbeats()
-    for vm in fleet.vms:
-        vm.start()
+    await fleet.start_vms()
     await fleet.wait_ready()
     await asyncio.sleep(4)
     entry, broker = fleet.vm_of_zone("north"), fleet.vm_of_zone("south")
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -205,6 +205,12 @@
                     raise RuntimeError("%s is not ready" % vm.name)
                 await asyncio.sleep(0.1)
 
+    async def start_vms(self):
+        """Starts the machines one after the other, within 0.3 s."""
+        for vm in self.vms:
+            vm.start()
+            await asyncio.sleep(0.1)
+
     def vm_of_zone(self, zone):
         return next(each for each in self.vms if each.zone == zone)
 
