brokers: Let a transaction's number expire with the channel that gave it

Cause: a broker numbers the transactions of peers from 1 in each process, and the entry VM used a number of the former process on the channel to the new one.

A channel leads to one process, and the broker rolls its transactions back when the channel is lost. So the handle expires with the channel, and a statement is refused without being sent, which is a promise that nothing is kept.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -307,17 +307,37 @@
                                                                  std::string const& member,
                                                                  std::uint64_t connection_id)
 {
+    // The broker rolls the transaction back when it loses the channel. A later process of the same VM may
+    // give the number to another transaction, so the number is only valid on this channel.
+    auto const channel = channel_lifetime(vm);
     return std::make_shared<pinned_connection>(pinned_connection::hooks{
-        [this, vm, group, member, connection_id](member_request request, reply_callback done) {
-            relay(vm, group, member, connection_id, std::move(request), std::move(done));
+        [this, vm, group, member, connection_id, channel](member_request request, reply_callback done) {
+            if (!channel.expired()) {
+                relay(vm, group, member, connection_id, std::move(request), std::move(done));
+                return;
+            }
+            m_kernel.start_timer(
+                duration::zero(), [commands = request.commands.size(), done = std::move(done)] {
+                    done(make_failed_reply(commands, member_error::refused,
+                                           "the broker was lost, which rolled the transaction back"));
+                });
         },
-        [this, lifetime = m_kernel.lifetime(), vm, connection_id] {
-            if (!lifetime.expired()) {
+        [this, lifetime = m_kernel.lifetime(), vm, connection_id, channel] {
+            if (!lifetime.expired() && !channel.expired()) {
                 m_channels.send(vm, address_of(vm), encode_relay_message(relay_release{connection_id}));
             }
         }});
 }
 
+std::weak_ptr<bool> broker_service::channel_lifetime(std::string const& vm)
+{
+    auto& lifetime = m_channel_lifetimes[vm];
+    if (!lifetime) {
+        lifetime = std::make_shared<bool>(true);
+    }
+    return lifetime;
+}
+
 void broker_service::handle_request(channel_id from, std::string const& message)
 {
     auto decoded = try_decode_relay_message(message);
@@ -508,6 +528,7 @@
 void broker_service::fail_requests_at(std::string const& vm, bool was_connected, bool has_ended)
 {
     m_choice->record_loss(vm);
+    m_channel_lifetimes.erase(vm);
     if (has_ended && m_on_ended) {
         m_on_ended(vm);
     }
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -169,6 +169,8 @@
     void handle_zone_change(std::string const& zone, bool is_silent);
     void exclude_route(std::string const& member, std::string const& vm);
     std::string zone_of_member(std::string const& member) const;
+    /// Returns a pointer that expires when the present channel to a VM is lost.
+    std::weak_ptr<bool> channel_lifetime(std::string const& vm);
     endpoint address_of(std::string const& vm) const;
 
     kernel& m_kernel;
@@ -181,6 +183,8 @@
     std::map<std::uint64_t, pending_request> m_pending; ///< Relayed requests, keyed by request id.
     std::map<std::string, vm_health> m_health;          ///< Keyed by VM name.
     std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
+    /// Expire when the channel to a VM is lost, keyed by VM name.
+    std::map<std::string, std::shared_ptr<bool>> m_channel_lifetimes;
     std::optional<connection_reports> m_reports;        ///< Set when the service starts.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
--- a/tests/sessions/lost_transaction_tests.cpp
+++ b/tests/sessions/lost_transaction_tests.cpp
@@ -33,3 +33,52 @@
         cr_assert(fleet.group().count_in_log(write.id) == 0, "lost VM %zu", vm);
     }
 }
+
+/// Guards against a statement that runs in another client's transaction: a broker that restarts numbers the
+/// transactions of its peers from 1 again, and a COMMIT for a former number committed the transaction that has it
+/// now. The ROLLBACK of a former one ended the newer one.
+Test(lost_transaction, transaction_of_a_restarted_broker_is_not_reached_by_an_older_one)
+{
+    for (auto const ending : {"COMMIT", "ROLLBACK", "disconnect"}) {
+        session_fleet fleet({}, 1);
+        fleet.clock().run_for(4s);
+        auto const broker_name = fleet.vm(0).brokers().order_of(fleet.group().leader()).front();
+        auto const broker = static_cast<std::size_t>(broker_name.back() - '0');
+        auto const entry = (broker + 1) % fleet.vms();
+        auto const database = session_fleet::database_of(0, read_consistency::every_commit);
+        session_caller first(fleet, entry, database, session_fleet::key_of(0));
+        cr_assert(
+            first.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN")).is_ok());
+        auto const lost_write = session_caller::write("x");
+        cr_assert(first.send_and_wait(lost_write).is_ok());
+        fleet.kill_vm(broker);
+        fleet.clock().run_for(200ms);
+        fleet.start_vm(broker);
+        fleet.clock().run_for(2s);
+        session_caller second(fleet, entry, database, session_fleet::key_of(1));
+        cr_assert(
+            second.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN")).is_ok());
+        auto const write = session_caller::write("y");
+        cr_assert(second.send_and_wait(write).is_ok());
+
+        if (ending == std::string("COMMIT")) {
+            auto const answer =
+                first.send_and_wait(session_caller::make_statement(statement_kind::commit, ending));
+            // The COMMIT was not sent, so the caller may repeat the transaction.
+            cr_assert(answer.error == session_error::busy || answer.error == session_error::aborted);
+        }
+        else if (ending == std::string("ROLLBACK")) {
+            first.send_and_wait(session_caller::make_statement(statement_kind::rollback, ending));
+        }
+        else {
+            first.disconnect();
+        }
+        fleet.clock().run_for(1s);
+        cr_assert(fleet.group().count_in_log(write.id) == 0, "%s", ending);
+        cr_assert(
+            second.send_and_wait(session_caller::make_statement(statement_kind::commit, "COMMIT")).is_ok(),
+            "%s", ending);
+        cr_assert(fleet.group().count_in_log(write.id) == 1, "%s", ending);
+        cr_assert(fleet.group().count_in_log(lost_write.id) == 0, "%s", ending);
+    }
+}
