failover: Leave no replica out unless its log is known to be covered

Callers saw: acknowledged commits are in no log that is kept (LOST).

Cause: a replica without an answer was left out by refusal and time if the furthest answer reached what VMs had reported. That knowledge is in processes only and late, and none that has just started has it.

Now it is left out only if the member at its address answers, the old leader has stepped down, or the leader answered after the replica's entry had lapsed and the furthest answer reaches that position. The replicas that answer must have stopped in that case too. The directory passes on since when an entry is absent, and a leader that is known by its claim only is remembered as the last one.

The stand-in keeps the entries of crashed members for a time and gives each member an address of its own.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -10,12 +10,11 @@
 namespace {
 
 constexpr duration command_period = std::chrono::milliseconds(250);
-/// Time after which a successor may be chosen without the answer of a replica that is not running. By then
-/// each VM has reported the commits that it saw before the other replicas were stopped.
-constexpr duration stopped_replica_timeout = std::chrono::milliseconds(1'300);
-/// Time after which a successor may be chosen without the answer of an unresponsive replica. VMs on the
-/// replica's side of a partition have stopped serving requests that need a key by then, since they cannot
-/// receive key withdrawals.
+/// Time after which each VM has reported the commits that it saw before the other replicas were stopped.
+constexpr duration report_time = std::chrono::milliseconds(1'300);
+/// Time after which a successor may be chosen without the answer of an unresponsive replica whose log is
+/// known to be covered. VMs on the replica's side of a partition have stopped serving requests that need a
+/// key by then, since they cannot receive key withdrawals.
 constexpr duration silent_replica_timeout = std::chrono::seconds(11);
 /// Time after which a takeover is abandoned, so that the replicas can resume receiving from their leader.
 constexpr duration max_takeover_time = std::chrono::seconds(14);
@@ -266,7 +265,11 @@
         return;
     }
     auto const chosen = find_successor();
-    if (!chosen || !is_old_leader_out_of_use()) {
+    if (!chosen) {
+        log_awaited_replicas();
+        return;
+    }
+    if (!is_old_leader_out_of_use()) {
         return;
     }
     m_successor = *chosen;
@@ -309,8 +312,8 @@
     auto const now = m_kernel.now();
     auto const final_position = m_evidence.final_position(now);
     // Commits of a given up leader that none of its replicas has received were never acknowledged.
-    auto const are_replicas_complete = !is_handover(m_cause) && !may_have_unlisted_replica() &&
-                                       (m_evidence.have_all_stopped(now) || may_leave_out_replicas());
+    auto const are_replicas_complete =
+        !is_handover(m_cause) && !may_have_unlisted_replica() && are_replicas_covered();
     return final_position && are_replicas_complete
                ? std::min(*final_position, m_evidence.furthest_position(now))
                : final_position;
@@ -345,7 +348,7 @@
     }
     auto const are_replicas_stopped = !is_handover(m_cause) || m_phase >= phase::ordering;
     return are_replicas_stopped && m_evidence.holds(member, m_evidence.furthest_position(now), now) &&
-           !may_have_unlisted_replica() && (m_evidence.have_all_stopped(now) || may_leave_out_replicas());
+           !may_have_unlisted_replica() && are_replicas_covered();
 }
 
 bool group_takeover::may_have_unlisted_replica() const
@@ -363,23 +366,72 @@
            });
 }
 
-bool group_takeover::may_leave_out_replicas() const
+bool group_takeover::are_replicas_covered() const
 {
     auto const now = m_kernel.now();
+    auto const unanswered = m_evidence.unanswered(now);
+    if (!m_evidence.have_answering_stopped(now) || (!unanswered.empty() && elapsed() < report_time)) {
+        return false;
+    }
+    // A commit that is known to be acknowledged and is in no answer is held by a member that is not known.
+    return m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged() &&
+           std::all_of(unanswered.begin(), unanswered.end(),
+                       [this](std::string const& id) { return is_covered(id); });
+}
+
+bool group_takeover::is_covered(std::string const& replica) const
+{
+    if (is_replaced_at_address(replica)) {
+        return true;
+    }
+    auto const now = m_kernel.now();
+    auto const bound = group().last_possible_position(replica);
+    if (!bound || m_evidence.furthest_position(now) < *bound) {
+        return false;
+    }
+    if (is_known_not_to_run(replica)) {
+        return true;
+    }
+    // An entry may also lapse because its member is cut off from the store. While the leader may run as well,
+    // both may be serving callers on the other side of a partition.
     auto const is_leader_down =
         is_known_not_to_run(m_evidence.old_leader()) || m_evidence.final_position(now);
-    auto timeout = is_leader_down ? stopped_replica_timeout : silent_replica_timeout;
-    for (auto const& id : m_evidence.unanswered(now)) {
-        if (is_known_not_to_run(id)) {
-            continue;
-        }
-        if (!has_contact(id) && !is_leader_down) {
-            // Both may be serving callers on the other side of a partition, also with the store in reach.
-            return false;
+    return elapsed() >= silent_replica_timeout && (has_contact(replica) || is_leader_down);
+}
+
+bool group_takeover::is_replaced_at_address(std::string const& replica) const
+{
+    auto const now = m_kernel.now();
+    auto const ended = m_targets.find(replica);
+    return ended != m_targets.end() && m_evidence.refuses_connections(replica, now) &&
+           std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
+               return each.first != replica && each.second.address == ended->second.address &&
+                      m_evidence.find_answer(each.first, now) != nullptr;
+           });
+}
+
+void group_takeover::log_awaited_replicas()
+{
+    std::vector<std::string> awaited;
+    for (auto const& id : m_evidence.unanswered(m_kernel.now())) {
+        if (!is_covered(id)) {
+            awaited.push_back(id);
         }
-        timeout = silent_replica_timeout;
     }
-    return elapsed() >= timeout && m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged();
+    if (awaited == m_awaited_replicas || elapsed() < report_time) {
+        return;
+    }
+    m_awaited_replicas = awaited;
+    Json::Value fields(Json::objectValue);
+    for (auto const& id : awaited) {
+        fields["members"].append(id);
+    }
+    auto const highest = m_dependencies.highest_acknowledged();
+    fields["acknowledged_term"] = Json::UInt64(highest.term);
+    fields["acknowledged_position"] = Json::UInt64(highest.position);
+    fields["furthest_position"] = Json::UInt64(m_evidence.furthest_position(m_kernel.now()).position);
+    log("waiting for replicas that may hold acknowledged commits which no other member has",
+        std::move(fields));
 }
 
 bool group_takeover::has_contact(std::string const& member) const
@@ -453,9 +505,8 @@
     m_fenced_since = m_fenced_since.value_or(now);
     auto const holder = find_holder(*bound);
     // The replicas of a leader that was given up have stopped receiving, but some may have to be left out.
-    auto const may_become_complete = is_handover(m_cause)
-                                         ? now - *m_fenced_since < max_catch_up_time
-                                         : elapsed() < stopped_replica_timeout + command_period;
+    auto const may_become_complete = is_handover(m_cause) ? now - *m_fenced_since < max_catch_up_time
+                                                          : elapsed() < report_time + command_period;
     if (holder ? now - *m_fenced_since < fenced_command_period : may_become_complete) {
         return;
     }
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -143,9 +143,16 @@
     /// Returns whether the old leader may acknowledge through a replica that is in no directory yet: a member
     /// that leaves has a replacement, which cannot register from a zone without contact.
     bool may_have_unlisted_replica() const;
-    /// Returns whether replicas without an answer may be left out, since they hardly hold commits that the
-    /// others lack.
-    bool may_leave_out_replicas() const;
+    /// Returns whether the answers that count cover the logs of all replicas, so that the furthest of them
+    /// holds every acknowledged commit.
+    bool are_replicas_covered() const;
+    /// Returns whether the log of a replica without an answer holds no commit that the answers lack.
+    bool is_covered(std::string const& replica) const;
+    /// Returns whether a member that answers runs at the address of a replica that has ended. It took over
+    /// the replica's log.
+    bool is_replaced_at_address(std::string const& replica) const;
+    /// Logs the replicas that the takeover waits for, when they change.
+    void log_awaited_replicas();
     /// Returns whether the member's availability zone was reached since the takeover started, so that a
     /// refused connection is the member's own.
     bool has_contact(std::string const& member) const;
@@ -193,8 +200,9 @@
     /// answers are needed have stopped receiving.
     std::optional<monotonic_time> m_old_leader_expires_at;
     std::optional<monotonic_time>
-        m_fenced_since;            ///< Time at which the old leader was seen to have stepped down.
-    int m_order_attempts = 0;      ///< Number of promotion orders that were attempted.
+        m_fenced_since; ///< Time at which the old leader was seen to have stepped down.
+    std::vector<std::string> m_awaited_replicas; ///< As they were logged last.
+    int m_order_attempts = 0;                    ///< Number of promotion orders that were attempted.
     bool m_has_term_begun = false; ///< Whether a member knows the new term, so that the successor has led.
     bool m_is_polling = false;     ///< Whether the timer of poll_fencing() runs.
     bool m_has_interfered;         ///< Whether members were ordered anything that callers notice.
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -110,13 +110,13 @@
     return !m_is_final_in_doubt && is_current(m_final_since, now) ? m_final_position : std::nullopt;
 }
 
-bool takeover_evidence::have_all_stopped(monotonic_time now) const
+bool takeover_evidence::have_answering_stopped(monotonic_time now) const
 {
     return std::all_of(m_replicas.begin(), m_replicas.end(), [&](std::string const& id) {
         auto const* const answer = find_answer(id, now);
         // A leader of an older term receives nothing from the old leader.
-        return answer != nullptr && (answer->stopped_at_term >= m_term ||
-                                     (answer->role == member_role::primary && answer->term < m_term));
+        return answer == nullptr || answer->stopped_at_term >= m_term ||
+               (answer->role == member_role::primary && answer->term < m_term);
     });
 }
 
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -72,7 +72,12 @@
     std::optional<log_position> final_position(monotonic_time now) const;
 
     /// Returns whether every known replica has answered and has stopped receiving.
-    bool have_all_stopped(monotonic_time now) const;
+    bool have_all_stopped(monotonic_time now) const
+    {
+        return have_answering_stopped(now) && unanswered(now).empty();
+    }
+    /// Returns whether every replica with an answer that counts has stopped receiving.
+    bool have_answering_stopped(monotonic_time now) const;
     /// Returns the replicas without an answer that counts.
     std::vector<std::string> unanswered(monotonic_time now) const;
 
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -84,6 +84,13 @@
             member.claim_change.reset();
         }
         member.entry = entry;
+        if (!entry.absent_since) {
+            member.last_possible_position.reset();
+        }
+    }
+    if (auto const* const last = leader(); last != nullptr && !present.contains(last->entry.id)) {
+        // It may have led without this VM's knowledge but for its own claim.
+        m_last_leader = last->entry.id;
     }
     for (auto each = m_members.begin(); each != m_members.end();) {
         if (present.contains(each->first)) {
@@ -95,7 +102,8 @@
     }
     std::erase_if(m_former_members, [this](auto const& each) {
         return m_members.contains(each.first) ||
-               m_kernel.now() - each.second.removed_at > former_member_lifetime;
+               (m_kernel.now() - each.second.removed_at > former_member_lifetime &&
+                is_superseded(each.second));
     });
     release_waiting();
 }
@@ -113,7 +121,38 @@
 {
     log_membership("member was removed from the directory", member.entry);
     m_dependencies.member_removed(member.entry);
-    m_former_members[member.entry.id] = {member.entry, m_kernel.now()};
+    m_former_members[member.entry.id] = {member.entry, m_kernel.now(), member.last_possible_position};
+}
+
+void database_group::bound_lapsed_members(log_position leader_position, monotonic_time asked_at)
+{
+    for (auto& [id, member] : m_members) {
+        auto const absent_since = member.entry.absent_since;
+        if (absent_since && *absent_since <= asked_at && !member.last_possible_position) {
+            member.last_possible_position = leader_position;
+        }
+    }
+    for (auto& [id, former] : m_former_members) {
+        auto const absent_since = former.entry.absent_since.value_or(former.removed_at);
+        if (absent_since <= asked_at && !former.last_possible_position) {
+            former.last_possible_position = leader_position;
+        }
+    }
+}
+
+bool database_group::is_superseded(former_member const& former) const
+{
+    // A later commit was acknowledged through a present member, which received all earlier ones first.
+    return former.last_possible_position && m_highest_acknowledged > *former.last_possible_position;
+}
+
+std::optional<log_position> database_group::last_possible_position(std::string const& id) const
+{
+    if (auto const found = m_members.find(id); found != m_members.end()) {
+        return found->second.last_possible_position;
+    }
+    auto const found = m_former_members.find(id);
+    return found == m_former_members.end() ? std::nullopt : found->second.last_possible_position;
 }
 
 group_member* database_group::find_member(std::string const& id)
@@ -197,6 +236,7 @@
         }
     }
     m_leader_positions.add(position, sent_at);
+    bound_lapsed_members(position, sent_at);
     if (m_last_leader != id) {
         m_last_leader = id;
         Json::Value fields(Json::objectValue);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -40,6 +40,9 @@
     /// True if the member was not running when this VM last tried to reach it, so that it will have to warm
     /// up.
     bool is_absent = false;
+    /// Position of the leader's log in its first answer after the member's entry had lapsed. The member's log
+    /// holds no later commit unless the entry returns.
+    std::optional<log_position> last_possible_position;
 };
 
 /// One database group as observed by this VM: its members, its leader, and the leader's log positions over
@@ -155,13 +158,19 @@
     /// Records the applied position that a member reported, and estimates from it how far the member lags.
     void record_position(std::string const& member, log_position position);
 
-    /// Member that was recently removed from the directory. It may still be running and hold commits.
+    /// Member that was removed from the directory. It may still be running, or hold commits that the present
+    /// members lack.
     struct former_member {
         member_entry entry;
         monotonic_time removed_at;
+        std::optional<log_position> last_possible_position; ///< See group_member.
     };
     std::map<std::string, former_member> const& former_members() const { return m_former_members; }
 
+    /// Returns a position that the log of a member whose entry has lapsed does not exceed; std::nullopt if
+    /// none is known, and for all other members.
+    std::optional<log_position> last_possible_position(std::string const& id) const;
+
     leader_position_history const& leader_positions() const { return m_leader_positions; }
     /// Returns the time since the request was sent whose answer last confirmed the leader, or std::nullopt if
     /// no leader was confirmed yet.
@@ -200,6 +209,10 @@
     duration warm_up_time() const;
     void log_membership(std::string_view message, member_entry const& entry) const;
     void retire_member(group_member& member);
+    /// Bounds the logs of the members whose entries had lapsed when the leader was asked at `asked_at`.
+    void bound_lapsed_members(log_position leader_position, monotonic_time asked_at);
+    /// Returns whether a former member certainly holds no acknowledged commit that the present members lack.
+    bool is_superseded(former_member const& former) const;
 
     std::string m_name;
     dependencies m_dependencies;
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint16_t peer_port = 7000;
+constexpr std::uint16_t first_member_port = 8000;
 constexpr duration publish_period = 300ms;
 constexpr duration answer_timeout = 20s;
 constexpr duration failed_order_time = 500ms;
@@ -40,8 +41,7 @@
         auto const name = fmt::format("group-{}", i);
         m_groups.push_back(std::make_unique<virtual_database_group>(m_clock, name, ids, m_shape.group));
         for (auto const& id : ids) {
-            m_group_of_member[id] = m_groups.back().get();
-            m_zone_of_member[id] = id.substr(id.size() - 1);
+            add_member(id, i);
         }
         m_configuration.groups[name] = {m_shape.group.max_connections, 1};
         for (auto const consistency :
@@ -207,7 +207,7 @@
             member_entry entry;
             entry.id = id;
             entry.group = group->name();
-            entry.address = {"10.1.0.1", 80};
+            entry.address = m_address_of_member.at(id);
             entry.availability_zone = m_zone_of_member.at(id);
             entry.slots = m_shape.group.slots;
             entry.is_draining = m_draining.contains(id);
@@ -219,7 +219,7 @@
                 entry.warm_up_left =
                     std::max(duration::zero(), started_at + group->warm_up_time() - m_clock.now());
             }
-            if (!group->faults(id).is_down && !m_unlisted.contains(id)) {
+            if (group->is_listed(id) && !m_unlisted.contains(id)) {
                 directory[id] = std::move(entry);
             }
         }
@@ -230,9 +230,16 @@
 void session_fleet::add_unlisted_replica(std::string const& id, std::size_t group)
 {
     m_unlisted.insert(id);
+    add_member(id, group);
+    m_groups[group]->add_replica(id);
+}
+
+void session_fleet::add_member(std::string const& id, std::size_t group)
+{
     m_group_of_member[id] = m_groups[group].get();
     m_zone_of_member[id] = id.substr(id.size() - 1);
-    m_groups[group]->add_replica(id);
+    m_address_of_member[id] = {"10.1.0.1",
+                               static_cast<std::uint16_t>(first_member_port + m_address_of_member.size())};
 }
 
 void session_fleet::publish_configuration()
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -150,6 +150,8 @@
     bool answers_busy(std::uint64_t number, std::vector<member_command> const& commands);
     /// Checks the fence of a promotion order after the latency, and promotes the member if it is current.
     void execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done);
+    /// Notes the group, the zone and the address of a new member.
+    void add_member(std::string const& id, std::size_t group);
     /// Returns the directory of all members that are not down.
     member_directory make_directory() const;
 
@@ -167,6 +169,7 @@
     std::function<void(log_record const&)> m_on_log;
     std::set<std::string> m_busy;                        ///< Ids of the members that answer with `busy`.
     std::map<std::string, std::string> m_zone_of_member; ///< Keyed by member id.
+    std::map<std::string, endpoint> m_address_of_member; ///< Keyed by member id.
     std::set<std::string> m_cut_zones;
     bool m_are_connections_refused = false; ///< Whether connections across a cut are refused.
     std::uint64_t m_next_connection = 1;
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -24,8 +24,17 @@
     }
 }
 
+bool virtual_database_group::is_listed(std::string const& id) const
+{
+    auto const& member = m_members.at(id);
+    auto const was_crashed = member.crashed_at != monotonic_time{};
+    return !member.faults.is_down ||
+           (was_crashed && m_clock.now() - member.crashed_at < m_options.entry_lifetime);
+}
+
 void virtual_database_group::crash(std::string const& id)
 {
+    m_members.at(id).crashed_at = m_clock.now();
     auto& faults = m_members.at(id).faults;
     faults.is_down = true;
     faults.refuses_connections = true;
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -50,6 +50,8 @@
         /// Whether a replaced leader loses its leadership when the new term starts. Otherwise it accepts
         /// transactions until it is ordered to step down, or for a time after it can reach its successor.
         bool deposes_replaced_leader = true;
+        /// Time for which the directory lists a member that has crashed.
+        duration entry_lifetime{};
         duration warm_up_time{}; ///< Time that a member's directory entry says it is slow after a restart.
     };
 
@@ -75,6 +77,8 @@
 
     /// Time of a member's last restart; the default value if it was never restarted.
     monotonic_time started_at(std::string const& id) const { return m_members.at(id).started_at; }
+    /// Returns whether the directory has an entry of the member.
+    bool is_listed(std::string const& id) const;
     duration warm_up_time() const { return m_options.warm_up_time; }
 
     /// Makes a member the leader of the next term after the promotion time; does nothing if the member is the
@@ -152,6 +156,7 @@
         member_faults faults;
         std::vector<monotonic_time> arrival_times;
         monotonic_time started_at{};
+        monotonic_time crashed_at{};
     };
 
     void run_next_command(std::uint64_t connection_number);
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -9,7 +9,11 @@
 namespace {
 
 struct takeover_fixture {
-    explicit takeover_fixture(std::uint64_t seed = 1) : fleet({}, seed) { fleet.clock().run_for(4s); }
+    explicit takeover_fixture(std::uint64_t seed = 1, session_fleet_shape const& shape = {})
+        : fleet(shape, seed)
+    {
+        fleet.clock().run_for(4s);
+    }
 
     session_caller caller(std::size_t vm)
     {
@@ -25,7 +29,9 @@
         duration longest{};
         std::vector<session_caller> callers;
         for (std::size_t i = 0; i < fleet.vms(); ++i) {
-            callers.push_back(caller(i));
+            if (fleet.is_running(i)) {
+                callers.push_back(caller(i));
+            }
         }
         while (fleet.clock().now() < end) {
             for (auto& each : callers) {
@@ -251,3 +257,50 @@
     cr_assert(group.leader() != old);
     cr_assert(group.holds_all_acknowledged());
 }
+
+/// Guards against lost acknowledged commits: a replica that heard nothing was promoted, since no process knew
+/// any more what had been acknowledged. The leader and the only replica that had received the commits crash,
+/// and all VMs are killed. The crashed replica returns with its log.
+Test(takeover, replica_that_heard_nothing_is_not_promoted_after_all_vms_were_killed)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        session_fleet_shape shape;
+        shape.group.entry_lifetime = 3600ms;
+        takeover_fixture fixture(seed, shape);
+        auto& group = fixture.fleet.group();
+        group.faults("m-0-b").is_replication_cut = true;
+        fixture.write_for(2s);
+        group.crash("m-0-a");
+        group.crash("m-0-c");
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.kill_vm(vm);
+        }
+        fixture.fleet.clock().run_for(500ms);
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.start_vm(vm);
+        }
+        group.faults("m-0-b").is_replication_cut = false;
+        fixture.write_for(5s);
+        cr_assert(fixture.fleet.promotions() == 0, "seed %llu", static_cast<unsigned long long>(seed));
+        group.restart("m-0-c");
+        fixture.write_for(4s);
+        cr_assert(group.leader() == "m-0-c", "leader %s", group.leader().c_str());
+        cr_assert(group.holds_all_acknowledged());
+    }
+}
+
+/// A replica that ended while the leader went on has nothing that the others lack, so it is not waited for.
+Test(takeover, leader_is_replaced_without_the_answer_of_a_replica_that_ended_long_before)
+{
+    session_fleet_shape shape;
+    shape.group.entry_lifetime = 3600ms;
+    takeover_fixture fixture(1, shape);
+    auto& group = fixture.fleet.group();
+    group.crash("m-0-c");
+    fixture.write_for(5s);
+    group.crash("m-0-a");
+    auto const gap = fixture.write_for(6s);
+    cr_assert(gap < 4s);
+    cr_assert(group.leader() == "m-0-b");
+    cr_assert(group.holds_all_acknowledged());
+}
