sessions: Answer every statement before a planned stop

Cause: a drain closed only sessions that were idle at one of its looks, and accepted the statements of all others until the process ended.

From half of the grace period on, a session takes nothing more and closes with its last answer; what it refuses is refused at once with a promise. Before the end, unsent statements are refused, those of peers too, and what a member has not answered gets an unknown outcome. Connections deliver their output before they close: bytes that did not fit into the socket were dropped, and closing beside unread bytes resets the connection.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -548,6 +548,17 @@
     }
 }
 
+void broker_service::refuse_peer_requests()
+{
+    std::vector<std::shared_ptr<request_cancellation>> waiting;
+    for (auto const& [request, cancellation] : m_cancellations) {
+        waiting.push_back(cancellation);
+    }
+    for (auto const& cancellation : waiting) {
+        cancellation->cancel();
+    }
+}
+
 void broker_service::handle_channel_loss(channel_id from)
 {
     m_channels_of_peers.erase(from);
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -105,6 +105,9 @@
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
+    /// Refuses the requests of peers that wait at this VM and were not yet sent to a member.
+    void refuse_peer_requests();
+
     /// Sends a message that belongs to no request to a member.
     void send_message(std::string const& vm, relay_message const& message);
     void reply_message(channel_id to, relay_message const& message);
--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -18,6 +18,8 @@
 /// Unsent bytes above which the peer is considered unresponsive and its connection is closed.
 constexpr std::size_t max_unsent_bytes = 4UL * 1024 * 1024;
 constexpr int listen_backlog = 1024;
+/// Longest time for which a connection that is being closed waits for its peer.
+constexpr duration closing_timeout = std::chrono::milliseconds(500);
 /// TCP keep-alive options. They detect an unreachable peer after about 30 seconds without traffic.
 constexpr int keep_alive_idle_seconds = 15;
 constexpr int keep_alive_interval_seconds = 5;
@@ -168,8 +170,7 @@
         m_output.clear();
         m_sent_bytes = 0;
         if (m_closes_after_sending) {
-            close();
-            return;
+            end_output();
         }
     }
     else if (m_output.size() - m_sent_bytes > max_unsent_bytes) {
@@ -199,17 +200,45 @@
     close();
 }
 
-void tcp_stream::close_after_sending()
+void tcp_stream::close_after_sending(std::function<void()> closed)
 {
     m_closes_after_sending = true;
+    m_on_closed = std::move(closed);
+    if (!is_open()) {
+        finish_closing();
+        return;
+    }
+    m_reactor.start_timer(closing_timeout, [weak = weak_from_this()] {
+        if (auto const stream = weak.lock()) {
+            stream->finish_closing();
+        }
+    });
     if (m_sent_bytes == m_output.size()) {
-        close();
+        end_output();
+    }
+}
+
+void tcp_stream::end_output()
+{
+    // An error means that the peer has closed the connection, which read() detects.
+    static_cast<void>(::shutdown(m_socket.get(), SHUT_WR));
+}
+
+void tcp_stream::finish_closing()
+{
+    close();
+    if (auto closed = std::exchange(m_on_closed, nullptr)) {
+        m_reactor.start_timer(duration::zero(), std::move(closed));
     }
 }
 
 void tcp_stream::close_and_notify()
 {
     auto const keep_alive = shared_from_this();
+    if (m_closes_after_sending) {
+        finish_closing();
+        return;
+    }
     auto const ended = m_events.ended;
     close();
     if (ended) {
--- a/libraries/reactor/tcp_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -43,8 +43,9 @@
     /// Resets the connection immediately. Data that was not delivered yet is discarded.
     void abort();
 
-    /// Closes the connection once all output is sent. Bytes received until then are discarded.
-    void close_after_sending();
+    /// Closes the connection once the peer has received all output and has closed its side, or after a short
+    /// time. Bytes that are received until then are discarded. `closed` is called once, after this call.
+    void close_after_sending(std::function<void()> closed);
 
     bool is_open() const { return m_socket.is_valid(); }
 
@@ -53,6 +54,10 @@
     void read();
     void flush();
     void close_and_notify();
+    /// Tells the peer that no further output follows. Closing at once would reset the connection if the peer
+    /// has sent bytes that were not read, and the peer would lose the output.
+    void end_output();
+    void finish_closing();
     void watch();
 
     reactor& m_reactor;
@@ -63,6 +68,7 @@
     std::string m_output;
     std::size_t m_sent_bytes = 0; ///< Bytes of m_output that are already sent.
     events m_events;
+    std::function<void()> m_on_closed;
 };
 
 /// Accepts TCP connections on an address and passes each of them to a callback as a stream.
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -47,6 +47,7 @@
     m_sessions->set_has_better_peer([&reports] { return !reports.peers_with_store().empty(); });
     m_sessions->set_is_cut_off([this] { return brokers().is_cut_off(); });
     m_sessions->set_has_peer_requests([this] { return brokers().has_peer_requests(); });
+    m_sessions->set_refuse_peer_requests([this] { brokers().refuse_peer_requests(); });
     m_kernel.log(log_level::info, "vm", "started", {});
 }
 
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -45,6 +45,7 @@
 
 void client_session::handle(session_statement statement)
 {
+    auto const keep_alive = shared_from_this();
     m_queue.push_back(std::move(statement));
     if (!m_is_running) {
         run_next();
@@ -63,7 +64,7 @@
     }
     m_cancellation->cancel();
     if (auto const execution = m_execution.lock()) {
-        execution->cancel();
+        execution->cancel("the caller disconnected before the statement was sent");
     }
 }
 
@@ -78,6 +79,64 @@
     return true;
 }
 
+void client_session::close_when_idle()
+{
+    m_closes_when_idle = true;
+    close_if_idle();
+}
+
+void client_session::refuse_unsent()
+{
+    if (!m_is_running || m_is_closed) {
+        return;
+    }
+    auto const keep_alive = shared_from_this();
+    m_cancellation->cancel();
+    if (auto const execution = m_execution.lock()) {
+        execution->cancel("this VM shuts down, and the statement was not sent");
+    }
+}
+
+void client_session::abandon()
+{
+    if (m_is_closed) {
+        return;
+    }
+    auto const keep_alive = shared_from_this();
+    m_closes_when_idle = true;
+    if (m_is_running) {
+        auto const is_commit = m_running.kind == statement_kind::commit;
+        auto const is_write =
+            m_state == transaction_state::idle &&
+            (m_running.kind == statement_kind::write ||
+             (m_running.kind == statement_kind::execute && m_prepared.contains(m_running.name) &&
+              m_prepared.at(m_running.name).is_write));
+        auto const may_be_kept = (is_commit && m_has_written) || is_write;
+        if (is_commit) {
+            m_state = transaction_state::idle;
+        }
+        refuse(m_running, may_be_kept ? session_error::in_doubt : session_error::timed_out,
+               "this VM shuts down, and the member has not answered");
+    }
+    m_is_abandoned = true;
+    if (auto const close = std::exchange(m_is_closed, true) ? nullptr : m_hooks.close) {
+        close();
+    }
+}
+
+bool client_session::refuse_while_closing(session_statement const& statement)
+{
+    auto const ends_transaction =
+        statement.kind == statement_kind::commit || statement.kind == statement_kind::rollback;
+    if (!m_closes_when_idle || (m_state != transaction_state::idle && ends_transaction)) {
+        return false;
+    }
+    auto const is_open = m_state == transaction_state::open;
+    refuse(statement, is_open ? session_error::aborted : session_error::busy,
+           is_open ? "this VM shuts down; the transaction is rolled back" : "this VM shuts down");
+    return true;
+}
+
 void client_session::end_idle_transaction(duration limit)
 {
     if (m_state != transaction_state::open || m_is_running || m_kernel.now() - m_last_active_at < limit) {
@@ -103,6 +162,8 @@
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
     m_cancellation = std::make_shared<request_cancellation>();
+    m_execution.reset();
+    m_running = statement;
     ++m_engine.counters().statements;
     process(statement);
 }
@@ -113,6 +174,9 @@
         refuse(statement, session_error::malformed, "statement could not be parsed");
         return;
     }
+    if (m_state != transaction_state::failed && refuse_while_closing(statement)) {
+        return;
+    }
     if (m_state == transaction_state::failed) {
         if (statement.kind == statement_kind::rollback) {
             m_state = transaction_state::idle;
@@ -429,6 +493,9 @@
 void client_session::handle_transaction_answer(session_statement const& statement, int retries,
                                                monotonic_time sent_at, member_answer answer)
 {
+    if (m_is_abandoned) {
+        return;
+    }
     // A connection is released only while no statement is running.
     VERIFY(m_connection);
     auto const is_commit = statement.kind == statement_kind::commit;
@@ -523,6 +590,9 @@
 void client_session::finish(session_statement const& statement, session_answer answer)
 {
     auto const keep_alive = shared_from_this();
+    if (m_is_abandoned) {
+        return;
+    }
     answer.state = m_state;
     if (answer.is_ok()) {
         ++m_engine.counters().answered;
@@ -545,6 +615,9 @@
     if (!m_is_running) {
         run_next();
     }
+    if (m_closes_when_idle) {
+        close_if_idle();
+    }
 }
 
 void client_session::log_outcome(session_statement const& statement, session_answer const& answer) const
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -44,6 +44,16 @@
     /// caller has disconnected already.
     bool close_if_idle();
 
+    /// Closes the session as soon as it is idle, since the VM shuts down. Until then, the running statement and
+    /// a COMMIT end as usual; all other statements are refused without being sent.
+    void close_when_idle();
+
+    /// Refuses the running statement if it was not yet sent to a member. One that was sent is not affected.
+    void refuse_unsent();
+
+    /// Answers the running statement with an unknown outcome, refuses the queued ones, and closes the session.
+    void abandon();
+
     /// Rolls back a transaction that was idle for at least `limit`.
     void end_idle_transaction(duration limit);
 
@@ -51,6 +61,8 @@
 
 private:
     void run_next();
+    /// Refuses a statement that may not start, since the session closes. Returns true if it did so.
+    bool refuse_while_closing(session_statement const& statement);
     void process(session_statement const& statement);
     void process_in_transaction(session_statement const& statement);
     void process_outside_transaction(session_statement const& statement);
@@ -107,7 +119,10 @@
     std::weak_ptr<statement_execution> m_execution;       ///< Of the running statement; empty for none.
     std::optional<log_position> m_minimum_position;       ///< Position of the session's last commit.
     std::deque<session_statement> m_queue;
+    session_statement m_running; ///< Statement that is running; the last one otherwise.
     bool m_is_running = false;
+    bool m_closes_when_idle = false; ///< Whether the VM shuts down.
+    bool m_is_abandoned = false;     ///< Whether the running statement was answered before it has ended.
     bool m_is_closed = false;
     monotonic_time m_arrived_at;
     monotonic_time m_last_active_at;
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Time before the end of a drain at which statements that were not yet sent are refused. Their answers reach
+/// the callers by then, also those of peers.
+constexpr duration refusal_margin = std::chrono::milliseconds(300);
 constexpr duration tick_period = std::chrono::milliseconds(100);
 /// About one session in this many is closed at a time, so that the callers do not all reconnect at once.
 constexpr std::size_t drain_steps = 10;
@@ -50,7 +53,7 @@
 session_engine::open(std::string database, std::string key, session_hooks hooks)
 {
     auto const& configuration = m_fleet->configuration();
-    if (!configuration) {
+    if (!configuration || takes_no_work()) {
         return session_error::busy;
     }
     auto const found = configuration->classes.find(database);
@@ -139,25 +142,53 @@
     }
 }
 
+bool session_engine::takes_no_work() const
+{
+    return m_drain_started && m_kernel.now() - *m_drain_started >= m_settings.transaction_drain_limit;
+}
+
+std::vector<std::shared_ptr<client_session>> session_engine::sessions() const
+{
+    std::vector<std::shared_ptr<client_session>> all;
+    for (auto* const session : m_sessions) {
+        // A session that is being destroyed is still listed.
+        if (auto alive = session->weak_from_this().lock()) {
+            all.push_back(std::move(alive));
+        }
+    }
+    return all;
+}
+
 void session_engine::continue_drain()
 {
     auto const elapsed = m_kernel.now() - *m_drain_started;
-    if (elapsed >= m_settings.transaction_drain_limit) {
-        auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
-        for (auto* const session : sessions) {
+    if (takes_no_work()) {
+        for (auto const& session : sessions()) {
             session->end_idle_transaction(duration::zero());
-            session->close_if_idle();
+            session->close_when_idle();
         }
     }
     else {
         close_idle_batch();
     }
+    if (elapsed >= m_settings.drain_limit - refusal_margin && !std::exchange(m_has_refused_unsent, true)) {
+        for (auto const& session : sessions()) {
+            session->refuse_unsent();
+        }
+        if (m_refuse_peer_requests) {
+            m_refuse_peer_requests();
+        }
+    }
     auto const is_over = elapsed >= m_settings.drain_limit;
     auto const has_peer_requests = m_has_peer_requests && m_has_peer_requests();
-    if ((m_sessions.empty() && !has_peer_requests && elapsed >= m_settings.arrival_limit) || is_over) {
-        if (auto const on_drained = std::exchange(m_on_drained, nullptr)) {
-            on_drained();
-        }
+    if ((!m_sessions.empty() || has_peer_requests || elapsed < m_settings.arrival_limit) && !is_over) {
+        return;
+    }
+    for (auto const& session : sessions()) {
+        session->abandon();
+    }
+    if (auto const on_drained = std::exchange(m_on_drained, nullptr)) {
+        on_drained();
     }
 }
 
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -55,8 +55,9 @@
     std::variant<std::shared_ptr<client_session>, session_error> open(std::string database, std::string key,
                                                                       session_hooks hooks);
 
-    /// Closes idle sessions, waits a limited time for open transactions and requests of peers to end, then
-    /// calls `on_drained`.
+    /// Closes idle sessions and waits a limited time for open transactions and requests of peers to end. After
+    /// `transaction_drain_limit`, sessions take no further work and close once they are idle. All statements are
+    /// answered before `on_drained` is called.
     void drain(std::function<void()> on_drained);
     bool is_draining() const { return m_drain_started.has_value(); }
 
@@ -83,6 +84,12 @@
         m_has_peer_requests = std::move(predicate);
     }
 
+    /// Sets the function that refuses the requests of peers which wait at this VM and were not yet sent.
+    void set_refuse_peer_requests(std::function<void()> refuse)
+    {
+        m_refuse_peer_requests = std::move(refuse);
+    }
+
     session_counters const& counters() const { return m_counters; }
     session_counters& counters() { return m_counters; }
     std::size_t size() const { return m_sessions.size(); }
@@ -97,6 +104,9 @@
 private:
     void tick();
     void continue_drain();
+    /// Returns whether the drain has lasted so long that no further work is taken.
+    bool takes_no_work() const;
+    std::vector<std::shared_ptr<client_session>> sessions() const;
     void close_idle_batch();
     /// Notes since when this VM is cut off, and logs changes.
     void update_cut_off();
@@ -110,9 +120,11 @@
     session_counters m_counters;
     std::function<bool()> m_has_better_peer;
     std::function<bool()> m_has_peer_requests;
+    std::function<void()> m_refuse_peer_requests;
     std::function<bool()> m_is_cut_off;
     std::optional<monotonic_time> m_cut_off_since;
     std::optional<monotonic_time> m_drain_started;
+    bool m_has_refused_unsent = false; ///< Whether unsent statements were refused, as the drain ends soon.
     std::function<void()> m_on_drained;
 };
 
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -129,9 +129,10 @@
     start_next_attempt();
 }
 
-void statement_execution::cancel()
+void statement_execution::cancel(std::string reason)
 {
     m_is_cancelled = true;
+    m_cancel_reason = std::move(reason);
     end_if_cancelled();
 }
 
@@ -139,7 +140,7 @@
 {
     if (m_is_cancelled && m_in_flight == 0) {
         // Nothing was run: an attempt that may have run ends the execution with its answer.
-        refuse(session_error::aborted, "the caller disconnected before the statement was sent");
+        refuse(session_error::aborted, m_cancel_reason);
     }
     return m_is_cancelled;
 }
@@ -476,7 +477,7 @@
     }
     log_attempt(member, error);
     if (m_is_cancelled && error == member_error::not_started) {
-        // The dispatcher refused it for the caller's departure, which says nothing about the member.
+        // The dispatcher refused it since it was cancelled, which says nothing about the member.
         end_if_cancelled();
         return true;
     }
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -65,9 +65,9 @@
 
     void start();
 
-    /// Ends the execution after its caller disconnected: sends nothing further. An attempt that was sent may
-    /// end; its result is passed to the callback.
-    void cancel();
+    /// Ends the execution for the given reason: sends nothing further. An attempt that was sent may end; its
+    /// result is passed to the callback.
+    void cancel(std::string reason);
 
 private:
     struct attempt {
@@ -119,6 +119,7 @@
     std::size_t m_failed_runs = 0; ///< Attempts that a member answered with a failure.
     bool m_must_use_leader = false;
     bool m_is_cancelled = false;
+    std::string m_cancel_reason;
     monotonic_time m_position_requested_at;
     bool m_has_requested_position = false;
 };
