failover: Take only a refusal by the member's host for a member that does not run

Found by reading on the same path, not shown by a run: any attempt to connect that failed at once counted as a refusal, also one that the member closed or that this VM could not make for want of descriptors, and from the time at which it was handled. Such a refusal keeps the final position of a leader in force and passes for its end.

The answer to an attempt now says whether the host rejected it (ECONNREFUSED). member_connector/only_a_refusal_by_the_host_shows_that_no_member_runs covers the three cases, which the code before answered alike.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -56,7 +56,9 @@
                 {[this](std::string const& member, replication_status const& status, monotonic_time sent_at) {
                      handle_status(member, status, sent_at);
                  },
-                 [this](std::string const& member, member_error error) { handle_refusal(member, error); },
+                 [this](std::string const& member, member_error error, monotonic_time started_at) {
+                     handle_refusal(member, error, started_at);
+                 },
                  [this](std::string const& member, member_error error) { handle_lost(member, error); }}),
       m_started_at(m_kernel.now()), m_phase_since(m_started_at), m_has_interfered(!is_handover(cause))
 {
@@ -144,14 +146,15 @@
     }
 }
 
-void group_takeover::handle_refusal(std::string const& member, member_error error)
+void group_takeover::handle_refusal(std::string const& member, member_error error, monotonic_time started_at)
 {
     if (m_has_ended) {
         return;
     }
     // Another member at the address may be the same one after a restart.
     auto const is_stopped = error == member_error::refused && has_contact(member);
-    if (m_evidence.record_refusal(member, is_stopped, m_kernel.now())) {
+    // The refusal may have been handled late, while this process was short of processor time.
+    if (m_evidence.record_refusal(member, is_stopped, started_at)) {
         Json::Value fields(Json::objectValue);
         fields["member"] = member;
         fields["error"] = std::string(find_name(member_error_names, error));
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -114,7 +114,7 @@
     void send_commands();
     command_kind command_for(std::string const& member) const;
     void handle_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
-    void handle_refusal(std::string const& member, member_error error);
+    void handle_refusal(std::string const& member, member_error error, monotonic_time started_at);
     void handle_lost(std::string const& member, member_error error);
 
     /// Returns whether the old leader answers as the leader, and so can be ordered to step down.
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -11,11 +11,12 @@
 /// Placeholder account for connections that belong to no client account.
 constexpr auto control_account = "-";
 
-/// Returns whether a connection that failed at once with this error shows that the member is not running on
-/// its machine. A missing answer may be due to a partition.
-constexpr bool is_refusal(member_error error)
+/// Returns whether the answer to an attempt to connect shows that the member is not running on its machine. A
+/// missing answer may be due to a partition, and an attempt that fails in another way to a lack of
+/// descriptors or ports at this VM, or to a member that is busy.
+bool is_refusal(member_answer const& answer)
 {
-    return error == member_error::refused || error == member_error::wrong_member;
+    return answer.is_refused_by_host || answer.error == member_error::wrong_member;
 }
 
 } // namespace
@@ -34,21 +35,21 @@
     connection = std::make_shared<backend_connection>(
         m_kernel, m_connection_hooks,
         backend_connection_target{member.address, m_group, id, control_account});
-    connection->open(command_timeout, [this, id, command, events = std::weak_ptr(m_events),
-                                       opened = std::weak_ptr(connection),
-                                       started_at = m_kernel.now()](member_answer const& answer) {
-        auto const receiver = events.lock();
-        auto const current = opened.lock();
-        if (!receiver || !current) {
-            return;
-        }
-        if (answer.is_ok()) {
-            send_on(*current, id, command);
-        }
-        else if (m_kernel.now() - started_at < command_timeout && is_refusal(*answer.error)) {
-            receiver->refused(id, *answer.error);
-        }
-    });
+    connection->open(command_timeout,
+                     [this, id, command, events = std::weak_ptr(m_events), opened = std::weak_ptr(connection),
+                      started_at = m_kernel.now()](member_answer const& answer) {
+                         auto const receiver = events.lock();
+                         auto const current = opened.lock();
+                         if (!receiver || !current) {
+                             return;
+                         }
+                         if (answer.is_ok()) {
+                             send_on(*current, id, command);
+                         }
+                         else if (is_refusal(answer)) {
+                             receiver->refused(id, *answer.error, started_at);
+                         }
+                     });
 }
 
 void member_control::check_connections()
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -20,9 +20,9 @@
         /// The command that was sent at `sent_at` was answered.
         std::function<void(std::string const& member, replication_status const&, monotonic_time sent_at)>
             answered;
-        /// The connection was refused at once (refused), or another member runs at the member's address
-        /// (wrong_member).
-        std::function<void(std::string const& member, member_error)> refused;
+        /// The member's host refused the connection that was attempted at `started_at` (refused), or another
+        /// member runs at the member's address (wrong_member).
+        std::function<void(std::string const& member, member_error, monotonic_time started_at)> refused;
         /// The connection was lost, so the member may have restarted.
         std::function<void(std::string const& member, member_error)> lost;
     };
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -65,14 +65,14 @@
     m_is_final_in_doubt = false;
 }
 
-bool takeover_evidence::record_refusal(std::string const& member, bool is_stopped, monotonic_time now)
+bool takeover_evidence::record_refusal(std::string const& member, bool is_stopped, monotonic_time started_at)
 {
     m_answers.erase(member);
-    if (member == m_old_leader && is_stopped && is_current(m_final_since, now)) {
-        m_final_since = now;
+    if (member == m_old_leader && is_stopped && is_current(m_final_since, started_at)) {
+        m_final_since = started_at;
         m_is_final_in_doubt = false;
     }
-    return m_refused_at.insert_or_assign(member, now).second;
+    return m_refused_at.insert_or_assign(member, started_at).second;
 }
 
 bool takeover_evidence::discard_answer(std::string const& member)
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -53,9 +53,10 @@
     /// before the successor's is the old leader, perhaps after a restart under another id. A member that is a
     /// replica and was not seen leading is a replica like any other.
     void record_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
-    /// Records that a connection to a member was refused. With `is_stopped`, this shows that the process that
-    /// was last heard has ended and no other has taken its place. Returns true if the refusal is new.
-    bool record_refusal(std::string const& member, bool is_stopped, monotonic_time now);
+    /// Records that a connection to a member which was attempted at `started_at` was refused. With
+    /// `is_stopped`, this shows that the process that was last heard has ended and no other has taken its
+    /// place. Returns true if the refusal is new.
+    bool record_refusal(std::string const& member, bool is_stopped, monotonic_time started_at);
     /// Discards the last answer of a member whose connection was lost, since the member may have restarted.
     /// Returns false if there is none.
     bool discard_answer(std::string const& member);
--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -135,7 +135,7 @@
         return;
     }
     if (!answer.is_ok()) {
-        fail_all(*answer.error);
+        fail_all(*answer.error, answer.is_refused_by_host);
         return;
     }
     m_is_open = true;
@@ -163,7 +163,7 @@
     batch->on_answered(std::move(batch->answers));
 }
 
-void backend_connection::fail_all(member_error error)
+void backend_connection::fail_all(member_error error, bool is_refused_by_host)
 {
     if (std::exchange(m_is_closed, true)) {
         return;
@@ -178,6 +178,7 @@
         answer.error = error == member_error::connection_lost || error == member_error::timed_out
                            ? member_error::refused
                            : error;
+        answer.is_refused_by_host = is_refused_by_host;
         on_opened(answer);
     }
     auto const batches = std::exchange(m_batches, {});
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -84,7 +84,7 @@
 
     void handle_opened(member_answer const& answer);
     void handle_answer(member_answer answer);
-    void fail_all(member_error error);
+    void fail_all(member_error error, bool is_refused_by_host = false);
 
     kernel& m_kernel;
     backend_connection_hooks const& m_hooks;
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -129,6 +129,9 @@
     /// Time after which room for the command is expected, in milliseconds; set with not_started, 0 if
     /// unknown.
     std::uint32_t retry_after_ms = 0;
+    /// Set with refused when the member's host rejected the connection, which no failure of this VM explains.
+    /// Not part of messages between VMs.
+    bool is_refused_by_host = false;
 
     bool is_ok() const { return !error.has_value(); }
     MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication, retry_after_ms)
--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -97,6 +97,7 @@
         socklen_t size = sizeof(error);
         ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
         if (error != 0 || (events & (EPOLLERR | EPOLLHUP)) != 0) {
+            m_was_refused = error == ECONNREFUSED;
             close_and_notify();
             return;
         }
--- a/libraries/reactor/tcp_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -49,6 +49,10 @@
 
     bool is_open() const { return m_socket.is_valid(); }
 
+    /// Returns whether the connection was not established since the peer's host rejected it. Other failures
+    /// may be due to this machine or to the network.
+    bool was_refused() const { return m_was_refused; }
+
 private:
     void handle_events(std::uint32_t events);
     void read();
@@ -63,6 +67,7 @@
     reactor& m_reactor;
     file_descriptor m_socket;
     bool m_is_connected;
+    bool m_was_refused = false;
     bool m_closes_after_sending = false;
     bool m_watches_writes = false;
     std::string m_output;
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -313,6 +313,7 @@
                     run_after_latency(self->index, [opened = events.opened](session_vm&) {
                         member_answer answer;
                         answer.error = member_error::refused;
+                        answer.is_refused_by_host = true;
                         opened(std::move(answer));
                     });
                 }
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -198,6 +198,7 @@
                             member_answer answer;
                             if (member.faults.refuses_connections) {
                                 answer.error = member_error::refused;
+                                answer.is_refused_by_host = true;
                             }
                             else if (group != m_name) {
                                 answer.error = member_error::wrong_member;
--- a/tests/platform/member_connector_tests.cpp
+++ b/tests/platform/member_connector_tests.cpp
@@ -22,7 +22,9 @@
     }
 
     /// Opens a connection. Returns the first answer, or no value if none arrived in time.
-    std::optional<member_answer> open()
+    std::optional<member_answer> open() { return open_at({"127.0.0.1", acceptor.port()}); }
+
+    std::optional<member_answer> open_at(endpoint const& address)
     {
         std::optional<member_answer> result;
         backend_connection_events events;
@@ -33,7 +35,7 @@
         target.group = "group";
         target.client_account = "account";
         target.member = "member";
-        target.address = {"127.0.0.1", acceptor.port()};
+        target.address = address;
         hooks.open(target, std::move(events));
         auto const end = loop.now() + answer_limit;
         while (!result && loop.now() < end) {
@@ -103,3 +105,30 @@
     cr_assert(answer && answer->error == member_error::refused);
     cr_assert(fixture.is_closed_by_caller());
 }
+
+/// Guards against lost commits: an attempt to connect that failed for any reason was taken as proof that the
+/// member does not run, so that a takeover went on without it.
+Test(member_connector, only_a_refusal_by_the_host_shows_that_no_member_runs)
+{
+    member_connector_fixture silent("");
+    std::optional<member_answer> closed;
+    {
+        // The member accepts the connection and closes it, as it does while it is busy or ends.
+        reactor& loop = silent.loop;
+        tcp_acceptor closing(loop, [](std::shared_ptr<tcp_stream> const& stream) { stream->close(); });
+        cr_assert(closing.try_listen({"127.0.0.1", 0}).ok());
+        closed = silent.open_at({"127.0.0.1", closing.port()});
+    }
+    cr_assert(closed && closed->error == member_error::refused && !closed->is_refused_by_host);
+    // This VM cannot even try.
+    auto const untried = silent.open_at({"127.0.0.1", 0});
+    cr_assert(untried && untried->error == member_error::refused && !untried->is_refused_by_host);
+    std::uint16_t free_port = 0;
+    {
+        tcp_acceptor ended(silent.loop, [](std::shared_ptr<tcp_stream> const&) {});
+        cr_assert(ended.try_listen({"127.0.0.1", 0}).ok());
+        free_port = ended.port();
+    }
+    auto const refused = silent.open_at({"127.0.0.1", free_port});
+    cr_assert(refused && refused->error == member_error::refused && refused->is_refused_by_host);
+}
