platform: Skip entries of other writers that cannot be decoded

Operators of similar systems saw machines end again and again, or stop following a list, after another writer left one odd entry in it.

Cause: conversions without a look at the type, and no bounds.

A lock that cannot be decoded counts as held for its lifetime, so that there are never two holders.

--- a/libraries/base/json.cpp
+++ b/libraries/base/json.cpp
@@ -1,5 +1,6 @@
 #include "base/json.h"
 
+#include <cmath>
 #include <memory>
 
 #include <json/reader.h>
@@ -22,12 +23,33 @@
             return absl::InvalidArgumentError(errors);
         }
     }
-    catch (Json::Exception const& exception) {
+    catch (std::exception const& exception) {
         return absl::InvalidArgumentError(exception.what());
     }
     return value;
 }
 
+std::optional<std::string> find_string(Json::Value const& object, char const* field)
+{
+    return object.isObject() && object[field].isString() ? std::optional(object[field].asString())
+                                                         : std::nullopt;
+}
+
+std::optional<double> find_number(Json::Value const& object, char const* field)
+{
+    if (!object.isObject() || !object[field].isNumeric() || object[field].isBool()) {
+        return std::nullopt;
+    }
+    auto const value = object[field].asDouble();
+    return std::isfinite(value) ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::uint64_t> find_unsigned(Json::Value const& object, char const* field)
+{
+    return object.isObject() && object[field].isUInt64() ? std::optional(object[field].asUInt64())
+                                                         : std::nullopt;
+}
+
 std::string to_json_line(Json::Value const& value)
 {
     Json::StreamWriterBuilder builder;
--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -1,6 +1,7 @@
 #include "failover/failover_lock.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -16,6 +17,10 @@
 
 /// Fences consist of an era and, in this number of lower bits, of a version.
 constexpr unsigned fence_version_bits = 32;
+/// Fences above this are no VM's: they would overflow when they grow.
+constexpr std::uint64_t max_fence = std::numeric_limits<std::int64_t>::max();
+/// Stands for the holder of a lock that cannot be decoded. No VM has this name.
+constexpr auto unknown_holder = "?";
 
 /// Lowest fence of the era in which a row was read.
 std::uint64_t first_fence_of_era(table_row const& row)
@@ -30,17 +35,42 @@
 
 } // namespace
 
-failover_lock::lock_row failover_lock::parse(table_row const& row)
+std::optional<failover_lock::lock_row> failover_lock::try_parse(table_row const& row)
 {
-    lock_row parsed;
     auto const root = try_parse_json(row.value);
-    if (row.version != 0 && root.ok() && root->isObject()) {
-        parsed.holder = (*root)["holder"].asString();
-        parsed.member = (*root)["member"].asString();
-        parsed.fence = (*root)["fence"].asUInt64();
-        parsed.claimed_at_ms = (*root)["claimed_at_ms"].asInt64();
+    if (!root.ok()) {
+        return std::nullopt;
     }
-    return parsed;
+    auto const holder = find_string(*root, "holder");
+    auto const member = find_string(*root, "member");
+    auto const fence = find_unsigned(*root, "fence");
+    auto const claimed_at_ms = find_unsigned(*root, "claimed_at_ms");
+    if (!holder || holder->empty() || !member || !fence || *fence > max_fence || !claimed_at_ms ||
+        *claimed_at_ms > static_cast<std::uint64_t>(std::max<std::int64_t>(row.read_at_ms, 0))) {
+        return std::nullopt;
+    }
+    return lock_row{*holder, *member, *fence, static_cast<std::int64_t>(*claimed_at_ms)};
+}
+
+failover_lock::lock_row failover_lock::parse(std::string const& group, table_row const& row)
+{
+    if (row.version == 0) {
+        return {};
+    }
+    if (auto const known = try_parse(row)) {
+        return *known;
+    }
+    auto& unreadable = m_unreadable[group];
+    if (unreadable.version != row.version) {
+        unreadable = {row.version, row.read_at_ms};
+        Json::Value fields(Json::objectValue);
+        fields["group"] = group;
+        fields["version"] = Json::UInt64(row.version);
+        m_kernel.log(log_level::warning, "takeover",
+                     "failover lock cannot be decoded; it counts as held by another VM for its lifetime",
+                     std::move(fields));
+    }
+    return {unknown_holder, {}, first_fence_of_era(row), unreadable.first_read_at_ms};
 }
 
 bool failover_lock::may_have_lost_claims(bool checks_fences) const
@@ -61,7 +91,7 @@
             return;
         }
         auto const row = read->value_or(table_row{});
-        auto const known = parse(row);
+        auto const known = parse(group, row);
         auto const is_own_lock = known.holder == holder;
         auto const is_claim_of_era = known.fence >= first_fence_of_era(row);
         if (!is_claim_of_era && may_have_lost_claims(checks_fences)) {
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 #include <absl/status/statusor.h>
@@ -43,11 +45,21 @@
         std::int64_t claimed_at_ms = 0; ///< Time of the last acquisition, by the store's clock.
     };
 
-    static lock_row parse(table_row const& row);
+    /// Returns std::nullopt for a row that no VM can have written.
+    static std::optional<lock_row> try_parse(table_row const& row);
+    /// Returns the lock in the row. One that cannot be decoded counts as claimed by another VM when this VM
+    /// first read it.
+    lock_row parse(std::string const& group, table_row const& row);
     void write(std::string const& group, std::uint64_t version, lock_row const& row, lock_callback done);
 
+    struct unreadable_row {
+        std::uint64_t version = 0;
+        std::int64_t first_read_at_ms = 0; ///< By the store's clock.
+    };
+
     kernel& m_kernel;
     platform_hooks const& m_platform;
+    std::map<std::string, unreadable_row> m_unreadable; ///< Keyed by group.
 };
 
 } // namespace greengagehitch
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -132,3 +132,32 @@
     cr_assert(absl::IsAborted(fixture.acquire("vm-2", "member-b", false).status()));
     cr_assert(fixture.acquire("vm-2", "member-b", true).ok());
 }
+
+/// Guards against VMs that end when they read a lock which another writer left with a field of another type,
+/// and against a group that never gets a leader again. A lock that cannot be decoded may be held, so it is
+/// not given at once.
+Test(failover_lock, row_that_cannot_be_decoded_counts_as_held_for_its_lifetime)
+{
+    for (auto const* const odd :
+         {"", "null", "7", "[]", R"({"holder":7,"member":"m","fence":1,"claimed_at_ms":1})",
+          R"({"holder":"a","member":[],"fence":1,"claimed_at_ms":1})",
+          R"({"holder":"a","member":"m","fence":"1","claimed_at_ms":1})",
+          R"({"holder":"a","member":"m","fence":-1,"claimed_at_ms":1})",
+          R"({"holder":"a","member":"m","fence":18446744073709551615,"claimed_at_ms":1})",
+          R"({"holder":"a","member":"m","fence":1,"claimed_at_ms":1e300})",
+          R"({"holder":"a","member":"m","fence":1,"claimed_at_ms":9223372036854775807})",
+          R"({"holder":"a"})"}) {
+        failover_lock_fixture fixture;
+        auto const before = fixture.acquire("b", "m-1", true);
+        cr_assert(before.ok());
+        fixture.value = odd;
+        ++fixture.version;
+        cr_assert(!fixture.acquire("b", "m-1", true).ok(), "%s", odd);
+        fixture.store_time_ms += 4'000;
+        cr_assert(!fixture.acquire("b", "m-1", true).ok(), "%s", odd);
+        fixture.store_time_ms += 1'000;
+        auto const after = fixture.acquire("b", "m-1", true);
+        cr_assert(after.ok(), "%s", odd);
+        cr_assert(*after > *before, "%s", odd);
+    }
+}
