brokers: Keep no transaction of a channel that is gone

Cause: the broker that wakes begins the transactions of requests that had arrived before their peers reset their channels, and kept them under the lost channels, where nobody can use or return them.

A reply for a lost channel keeps nothing, and requests of the channel that were not yet sent are cancelled.

Evidence: lost_transaction/transaction_that_begins_while_its_channel_is_lost_is_not_kept fails without the change (32 transactions of nobody) and passes with it.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -389,6 +389,10 @@
     auto reply = [this, from, request_id](member_reply result) {
         --m_peer_requests_running;
         m_cancellations.erase({from, request_id});
+        if (!m_channels_of_peers.contains(from)) {
+            // Nobody can use or return the connection of a transaction that has begun meanwhile.
+            return;
+        }
         relay_reply answer{request_id, std::move(result.answers), 0};
         if (result.connection) {
             answer.connection_id = m_next_connection_id++;
@@ -563,6 +567,16 @@
 {
     m_channels_of_peers.erase(from);
     std::erase_if(m_peer_connections, [from](auto const& each) { return each.second.first == from; });
+    // Nobody waits for the answers of requests that were not yet sent to a member.
+    std::vector<std::shared_ptr<request_cancellation>> waiting;
+    for (auto const& [request, cancellation] : m_cancellations) {
+        if (request.first == from) {
+            waiting.push_back(cancellation);
+        }
+    }
+    for (auto const& cancellation : waiting) {
+        cancellation->cancel();
+    }
 }
 
 } // namespace greengagehitch
--- a/tests/sessions/lost_transaction_tests.cpp
+++ b/tests/sessions/lost_transaction_tests.cpp
@@ -35,8 +35,8 @@
 }
 
 /// Guards against a statement that runs in another client's transaction: a broker that restarts numbers the
-/// transactions of its peers from 1 again, and a COMMIT for a former number committed the transaction that has it
-/// now. The ROLLBACK of a former one ended the newer one.
+/// transactions of its peers from 1 again, and a COMMIT for a former number committed the transaction that
+/// has it now. The ROLLBACK of a former one ended the newer one.
 Test(lost_transaction, transaction_of_a_restarted_broker_is_not_reached_by_an_older_one)
 {
     for (auto const ending : {"COMMIT", "ROLLBACK", "disconnect"}) {
@@ -82,3 +82,40 @@
         cr_assert(fleet.group().count_in_log(lost_write.id) == 0, "%s", ending);
     }
 }
+
+/// Guards against a broker that serves no transaction any more: transactions that began while the channel of
+/// their peer was lost were kept under it for good, and took up the connections of the member one after the
+/// other.
+Test(lost_transaction, transaction_that_begins_while_its_channel_is_lost_is_not_kept)
+{
+    session_fleet fleet({}, 1);
+    fleet.clock().run_for(4s);
+    auto const leader = fleet.group().leader();
+    auto const broker_name = fleet.vm(0).brokers().order_of(leader).front();
+    auto const broker = static_cast<std::size_t>(broker_name.back() - '0');
+    auto const database = session_fleet::database_of(0, read_consistency::every_commit);
+    for (int round = 0; round < 12; ++round) {
+        auto const entry = (broker + 1 + static_cast<std::size_t>(round) % 4) % fleet.vms();
+        std::vector<session_caller> callers;
+        for (int i = 0; i < 6; ++i) {
+            callers.emplace_back(fleet, entry, database, session_fleet::key_of(0));
+            cr_assert(callers.back()
+                          .send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN"))
+                          .is_ok());
+        }
+        for (auto& each : callers) {
+            each.send(session_caller::write("x"));
+        }
+        // The broker has received the requests, and the member has not answered them.
+        fleet.clock().run_for(2ms);
+        fleet.kill_vm(entry);
+        fleet.clock().run_for(500ms);
+        fleet.start_vm(entry);
+        fleet.clock().run_for(2s);
+    }
+    auto const state = fleet.vm(broker).brokers().dump();
+    cr_assert(state["leases"].asUInt() == 0, "%u transactions of nobody are kept", state["leases"].asUInt());
+    session_caller caller(fleet, broker, database, session_fleet::key_of(1));
+    cr_assert(caller.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN")).is_ok());
+    cr_assert(caller.send_and_wait(session_caller::write("x")).is_ok());
+}
