sessions: Run queued statements in a loop

Cause: answering a statement ran the next one by a nested call.

Evidence: client_session/thousands_of_queued_statements_are_answered_in_order crashes without the change and passes with it. The queue yields to other work after 64 statements in a row.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -17,6 +17,8 @@
 /// Earliest retry reported to a caller while this VM accepts no keys.
 constexpr duration key_refusal_delay = std::chrono::milliseconds(300);
 constexpr int max_busy_retries = 6;
+/// Statements of one session that are started before the work of others gets its turn.
+constexpr std::size_t max_statements_in_a_row = 64;
 constexpr duration busy_retry_delay = std::chrono::milliseconds(15);
 
 bool is_local(statement_kind kind)
@@ -47,9 +49,7 @@
 {
     auto const keep_alive = shared_from_this();
     m_queue.push_back(std::move(statement));
-    if (!m_is_running) {
-        run_next();
-    }
+    run_queued();
 }
 
 void client_session::disconnect()
@@ -150,22 +150,39 @@
     m_state = transaction_state::failed;
 }
 
-void client_session::run_next()
+void client_session::run_queued()
 {
-    if (m_queue.empty() || m_is_closed) {
+    // A statement that is answered at once calls this again, which must not nest: a caller may queue
+    // thousands.
+    if (std::exchange(m_is_running_queue, true)) {
         return;
     }
-    auto statement = std::move(m_queue.front());
-    m_queue.pop_front();
+    auto const keep_alive = shared_from_this();
+    for (std::size_t started = 0; !m_is_running && !m_queue.empty() && !m_is_closed; ++started) {
+        if (started == max_statements_in_a_row) {
+            m_kernel.start_timer(duration::zero(), [self = keep_alive] { self->run_queued(); });
+            break;
+        }
+        auto statement = std::move(m_queue.front());
+        m_queue.pop_front();
+        start(std::move(statement));
+    }
+    m_is_running_queue = false;
+}
+
+void client_session::start(session_statement statement)
+{
     m_is_running = true;
     m_arrived_at = m_kernel.now();
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
     m_cancellation = std::make_shared<request_cancellation>();
     m_execution.reset();
-    m_running = statement;
+    m_running = std::move(statement);
     ++m_engine.counters().statements;
-    process(statement);
+    // Its answer may start the next statement.
+    auto const running = m_running;
+    process(running);
 }
 
 void client_session::process(session_statement const& statement)
@@ -612,9 +629,7 @@
     if (auto const deliver = m_hooks.answer) {
         deliver(std::move(answer));
     }
-    if (!m_is_running) {
-        run_next();
-    }
+    run_queued();
     if (m_closes_when_idle) {
         close_if_idle();
     }
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -60,7 +60,9 @@
     std::string const& database() const { return m_database; }
 
 private:
-    void run_next();
+    /// Runs queued statements until one has to wait.
+    void run_queued();
+    void start(session_statement statement);
     /// Refuses a statement that may not start, since the session closes. Returns true if it did so.
     bool refuse_while_closing(session_statement const& statement);
     void process(session_statement const& statement);
@@ -121,6 +123,7 @@
     std::deque<session_statement> m_queue;
     session_statement m_running; ///< Statement that is running; the last one otherwise.
     bool m_is_running = false;
+    bool m_is_running_queue = false; ///< Whether run_queued() is on the stack.
     bool m_closes_when_idle = false; ///< Whether the VM shuts down.
     bool m_is_abandoned = false;     ///< Whether the running statement was answered before it has ended.
     bool m_is_closed = false;
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -391,3 +391,23 @@
     cr_assert(accounts[0] == session_fleet::account_name(1), "%s", accounts[0].c_str());
     cr_assert(accounts[1] == "-", "%s", accounts[1].c_str());
 }
+
+/// Guards against a process that ends when one session sends thousands of statements behind one that waits:
+/// statements that are answered at once were run by nested calls, until the stack overflowed.
+Test(client_session, thousands_of_queued_statements_are_answered_in_order)
+{
+    constexpr std::size_t queued = 20'000;
+    fleet_with_callers fixture;
+    auto caller = fixture.caller(0, read_consistency::every_commit);
+    auto other = fixture.caller(0, read_consistency::every_commit, 1);
+    caller.send(session_caller::read("x"));
+    for (std::size_t i = 0; i < queued; ++i) {
+        caller.send(session_caller::set("name", std::to_string(i)));
+    }
+    caller.send(session_caller::read("x"));
+    cr_assert(other.send_and_wait(session_caller::read("x")).is_ok());
+    fixture.fleet.clock().run_for(3s);
+    cr_assert(caller.answers().size() == queued + 2);
+    cr_assert(caller.answers().back().is_ok());
+    cr_assert(row_field(caller.answers().back(), 3) == "name=19999;");
+}
