--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -13,6 +13,7 @@
 /// Time after the last message at which an unlisted peer is removed.
 constexpr duration silent_peer_retention = std::chrono::minutes(5);
 /// Shortest time between the last read of the platform's list and an early read.
+constexpr duration first_list_retry_period = std::chrono::seconds(1);
 constexpr duration min_early_read_interval = std::chrono::seconds(1);
 /// Time for which an echo of a heartbeat is accepted.
 constexpr duration sent_heartbeat_retention = std::chrono::seconds(10);
@@ -287,7 +288,8 @@
 void membership_service::poll_list()
 {
     read_list();
-    auto const period = store_poll_period(m_timing.list_period, list_reads_per_second);
+    auto const period =
+        store_poll_period(m_has_list ? m_timing.list_period : first_list_retry_period, list_reads_per_second);
     m_kernel.start_timer(period, [this] { poll_list(); });
 }
 
--- a/tests/platform/odd_entries_tests.cpp
+++ b/tests/platform/odd_entries_tests.cpp
@@ -136,6 +136,7 @@
     kernel core(hooks);
     store_client client(store.hook("vm-0"), store.hook("vm-0"), 1s);
     platform_adapter adapter(core, client, {"vm-0", "a", {"10.0.0.1", 7000}, 1, 25s, 1'000});
+    adapter.start();
     auto documents = odd_documents();
     for (auto const& each : with_odd_fields({{"availability_zone", "\"a\""},
                                              {"host", "\"10.0.0.9\""},
@@ -159,7 +160,7 @@
         for (auto const& record : *records) {
             names.insert(record.name);
             cr_assert(record.peer_port >= 1 && record.peer_port <= 65'534);
-            cr_assert(record.peer_host == "10.0.0.9" || record.name == "vm-1");
+            cr_assert(record.peer_host == "10.0.0.9" || record.name == "vm-0" || record.name == "vm-1");
             cr_assert(record.processor_share > 0 && record.processor_share <= 1'024);
         }
     });
--- a/tests/platform/platform_adapter_tests.cpp
+++ b/tests/platform/platform_adapter_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -161,3 +162,38 @@
     fixture.clock.run_for(2 * register_period);
     cr_assert(fixture.list()->contains("vm-1"));
 }
+
+/// Guards against VMs that each give a client account its whole rate: VMs that start at the same time read
+/// the list before any of them was in it, took it for complete, and read it again after half a minute only.
+Test(vm_list, of_two_vms_that_start_together_one_lists_the_other)
+{
+    for (auto const latency : {4ms, 200ms, 900ms}) {
+        vm_list_fixture fixture;
+        fixture.store.set_latency(latency);
+        std::vector<std::unique_ptr<platform_adapter>> adapters;
+        std::vector<std::set<std::string>> lists;
+        for (auto const* const name : {"vm-2", "vm-3"}) {
+            adapters.push_back(std::make_unique<platform_adapter>(
+                fixture.core, fixture.client,
+                platform_adapter_options{name, "a", {"10.0.0.2", 7000}, 1, register_period, 17}));
+            // A daemon asks for the list before it adds itself.
+            adapters.back()->hooks().list_vms(
+                [&lists](absl::StatusOr<std::vector<vm_record>> const& records) {
+                    if (records.ok()) {
+                        lists.emplace_back();
+                        for (auto const& each : *records) {
+                            lists.back().insert(each.name);
+                        }
+                    }
+                });
+        }
+        for (auto const& each : adapters) {
+            each->start();
+        }
+        fixture.clock.run_for(8s);
+        cr_assert(lists.size() == 2, "%zu", lists.size());
+        cr_assert(std::any_of(lists.begin(), lists.end(), [](auto const& names) {
+            return names.contains("vm-2") && names.contains("vm-3");
+        }));
+    }
+}
