--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -188,7 +188,7 @@
     std::set<channel_id> m_channels_of_peers;           ///< Connections on which peers have sent requests.
     /// Expire when the channel to a VM is lost, keyed by VM name.
     std::map<std::string, std::shared_ptr<bool>> m_channel_lifetimes;
-    std::optional<connection_reports> m_reports;        ///< Set when the service starts.
+    std::optional<connection_reports> m_reports; ///< Set when the service starts.
     /// Pinned connections of peers, keyed by connection id.
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     /// Cancellations of the requests that run for peers, keyed by the peer's connection and its request id.
--- a/libraries/fleet/member_entry.h
+++ b/libraries/fleet/member_entry.h
@@ -24,8 +24,8 @@
     std::uint64_t sequence = 0;   ///< Number by which the member counts its entries since its start.
     duration warm_up_left{};      ///< Time for which the member was still slow when it wrote the entry.
     store_position change;        ///< Position at which the store recorded the entry.
-    /// Time since when the store no longer has the entry. It stays in the directory for a while, since entries
-    /// of members that run may return.
+    /// Time since when the store no longer has the entry. It stays in the directory for a while, since
+    /// entries of members that run may return.
     std::optional<monotonic_time> absent_since;
 };
 
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -44,14 +44,15 @@
     /// caller has disconnected already.
     bool close_if_idle();
 
-    /// Closes the session as soon as it is idle, since the VM shuts down. Until then, the running statement and
-    /// a COMMIT end as usual; all other statements are refused without being sent.
+    /// Closes the session as soon as it is idle, since the VM shuts down. Until then, the running statement
+    /// and a COMMIT end as usual; all other statements are refused without being sent.
     void close_when_idle();
 
     /// Refuses the running statement if it was not yet sent to a member. One that was sent is not affected.
     void refuse_unsent();
 
-    /// Answers the running statement with an unknown outcome, refuses the queued ones, and closes the session.
+    /// Answers the running statement with an unknown outcome, refuses the queued ones, and closes the
+    /// session.
     void abandon();
 
     /// Rolls back a transaction that was idle for at least `limit`.
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -55,9 +55,9 @@
     std::variant<std::shared_ptr<client_session>, session_error> open(std::string database, std::string key,
                                                                       session_hooks hooks);
 
-    /// Closes idle sessions and waits a limited time for open transactions and requests of peers to end. After
-    /// `transaction_drain_limit`, sessions take no further work and close once they are idle. All statements are
-    /// answered before `on_drained` is called.
+    /// Closes idle sessions and waits a limited time for open transactions and requests of peers to end.
+    /// After `transaction_drain_limit`, sessions take no further work and close once they are idle. All
+    /// statements are answered before `on_drained` is called.
     void drain(std::function<void()> on_drained);
     bool is_draining() const { return m_drain_started.has_value(); }
 
--- a/tests/platform/odd_entries.h
+++ b/tests/platform/odd_entries.h
@@ -14,7 +14,7 @@
             "null",
             "7",
             "[]",
-            "\xff\xfe\x00",
+            "\xff\xfe\x01",
             "{",
             R"("text")",
             std::string(depth, '['),
