--- a/tests/sessions/shutdown_tests.cpp
+++ b/tests/sessions/shutdown_tests.cpp
@@ -46,6 +46,21 @@
     fleet.clock().run_for(1s);
 }
 
+/// Begins a transaction with one write.
+void begin_and_write(session_caller& caller)
+{
+    cr_assert(caller.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN")).is_ok());
+    cr_assert(caller.send_and_wait(session_caller::write("x")).is_ok());
+}
+
+/// Lets all commits wait, since no replica receives them.
+void stop_replication(session_fleet& fleet)
+{
+    for (auto const& id : fleet.group().ids()) {
+        fleet.group().faults(id).is_replication_cut = true;
+    }
+}
+
 } // namespace
 
 /// Guards against statements that are cut at a planned stop: a session whose caller always has a statement
@@ -127,9 +142,7 @@
     busy_caller writer(fleet, read_consistency::own_writes);
     cr_assert(writer.caller.send_and_wait(session_caller::write("x")).is_ok());
     writer.sent = 1;
-    for (auto const& id : fleet.group().ids()) {
-        fleet.group().faults(id).is_replication_cut = true;
-    }
+    stop_replication(fleet);
     writer.send_next(session_caller::write("x"));
     stop_vm_while(fleet, [] {});
     cr_assert(writer.caller.answers().size() == 2);
@@ -144,12 +157,8 @@
     fleet.clock().run_for(4s);
     // The requests of a session that is still open keep the VM running.
     busy_caller writer(fleet, read_consistency::every_commit);
-    cr_assert(
-        writer.caller.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN")).is_ok());
-    cr_assert(writer.caller.send_and_wait(session_caller::write("x")).is_ok());
-    for (auto const& id : fleet.group().ids()) {
-        fleet.group().faults(id).is_replication_cut = true;
-    }
+    begin_and_write(writer.caller);
+    stop_replication(fleet);
     fleet.stop_vm(stopped_vm);
     fleet.clock().run_for(1s);
     cr_assert(busy_caller(fleet, read_consistency::own_writes).caller.is_open());
