failover: Keep the members of each group in the store

Callers saw: acknowledged commits are in no log that is kept (LOST).

Cause: who may hold an acknowledged commit was known to the store's list of members, which forgets, and to processes, which end. Class: the members that a decision rests on are those that are visible at the time.

Now the store has a roster of each group. One VM, chosen among those with the store, adds members as the directory lists them. A takeover reads it first and leaves nobody out before: a member of it that is not listed is reached by its address, where a restarted member with another id has the same log, and is ordered to stop like any other. A member that refuses connections is covered only by a bound: the position that the leader had after the member refused twice with its zone in contact. Before, a lapsed entry counted as the end of the member. Since each acknowledged commit is in two logs, one unlisted member may be missing where the old leader is not known. Cost: one read a takeover, one write for each change of the members.

Tests: takeover/member_that_the_directory_has_forgotten_* (two) and takeover/commits_that_only_an_ended_member_confirmed_* fail if takeovers get an empty roster, which is the code before, and pass.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -34,6 +34,7 @@
 constexpr duration settling_time = std::chrono::milliseconds(700);
 /// Interval at which members are asked while a leader has stepped down and nobody leads.
 constexpr duration fenced_command_period = std::chrono::milliseconds(50);
+constexpr duration roster_retry_delay = std::chrono::milliseconds(250);
 constexpr duration order_retry_delay = std::chrono::milliseconds(300);
 constexpr int max_order_attempts = 25;
 constexpr duration leadership_poll_period = std::chrono::milliseconds(60);
@@ -71,6 +72,36 @@
     fields["state"] = group().dump();
     log("starting a takeover to replace the leader of the group", std::move(fields));
     send_commands();
+    read_roster();
+}
+
+void group_takeover::read_roster()
+{
+    m_dependencies.read_roster([weak = weak_from_this()](absl::StatusOr<member_roster> const& roster) {
+        auto const self = weak.lock();
+        if (self && !self->m_has_ended) {
+            self->handle_roster(roster);
+        }
+    });
+}
+
+void group_takeover::handle_roster(absl::StatusOr<member_roster> const& roster)
+{
+    if (!roster.ok()) {
+        Json::Value fields(Json::objectValue);
+        fields["reason"] = std::string(roster.status().message());
+        log("roster of the group was not read; no replica is left out meanwhile", std::move(fields));
+        start_timer(roster_retry_delay, [](group_takeover& self) { self.read_roster(); });
+        return;
+    }
+    m_roster = *roster;
+    Json::Value fields(Json::objectValue);
+    for (auto const& [id, entry] : m_roster->entries()) {
+        fields[is_listed(id) ? "listed" : "unlisted"].append(id);
+    }
+    log("read the roster of the group", std::move(fields));
+    send_commands();
+    advance();
 }
 
 void group_takeover::tick()
@@ -117,11 +148,32 @@
     return must_receive || is_ordered ? command_kind::status : command_kind::stop_receiving;
 }
 
-void group_takeover::send_commands()
+bool group_takeover::is_listed(std::string const& member) const
+{
+    auto const* const found = group().find_member(member);
+    return found != nullptr && !found->entry.absent_since;
+}
+
+bool group_takeover::is_address_listed(std::string const& member) const
+{
+    auto const& address = m_targets.at(member).address;
+    return std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
+        return each.first != member && each.second.address == address && is_listed(each.first);
+    });
+}
+
+void group_takeover::update_targets()
 {
-    m_commands_sent_at = m_kernel.now();
-    m_control.check_connections();
     m_targets.clear();
+    if (m_roster) {
+        for (auto const& [id, entry] : m_roster->entries()) {
+            auto& target = m_targets[id];
+            target.id = id;
+            target.group = m_name;
+            target.address = entry.address;
+            target.availability_zone = entry.availability_zone;
+        }
+    }
     for (auto const& [id, member] : group().members()) {
         m_targets[id] = member.entry;
     }
@@ -135,14 +187,27 @@
         }
     }
     m_evidence.set_replicas(std::move(replicas));
+}
+
+void group_takeover::send_commands()
+{
+    m_commands_sent_at = m_kernel.now();
+    m_control.check_connections();
+    update_targets();
     if (auto const* const leader = m_evidence.find_answer(m_evidence.old_leader(), m_kernel.now())) {
         m_required_position = leader->received;
     }
     for (auto const& [id, entry] : m_targets) {
+        if (!is_listed(id) && is_address_listed(id)) {
+            continue;
+        }
         member_command command;
         command.kind = command_for(id);
         command.term = m_term;
-        m_control.send(entry, command);
+        // A member that restarted may have another id, which the directory does not list yet.
+        m_control.send(entry, command,
+                       is_listed(id) ? member_control::recipient::member
+                                     : member_control::recipient::address);
     }
 }
 
@@ -377,9 +442,22 @@
         return false;
     }
     // A commit that is known to be acknowledged and is in no answer is held by a member that is not known.
-    return m_evidence.furthest_position(now) >= m_dependencies.highest_acknowledged() &&
-           std::all_of(unanswered.begin(), unanswered.end(),
-                       [this](std::string const& id) { return is_covered(id); });
+    if (!m_roster || m_evidence.furthest_position(now) < m_dependencies.highest_acknowledged()) {
+        return false;
+    }
+    // Each acknowledged commit is in two logs, the leader's and a replica's, so one log may be left out if no
+    // other is left out as that of the old leader.
+    auto const uncovered = uncovered_replicas();
+    auto const is_leader_known = m_targets.contains(m_evidence.old_leader());
+    return uncovered.empty() ||
+           (uncovered.size() == 1 && !is_leader_known && m_roster->entries().contains(uncovered.front()));
+}
+
+std::vector<std::string> group_takeover::uncovered_replicas() const
+{
+    auto uncovered = m_evidence.unanswered(m_kernel.now());
+    std::erase_if(uncovered, [this](std::string const& id) { return is_covered(id); });
+    return uncovered;
 }
 
 bool group_takeover::is_covered(std::string const& replica) const
@@ -388,11 +466,13 @@
         return true;
     }
     auto const now = m_kernel.now();
-    auto const bound = group().last_possible_position(replica);
+    auto const is_stopped = m_evidence.is_stopped(replica, now) && has_contact(replica);
+    auto const bound =
+        is_stopped && m_roster ? m_roster->log_bound(replica) : group().last_possible_position(replica);
     if (!bound || m_evidence.furthest_position(now) < *bound) {
         return false;
     }
-    if (is_known_not_to_run(replica)) {
+    if (is_stopped) {
         return true;
     }
     // An entry may also lapse because its member is cut off from the store. While the leader may run as well,
@@ -406,8 +486,7 @@
 {
     auto const now = m_kernel.now();
     auto const ended = m_targets.find(replica);
-    return ended != m_targets.end() && m_evidence.refuses_connections(replica, now) &&
-           std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
+    return ended != m_targets.end() && std::any_of(m_targets.begin(), m_targets.end(), [&](auto const& each) {
                return each.first != replica && each.second.address == ended->second.address &&
                       m_evidence.find_answer(each.first, now) != nullptr;
            });
@@ -415,12 +494,7 @@
 
 void group_takeover::log_awaited_replicas()
 {
-    std::vector<std::string> awaited;
-    for (auto const& id : m_evidence.unanswered(m_kernel.now())) {
-        if (!is_covered(id)) {
-            awaited.push_back(id);
-        }
-    }
+    auto const awaited = uncovered_replicas();
     if (awaited == m_awaited_replicas || elapsed() < report_time) {
         return;
     }
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -12,6 +12,7 @@
 #include "base/enum_names.h"
 #include "failover/failover_lock.h"
 #include "failover/member_control.h"
+#include "failover/roster_service.h"
 #include "failover/takeover_evidence.h"
 #include "kernel/kernel.h"
 #include "members/group_registry.h"
@@ -77,6 +78,8 @@
         std::function<bool()> is_needed;
         /// Returns whether VMs of the availability zone were heard recently, and since `time`.
         std::function<bool(std::string const& zone, monotonic_time time)> heard_zone_since;
+        /// Reads the group's roster from the store.
+        std::function<void(roster_callback)> read_roster;
         /// Last order of the group that was not answered; outlives the takeover.
         std::optional<unanswered_order>& last_order;
         /// Called when the failover lock was acquired, or turned out to be another VM's.
@@ -111,6 +114,11 @@
     void set_phase(phase next);
     duration time_limit() const;
 
+    /// Reads the group's roster, until the store has answered.
+    void read_roster();
+    void handle_roster(absl::StatusOr<member_roster> const& roster);
+    /// Finds the members that commands are sent to, and those that may have received commits.
+    void update_targets();
     void send_commands();
     command_kind command_for(std::string const& member) const;
     void handle_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
@@ -151,6 +159,12 @@
     /// Returns whether a member that answers runs at the address of a replica that has ended. It took over
     /// the replica's log.
     bool is_replaced_at_address(std::string const& replica) const;
+    /// Returns the replicas without an answer whose logs may hold commits that the answers lack.
+    std::vector<std::string> uncovered_replicas() const;
+    /// Returns whether the directory has an entry of the member now.
+    bool is_listed(std::string const& member) const;
+    /// Returns whether another member that the directory lists runs at the address of the member.
+    bool is_address_listed(std::string const& member) const;
     /// Logs the replicas that the takeover waits for, when they change.
     void log_awaited_replicas();
     /// Returns whether the member's availability zone was reached since the takeover started, so that a
@@ -180,7 +194,8 @@
     kernel& m_kernel;
     std::uint64_t m_term; ///< Term of the new leader.
     takeover_evidence m_evidence;
-    std::map<std::string, member_entry> m_targets; ///< Members that commands are sent to, keyed by id.
+    std::map<std::string, member_entry> m_targets; ///< Members that may run or hold commits, keyed by id.
+    std::optional<member_roster> m_roster;         ///< Set once the store has answered.
     member_control m_control;
     phase m_phase = phase::surveying;
     monotonic_time m_started_at;
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-void member_control::send(member_entry const& member, member_command const& command)
+void member_control::send(member_entry const& member, member_command const& command, recipient to)
 {
     auto const& id = member.id;
     auto& connection = m_connections[id];
@@ -34,22 +34,24 @@
     }
     connection = std::make_shared<backend_connection>(
         m_kernel, m_connection_hooks,
-        backend_connection_target{member.address, m_group, id, control_account});
-    connection->open(command_timeout,
-                     [this, id, command, events = std::weak_ptr(m_events), opened = std::weak_ptr(connection),
-                      started_at = m_kernel.now()](member_answer const& answer) {
-                         auto const receiver = events.lock();
-                         auto const current = opened.lock();
-                         if (!receiver || !current) {
-                             return;
-                         }
-                         if (answer.is_ok()) {
-                             send_on(*current, id, command);
-                         }
-                         else if (is_refusal(answer)) {
-                             receiver->refused(id, *answer.error, started_at);
-                         }
-                     });
+        backend_connection_target{member.address, m_group, to == recipient::member ? id : std::string(),
+                                  control_account});
+    connection->open(command_timeout, [this, id, command, to, events = std::weak_ptr(m_events),
+                                       opened = std::weak_ptr(connection),
+                                       started_at = m_kernel.now()](member_answer const& answer) {
+        auto const receiver = events.lock();
+        auto const current = opened.lock();
+        if (!receiver || !current) {
+            return;
+        }
+        if (answer.is_ok()) {
+            send_on(*current, id, command);
+        }
+        else if (is_refusal(answer)) {
+            receiver->refused(id, to == recipient::address ? member_error::refused : *answer.error,
+                              started_at);
+        }
+    });
 }
 
 void member_control::check_connections()
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -20,8 +20,8 @@
         /// The command that was sent at `sent_at` was answered.
         std::function<void(std::string const& member, replication_status const&, monotonic_time sent_at)>
             answered;
-        /// The member's host refused the connection that was attempted at `started_at` (refused), or another
-        /// member runs at the member's address (wrong_member).
+        /// The member's host refused the connection that was attempted at `started_at`, or no member of the
+        /// group runs at the address (refused), or another member runs there (wrong_member).
         std::function<void(std::string const& member, member_error, monotonic_time started_at)> refused;
         /// The connection was lost, so the member may have restarted.
         std::function<void(std::string const& member, member_error)> lost;
@@ -34,9 +34,13 @@
     {
     }
 
+    /// Whether only the member with the id may answer at its address, or any member of the group, which then
+    /// has the member's log.
+    enum class recipient { member, address };
+
     /// Sends a command, and opens a connection first if there is none. Nothing is sent while it is being
     /// opened.
-    void send(member_entry const& member, member_command const& command);
+    void send(member_entry const& member, member_command const& command, recipient to);
 
     /// Reports the connections that were lost since the last call.
     void check_connections();
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -42,7 +42,7 @@
 void takeover_evidence::record_status(std::string const& member, replication_status const& status,
                                       monotonic_time sent_at)
 {
-    m_refused_at.erase(member);
+    m_refusals.erase(member);
     m_answers[member] = {status, sent_at};
     if (status.role == member_role::primary && status.term + 1 == m_term) {
         m_old_leader = member;
@@ -72,7 +72,7 @@
         m_final_since = started_at;
         m_is_final_in_doubt = false;
     }
-    return m_refused_at.insert_or_assign(member, started_at).second;
+    return m_refusals.insert_or_assign(member, refusal{started_at, is_stopped}).second;
 }
 
 bool takeover_evidence::discard_answer(std::string const& member)
@@ -101,8 +101,13 @@
 
 bool takeover_evidence::refuses_connections(std::string const& member, monotonic_time now) const
 {
-    auto const found = m_refused_at.find(member);
-    return found != m_refused_at.end() && is_current(found->second, now);
+    auto const found = m_refusals.find(member);
+    return found != m_refusals.end() && is_current(found->second.started_at, now);
+}
+
+bool takeover_evidence::is_stopped(std::string const& member, monotonic_time now) const
+{
+    return refuses_connections(member, now) && m_refusals.at(member).is_stopped;
 }
 
 std::optional<log_position> takeover_evidence::final_position(monotonic_time now) const
--- a/libraries/failover/takeover_evidence.h
+++ b/libraries/failover/takeover_evidence.h
@@ -67,6 +67,9 @@
     /// Returns whether the member refuses connections. Its process does not run if its machine can be
     /// reached; a network partition may refuse connections as well.
     bool refuses_connections(std::string const& member, monotonic_time now) const;
+    /// Returns whether the last attempt to connect to the member shows that nothing of the group runs at its
+    /// address.
+    bool is_stopped(std::string const& member, monotonic_time now) const;
 
     /// Position of the old leader if it was seen leading and has stepped down. It has acknowledged no commit
     /// above it.
@@ -98,6 +101,11 @@
         monotonic_time received_at;
     };
 
+    struct refusal {
+        monotonic_time started_at;
+        bool is_stopped = false;
+    };
+
     bool is_current(monotonic_time at, monotonic_time now) const;
 
     std::string m_old_leader;
@@ -109,7 +117,7 @@
     /// Whether the old leader may have restarted since then.
     bool m_is_final_in_doubt = false;
     std::map<std::string, member_answer_record> m_answers; ///< Keyed by member id.
-    std::map<std::string, monotonic_time> m_refused_at;    ///< Time of the last refusal, keyed by member id.
+    std::map<std::string, refusal> m_refusals;             ///< Last refusals, keyed by member id.
 };
 
 } // namespace greengagehitch
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -141,7 +141,9 @@
 struct backend_connection_target {
     endpoint address;
     std::string group;  ///< Database group that the member belongs to.
-    std::string member; ///< Id of the expected member; another member at this address refuses the connection.
+    /// Id of the expected member; another member at this address refuses the connection. Empty for any member
+    /// of the group.
+    std::string member;
     std::string client_account;
 };
 
--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -33,6 +33,7 @@
                                                   settings.deposes_replaced_leaders, settings.warm_up,
                                                   settings.paces_recovery));
     m_kernel.add(std::make_unique<report_service>(m_kernel));
+    m_kernel.add(std::make_unique<roster_service>(m_kernel, m_hooks.platform, m_hooks.connections));
     m_kernel.add(std::make_unique<takeover_service>(m_kernel, m_hooks.platform, m_hooks.connections,
                                                     m_hooks.promote, settings.deposes_replaced_leaders));
     m_kernel.add(std::make_unique<session_engine>(m_kernel, settings.sessions));
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -306,8 +306,11 @@
         run_after_latency(number, [datagram](session_vm& vm) { vm.handle_datagram(datagram); });
     };
     hooks.connections = {
-        [this, self](backend_connection_target const& target, backend_connection_events events) {
+        [this, self](backend_connection_target target, backend_connection_events events) {
             auto const number = m_next_connection++;
+            if (target.member.empty()) {
+                target.member = member_at(target.address);
+            }
             if (!can_reach_member(*self, target.member)) {
                 if (m_are_connections_refused) {
                     run_after_latency(self->index, [opened = events.opened](session_vm&) {
@@ -406,6 +409,16 @@
     group->open(number, target, std::move(events));
 }
 
+std::string session_fleet::member_at(endpoint const& address) const
+{
+    for (auto const& [id, own] : m_address_of_member) {
+        if (own == address) {
+            return id;
+        }
+    }
+    return {};
+}
+
 void session_fleet::set_member_busy(std::string const& id, bool is_busy)
 {
     if (is_busy) {
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -87,6 +87,8 @@
     /// until list_member() is called.
     void add_unlisted_replica(std::string const& id, std::size_t group = 0);
     void list_member(std::string const& id) { m_unlisted.erase(id); }
+    /// Removes a member's entry from the directory, as if the member were cut off from the store.
+    void unlist_member(std::string const& id) { m_unlisted.insert(id); }
 
     /// Sets the function that receives the log records of all VMs.
     void set_on_log(std::function<void(log_record const&)> on_log) { m_on_log = std::move(on_log); }
@@ -146,6 +148,8 @@
     void close_connection(std::uint64_t number);
     void open_connection(std::uint64_t number, backend_connection_target const& target,
                          backend_connection_events events);
+    /// Returns the id of the member at an address; empty if there is none.
+    std::string member_at(endpoint const& address) const;
     /// Returns whether a busy member answers these commands itself, which it then does after the latency.
     bool answers_busy(std::uint64_t number, std::vector<member_command> const& commands);
     /// Checks the fence of a promotion order after the latency, and promotes the member if it is current.
--- /dev/null
+++ b/tests/failover/member_roster_tests.cpp
@@ -0,0 +1,92 @@
+#include <criterion/criterion.h>
+
+#include "failover/absence_evidence.h"
+#include "failover/member_roster.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+
+namespace {
+
+struct member_roster_fixture {
+    member_roster_fixture()
+    {
+        member_entry entry;
+        entry.id = "a";
+        entry.address = {"10.0.0.1", 8000};
+        entry.availability_zone = "zone-1";
+        roster.add_listed(entry);
+        entry.id = "b";
+        entry.address = {"10.0.0.2", 8000};
+        roster.add_listed(entry);
+    }
+
+    member_roster roster;
+};
+
+} // namespace
+
+/// Guards against members that VMs which start do not know: the row loses an entry or a bound.
+Test(member_roster, roster_with_a_bound_is_the_same_after_encoding_and_decoding)
+{
+    member_roster_fixture fixture;
+    fixture.roster.set_log_bound("b", log_position{3, 17});
+    auto const decoded = member_roster::try_decode(fixture.roster.encode());
+    cr_assert(decoded.has_value());
+    cr_assert(*decoded == fixture.roster);
+    cr_assert(decoded->log_bound("b") == (log_position{3, 17}));
+    cr_assert(!decoded->log_bound("a"));
+}
+
+/// Guards against a bound that outlives the end of the member: it was listed again and receives.
+Test(member_roster, member_that_is_listed_again_has_no_bound)
+{
+    member_roster_fixture fixture;
+    fixture.roster.set_log_bound("b", log_position{3, 17});
+    member_entry entry;
+    entry.id = "b";
+    entry.address = {"10.0.0.2", 8000};
+    fixture.roster.add_listed(entry);
+    cr_assert(!fixture.roster.log_bound("b"));
+}
+
+/// Guards against a row of another writer that is taken for a roster with fewer members.
+Test(member_roster, odd_rows_are_no_rosters)
+{
+    for (
+        auto const* const text :
+        {"", "[]", "{}", "3", R"({"members":[]})", R"({"members":{"a":3}})",
+         R"({"members":{"a":{"address":"10.0.0.1:8000"}}})",
+         R"({"members":{"a":{"address":"host","availability_zone":"z"}}})",
+         R"({"members":{"":{"address":"10.0.0.1:8000","availability_zone":"z"}}})",
+         R"({"members":{"a":{"address":"10.0.0.1:8000","availability_zone":"z","bound_term":1}}})",
+         R"({"members":{"a":{"address":"10.0.0.1:8000","availability_zone":"z","bound_term":1,"bound_position":-1}}})"}) {
+        cr_assert(!member_roster::try_decode(text), "%s", text);
+    }
+}
+
+/// Guards against a partition that refuses connections and is taken for a member that has ended.
+Test(absence_evidence, member_is_absent_after_two_refusals_with_its_zone_in_contact)
+{
+    absence_evidence evidence;
+    evidence.record_refusal(monotonic_time{1s});
+    cr_assert(!evidence.is_absent(true));
+    evidence.record_refusal(monotonic_time{2s});
+    cr_assert(!evidence.is_absent(false));
+    cr_assert(evidence.is_absent(true));
+    cr_assert(evidence.refused_since() == monotonic_time{1s});
+}
+
+/// Guards against a member that restarts unnoticed between two refusals that were seen.
+Test(absence_evidence, any_other_result_starts_the_refusals_anew)
+{
+    absence_evidence evidence;
+    evidence.record_refusal(monotonic_time{1s});
+    evidence.record_refusal(monotonic_time{2s});
+    evidence.record_other_result();
+    cr_assert(evidence.is_contradicted());
+    cr_assert(!evidence.refused_since());
+    evidence.record_refusal(monotonic_time{3s});
+    cr_assert(!evidence.is_absent(true));
+    cr_assert(!evidence.is_contradicted());
+}
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -304,3 +304,108 @@
     cr_assert(group.leader() == "m-0-b");
     cr_assert(group.holds_all_acknowledged());
 }
+
+/// Guards against lost acknowledged commits: VMs that start do not know a member whose entry has lapsed,
+/// although it goes on confirming commits, and take the other members for the whole group.
+Test(takeover, member_that_the_directory_has_forgotten_is_awaited_after_all_vms_were_killed)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        session_fleet_shape shape;
+        shape.group.entry_lifetime = 3600ms;
+        takeover_fixture fixture(seed, shape);
+        auto& group = fixture.fleet.group();
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.write_for(4s);
+        group.faults("m-0-b").is_replication_cut = true;
+        fixture.write_for(2s);
+        group.crash("m-0-a");
+        group.crash("m-0-c");
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.kill_vm(vm);
+        }
+        fixture.fleet.clock().run_for(500ms);
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.start_vm(vm);
+        }
+        group.faults("m-0-b").is_replication_cut = false;
+        fixture.write_for(5s);
+        cr_assert(fixture.fleet.promotions() == 0, "seed %llu", static_cast<unsigned long long>(seed));
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.write_for(5s);
+        cr_assert(group.leader() == "m-0-c", "leader %s", group.leader().c_str());
+        cr_assert(group.holds_all_acknowledged());
+    }
+}
+
+/// Guards against the same loss without any kill: all VMs are restarted by plan, one after the other, between
+/// the lapse of the entry and the crashes.
+Test(takeover, member_that_the_directory_has_forgotten_is_awaited_after_all_vms_were_restarted_in_turn)
+{
+    session_fleet_shape shape;
+    shape.group.entry_lifetime = 3600ms;
+    takeover_fixture fixture(1, shape);
+    auto& group = fixture.fleet.group();
+    fixture.fleet.unlist_member("m-0-c");
+    fixture.write_for(2s);
+    group.faults("m-0-b").is_replication_cut = true;
+    for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+        fixture.fleet.stop_vm(vm);
+        fixture.write_for(500ms);
+        fixture.fleet.start_vm(vm);
+        fixture.write_for(500ms);
+    }
+    // The VMs that know of the last commits are lost with the members that hold them.
+    for (std::size_t vm = 0; vm + 1 < fixture.fleet.vms(); ++vm) {
+        fixture.fleet.kill_vm(vm);
+        fixture.fleet.start_vm(vm);
+    }
+    group.crash("m-0-a");
+    group.crash("m-0-c");
+    fixture.fleet.kill_vm(fixture.fleet.vms() - 1);
+    fixture.fleet.start_vm(fixture.fleet.vms() - 1);
+    group.faults("m-0-b").is_replication_cut = false;
+    fixture.write_for(5s);
+    cr_assert(fixture.fleet.promotions() == 0);
+    group.restart("m-0-c");
+    fixture.fleet.list_member("m-0-c");
+    fixture.write_for(5s);
+    cr_assert(group.holds_all_acknowledged());
+}
+
+/// Guards against lost acknowledged commits: the only replica that confirmed them has left the directory and
+/// ended, all VMs are restarted, and the leader answers while the other replicas still receive nothing.
+Test(takeover, commits_that_only_an_ended_member_confirmed_stay_with_their_leader_after_all_vms_were_killed)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        session_fleet_shape shape;
+        shape.group.entry_lifetime = 3600ms;
+        takeover_fixture fixture(seed, shape);
+        auto& group = fixture.fleet.group();
+        std::string const leaving = "m-0-ba";
+        fixture.fleet.add_unlisted_replica(leaving);
+        fixture.fleet.list_member(leaving);
+        fixture.write_for(1s);
+        fixture.fleet.drain_member(leaving);
+        group.faults("m-0-b").is_replication_cut = true;
+        group.faults("m-0-c").is_replication_cut = true;
+        fixture.write_for(2s);
+        fixture.fleet.unlist_member(leaving);
+        group.crash(leaving);
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.kill_vm(vm);
+            fixture.fleet.start_vm(vm);
+        }
+        std::vector<session_caller> callers;
+        for (int i = 0; i < 60; ++i) {
+            callers.push_back(fixture.caller(static_cast<std::size_t>(i) % fixture.fleet.vms()));
+            callers.back().send(session_caller::write("x"));
+            fixture.fleet.clock().run_for(100ms);
+        }
+        group.faults("m-0-b").is_replication_cut = false;
+        group.faults("m-0-c").is_replication_cut = false;
+        fixture.write_for(6s);
+        cr_assert(group.holds_all_acknowledged(), "seed %llu, leader %s",
+                  static_cast<unsigned long long>(seed), group.leader().c_str());
+    }
+}
