failover: End no takeover while its order may still be carried out

Callers saw: acknowledged commits are rolled back (LOST) with no VM killed and the store in reach. A leader crashes, the order to promote a replica gets no answer, the leader returns and acknowledges commits; seconds later the platform carries out the order, and the ordered replica lacks them.

Cause: the takeover ended as needless once the leader was back, and let the replicas receive again, though its order kept the highest fence. Class: an order counts as gone when its sender no longer waits for it.

Now a takeover with an order without answer goes on although its leader is back: the leader steps down, and the member that holds its position is ordered, itself if no other does. That order has a higher fence, and once the platform has answered it, it refuses the earlier one. If a takeover has to end before, the replicas stay stopped, and the next one starts after the usual pause. An accepted order settles earlier attempts, which had the same member and fence. Where fences are not checked, the wait for late orders stays as it was.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -328,7 +328,7 @@
     if (!is_handover(m_cause) && !has_settled()) {
         return;
     }
-    if (!m_dependencies.is_needed()) {
+    if (!m_dependencies.is_needed() && !has_outstanding_order()) {
         end("the leader no longer has to be replaced", true);
         return;
     }
@@ -658,6 +658,11 @@
            m_kernel.now() - last->sent_at >= max_order_delay;
 }
 
+bool group_takeover::has_outstanding_order() const
+{
+    return m_dependencies.deposes_replaced_leaders && m_dependencies.last_order.has_value();
+}
+
 void group_takeover::send_order()
 {
     m_control.check_connections();
@@ -707,8 +712,10 @@
     fields["fence"] = Json::UInt64(m_fence);
     fields["answer"] = status.ok() ? "accepted" : std::string(status.message());
     log("platform answered the promotion order", std::move(fields));
-    // Earlier attempts were not answered and may still be carried out.
-    if (m_order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status))) {
+    // Earlier attempts were not answered and may still be carried out, but not under a fence that is checked:
+    // theirs are lower, or the same and for the same member.
+    auto const is_settled = status.ok() && m_dependencies.deposes_replaced_leaders;
+    if (is_settled || (m_order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status)))) {
         m_dependencies.last_order.reset();
     }
     if (status.ok()) {
@@ -750,7 +757,8 @@
     fields["outcome"] = std::string(outcome);
     fields["after_ms"] = to_milliseconds(elapsed());
     log("takeover ended", std::move(fields));
-    if (must_resume && m_has_interfered) {
+    // A replica that receives lets the old leader acknowledge commits that the ordered member may lack.
+    if (must_resume && m_has_interfered && !has_outstanding_order()) {
         m_control.resume_receiving(m_evidence.old_leader());
     }
     m_dependencies.ended();
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -177,6 +177,9 @@
     void acquire_lock();
     void handle_lock(absl::StatusOr<std::uint64_t> const& fence);
     bool may_order() const;
+    /// Returns whether the platform may still carry out an order that it did not answer. Only an answered
+    /// order with a higher fence rules that out.
+    bool has_outstanding_order() const;
     void send_order();
     void handle_missing_evidence();
     void handle_order_answer(absl::Status const& status);
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -87,6 +87,9 @@
                                                                  : std::nullopt;
     }
     m_leaderless_since.erase(group.name());
+    if (has_outstanding_order(group.name())) {
+        return takeover_cause::suspected;
+    }
     auto const assessment = m_reports->assessment_of(group);
     if (assessment.suspects * 2 > assessment.voters) {
         return takeover_cause::suspected;
@@ -106,6 +109,12 @@
     return std::nullopt;
 }
 
+bool takeover_service::has_outstanding_order(std::string const& group) const
+{
+    auto const last = m_last_orders.find(group);
+    return m_deposes_replaced_leaders && last != m_last_orders.end() && last->second.has_value();
+}
+
 bool takeover_service::should_start_takeover(database_group const& group) const
 {
     auto const assessment = m_reports->assessment_of(group);
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -38,6 +38,9 @@
     void tick();
     void check_group(database_group& group);
     std::optional<takeover_cause> find_cause(database_group& group);
+    /// Returns whether the platform may still carry out an order of this VM that it did not answer. It may
+    /// replace a leader that has returned, so another order has to be answered first.
+    bool has_outstanding_order(std::string const& group) const;
     bool should_start_takeover(database_group const& group) const;
     void start_takeover(database_group& group, takeover_cause cause);
     void handle_end(std::string const& group);
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -488,7 +488,16 @@
         });
         return;
     }
-    m_clock.start_timer(m_shape.latency, [this, order, done = std::move(done)] {
+    auto delay = m_shape.latency;
+    if (m_next_order_delay) {
+        delay = *std::exchange(m_next_order_delay, std::nullopt);
+        m_delayed_order = order.member;
+        m_clock.start_timer(failed_order_time, [done = std::move(done)] {
+            done(absl::UnavailableError("platform did not answer"));
+        });
+        done = [](absl::Status const&) {};
+    }
+    m_clock.start_timer(delay, [this, order, done = std::move(done)] {
         auto& fence = m_fences[order.group];
         auto* const group = m_group_of_member.at(order.member);
         if (order.fence < fence || group->faults(order.member).is_down) {
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -79,6 +79,11 @@
 
     /// Sets whether the platform fails to carry out promotion orders, and reports so after 500 ms.
     void set_orders_fail(bool do_fail) { m_do_orders_fail = do_fail; }
+    /// Lets the platform leave the next promotion order unanswered and carry it out after `delay`, if its
+    /// fence is still the highest then.
+    void delay_next_order(duration delay) { m_next_order_delay = delay; }
+    /// Returns the member of the last delayed order; empty if there was none.
+    std::string const& delayed_order() const { return m_delayed_order; }
 
     /// Marks a member as draining in the directory.
     void drain_member(std::string const& id);
@@ -194,6 +199,8 @@
     std::size_t m_datagram_bytes = 0;
     std::size_t m_promotions = 0;
     bool m_do_orders_fail = false;
+    std::optional<duration> m_next_order_delay;
+    std::string m_delayed_order; ///< Id of a member.
     std::size_t m_stale_promotion_orders = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -409,3 +409,41 @@
                   static_cast<unsigned long long>(seed), group.leader().c_str());
     }
 }
+
+/// Guards against lost acknowledged commits: an order that the platform did not answer is carried out seconds
+/// later, after the leader has returned and has acknowledged commits that the ordered member did not receive.
+Test(takeover, unanswered_order_replaces_no_leader_that_has_returned_and_acknowledged_commits)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        session_fleet_shape shape;
+        shape.group.entry_lifetime = 3600ms;
+        takeover_fixture fixture(seed, shape);
+        auto& group = fixture.fleet.group();
+        fixture.write_for(1s);
+        auto const old = group.leader();
+        fixture.fleet.delay_next_order(6s);
+        group.crash(old);
+        fixture.write_for(1s);
+        auto const ordered = fixture.fleet.delayed_order();
+        cr_assert(!ordered.empty());
+        std::string const other = ordered == "m-0-b" ? "m-0-c" : "m-0-b";
+        // The takeover loses its evidence, so it does not repeat the order before the leader is back.
+        group.crash(other);
+        fixture.fleet.clock().run_for(1s);
+        group.restart(old);
+        // Reads show all VMs that the leader is back.
+        std::vector<session_caller> readers;
+        for (std::size_t i = 0; i < 40; ++i) {
+            readers.push_back(fixture.caller(i % fixture.fleet.vms()));
+            readers.back().send(session_caller::read("x"));
+            fixture.fleet.clock().run_for(50ms);
+        }
+        group.faults(ordered).is_replication_cut = true;
+        group.restart(other);
+        auto const before = group.acknowledged();
+        fixture.write_for(8s);
+        cr_assert(group.acknowledged() > before);
+        cr_assert(group.holds_all_acknowledged(), "seed %llu, leader %s",
+                  static_cast<unsigned long long>(seed), group.leader().c_str());
+    }
+}
