sessions: Count and log statements whose connection ends before their answer

An operator could not see whether a VM ended connections with statements that it had received, nor who ended them. Statements that end this way are counted and logged with the end that caused it (the caller, an invalid message, or this VM), with the statement, the time since it arrived and the age of the configuration. Statements without an answer for longer than twice their time limit and 0.5 s are counted and logged once. Idle sessions that a VM closes since it is not ready are counted and logged with the age of the configuration.

--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -21,6 +21,12 @@
         text += fmt::format("greengagehitch_statements_refused_total{{error=\"{}\"}} {}\n",
                             session_error_names[i].name, counters.refused[i]);
     }
+    for (std::size_t i = 0; i < session_end_names.size(); ++i) {
+        text += fmt::format("greengagehitch_statements_unanswered_total{{end=\"{}\"}} {}\n",
+                            session_end_names[i].name, counters.unanswered[i]);
+    }
+    text += fmt::format("greengagehitch_statements_overdue_total {}\n", counters.overdue);
+    text += fmt::format("greengagehitch_sessions_closed_total {}\n", counters.closed);
     return text;
 }
 
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -20,6 +20,10 @@
 /// Statements of one session that are started before the work of others gets its turn.
 constexpr std::size_t max_statements_in_a_row = 64;
 constexpr duration busy_retry_delay = std::chrono::milliseconds(15);
+/// A statement is overdue after this multiple of its time limit and the time beyond it. It may wait in a
+/// queue first, and a transaction may have to begin.
+constexpr int overdue_multiple = 2;
+constexpr duration overdue_margin = std::chrono::milliseconds(500);
 
 bool is_local(statement_kind kind)
 {
@@ -52,8 +56,9 @@
     run_queued();
 }
 
-void client_session::disconnect()
+void client_session::disconnect(session_end reason)
 {
+    record_unanswered(reason);
     m_is_closed = true;
     m_queue.clear();
     m_hooks = {};
@@ -74,6 +79,7 @@
         return false;
     }
     if (auto const close = m_hooks.close) {
+        ++m_engine.counters().closed;
         close();
     }
     return true;
@@ -173,6 +179,7 @@
 void client_session::start(session_statement statement)
 {
     m_is_running = true;
+    m_is_reported_overdue = false;
     m_arrived_at = m_kernel.now();
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
@@ -635,6 +642,53 @@
     }
 }
 
+void client_session::report_overdue_statement()
+{
+    if (!m_is_running || m_is_reported_overdue || m_is_closed) {
+        return;
+    }
+    auto const work = m_state == transaction_state::idle ? find_class() : std::optional(m_transaction_class);
+    auto const limit = work ? overdue_multiple * work->statement_timeout : duration::zero();
+    if (m_kernel.now() - m_arrived_at <= limit + overdue_margin) {
+        return;
+    }
+    m_is_reported_overdue = true;
+    ++m_engine.counters().overdue;
+    m_kernel.log(log_level::warning, "sessions", "statement has had no answer for long after its time limit",
+                 describe_running_statement());
+}
+
+void client_session::record_unanswered(session_end reason)
+{
+    auto const count = m_queue.size() + (m_is_running ? 1 : 0);
+    if (m_is_closed || count == 0 || m_kernel_lifetime.expired()) {
+        return;
+    }
+    m_engine.counters().unanswered[static_cast<std::size_t>(reason)] += count;
+    auto fields = describe_running_statement();
+    fields["end"] = std::string(find_name(session_end_names, reason));
+    fields["statements"] = Json::UInt64(count);
+    m_kernel.log(log_level::info, "sessions", "connection ended before its statements were answered",
+                 std::move(fields));
+}
+
+Json::Value client_session::describe_running_statement() const
+{
+    Json::Value fields(Json::objectValue);
+    fields["database"] = m_database;
+    fields["client_account"] = m_account;
+    fields["is_in_transaction"] = is_in_transaction();
+    if (m_is_running) {
+        fields["request"] = m_running.id;
+        fields["kind"] = std::string(find_name(statement_kind_names, m_running.kind));
+        fields["after_ms"] = to_milliseconds(m_kernel.now() - m_arrived_at);
+    }
+    if (auto const age = m_engine.fleet().configuration_age()) {
+        fields["configuration_age_ms"] = to_milliseconds(*age);
+    }
+    return fields;
+}
+
 void client_session::log_outcome(session_statement const& statement, session_answer const& answer) const
 {
     if (answer.is_ok()) {
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -32,9 +32,9 @@
 
     void handle(session_statement statement);
 
-    /// Ends the session after its caller disconnected. Discards queued statements and rolls back an open
+    /// Ends the session with its caller's connection. Discards queued statements and rolls back an open
     /// transaction. A statement that was sent may end first; nothing further is sent but the rollback.
-    void disconnect();
+    void disconnect(session_end reason = session_end::caller_left);
 
     /// Returns true if no statement is outstanding and no transaction is open.
     bool is_idle() const { return m_state == transaction_state::idle && !m_is_running && m_queue.empty(); }
@@ -58,6 +58,9 @@
     /// Rolls back a transaction that was idle for at least `limit`.
     void end_idle_transaction(duration limit);
 
+    /// Logs and counts the running statement, once, if it has had no answer for long after its time limit.
+    void report_overdue_statement();
+
     std::string const& database() const { return m_database; }
 
 private:
@@ -103,6 +106,10 @@
     void finish(session_statement const& statement, session_answer answer);
     void release_connection();
     void log_outcome(session_statement const& statement, session_answer const& answer) const;
+    /// Counts and logs the statements that get no answer, since the connection has ended.
+    void record_unanswered(session_end reason);
+    /// Returns what log lines say about the running statement.
+    Json::Value describe_running_statement() const;
 
     session_engine& m_engine;
     kernel& m_kernel;
@@ -124,9 +131,10 @@
     std::deque<session_statement> m_queue;
     session_statement m_running; ///< Statement that is running; the last one otherwise.
     bool m_is_running = false;
-    bool m_is_running_queue = false; ///< Whether run_queued() is on the stack.
-    bool m_closes_when_idle = false; ///< Whether the VM shuts down.
-    bool m_is_abandoned = false;     ///< Whether the running statement was answered before it has ended.
+    bool m_is_reported_overdue = false; ///< Whether the running statement was reported as overdue.
+    bool m_is_running_queue = false;    ///< Whether run_queued() is on the stack.
+    bool m_closes_when_idle = false;    ///< Whether the VM shuts down.
+    bool m_is_abandoned = false;        ///< Whether the running statement was answered before it has ended.
     bool m_is_closed = false;
     monotonic_time m_arrived_at;
     monotonic_time m_last_active_at;
--- a/libraries/sessions/session_answer.h
+++ b/libraries/sessions/session_answer.h
@@ -53,6 +53,19 @@
     return error <= session_error::too_many_connections;
 }
 
+/// Reason why statements of a session that were received get no answer.
+enum class session_end {
+    caller_left,     ///< The caller closed its connection, or it failed.
+    invalid_message, ///< The caller sent a message that has no place here, so its connection was closed.
+    closed_by_vm,    ///< This VM closed the connection.
+};
+
+inline constexpr std::array session_end_names{
+    enum_name<session_end>{session_end::caller_left, "caller_left"},
+    enum_name<session_end>{session_end::invalid_message, "invalid_message"},
+    enum_name<session_end>{session_end::closed_by_vm, "closed_by_vm"},
+};
+
 /// Answer to one statement of a session.
 struct session_answer {
     std::optional<session_error> error;
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -46,6 +46,11 @@
     for (std::size_t i = 0; i < session_error_names.size(); ++i) {
         state["refused"][std::string(session_error_names[i].name)] = Json::UInt64(m_counters.refused[i]);
     }
+    for (std::size_t i = 0; i < session_end_names.size(); ++i) {
+        state["unanswered"][std::string(session_end_names[i].name)] = Json::UInt64(m_counters.unanswered[i]);
+    }
+    state["overdue"] = Json::UInt64(m_counters.overdue);
+    state["closed"] = Json::UInt64(m_counters.closed);
     return state;
 }
 
@@ -102,6 +107,7 @@
     auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
     for (auto* const session : sessions) {
         session->end_idle_transaction(configuration->transaction_idle_limit);
+        session->report_overdue_statement();
     }
     update_cut_off();
     auto const has_better_peer = m_has_better_peer && m_has_better_peer();
@@ -140,6 +146,19 @@
             ++closed;
         }
     }
+    if (closed == 0) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["closed"] = Json::UInt64(closed);
+    fields["sessions"] = Json::UInt64(m_sessions.size());
+    fields["is_draining"] = is_draining();
+    fields["is_cut_off"] = m_cut_off_since.has_value();
+    if (auto const age = m_fleet->configuration_age()) {
+        fields["configuration_age_ms"] = to_milliseconds(*age);
+    }
+    m_kernel.log(log_level::info, service_name, "idle sessions were closed, since this VM is not ready",
+                 std::move(fields));
 }
 
 bool session_engine::takes_no_work() const
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -34,6 +34,10 @@
     std::uint64_t statements = 0;
     std::uint64_t answered = 0;
     std::array<std::uint64_t, session_error_names.size()> refused{}; ///< Indexed by session_error.
+    /// Statements whose connection ended before their answer, indexed by session_end.
+    std::array<std::uint64_t, session_end_names.size()> unanswered{};
+    std::uint64_t overdue = 0; ///< Statements that had no answer for long after their time limit.
+    std::uint64_t closed = 0;  ///< Sessions that this VM closed while they were idle.
     /// Time from a statement's arrival to its answer, indexed by statement_kind; failed statements are not
     /// recorded.
     std::array<latency_histogram, statement_kind_names.size()> latencies;
