fleet: Confirm the configuration once an announced version has arrived

Callers saw: beside changes of the configuration in quick succession, VMs without any fault reported that they were not ready and closed idle sessions, most of them just opened with their first statement on its way. Such a statement was discarded: the caller got neither an answer nor a refusal.

Cause: all VMs of a zone but one receive the configuration from the zone's reader, and ask it each 0.7 s which version is the newest. The reply confirmed the configuration only if this VM had exactly that version. While the configuration changes several times a second, the reader is mostly a version ahead of the reply's receiver, which gets that version a moment later, so the reply was dropped and the age of the configuration grew to 3.2 s, at which a VM is not ready, and up to 4.3 s, at which it accepts no keys. Class: knowledge is dropped since something newer exists.

The reply says which version was the newest at a time after the request was sent. A VM that has this version or a later one has missed no change before that time, whenever it received it, so the statement is kept until then, 10 s at most. A VM that is ahead of the reply is not confirmed, as before, since the store may have been restored.

--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -83,6 +83,7 @@
         was_suspected = is_suspected;
     }
     request_store_status();
+    confirm_received_versions();
     auto const period = current_period();
     m_membership->set_reachability_timeout(current_lifetime());
     m_rates->set_report_lifetime(current_lifetime());
@@ -421,12 +422,29 @@
                       reply.configuration_age_ms, reply.evacuations);
     if (sent_request == m_sent_requests.end() || !configuration ||
         reply.configuration_age_ms >= max_reported_age_ms ||
-        reply.configuration_version != configuration->version || reply.evacuations > own_evacuations()) {
+        reply.configuration_version < configuration->version) {
         return;
     }
-    // The reply was written after the request was sent, so its content is no older than the request.
-    m_fleet->confirm_configuration(sent_request->second -
-                                   std::chrono::milliseconds(reply.configuration_age_ms));
+    // The reply was written after the request was sent, so its content is no older than the request. While
+    // the configuration changes often, the sender is mostly a version ahead.
+    m_announced_versions.push_back(
+        {reply.configuration_version, reply.evacuations,
+         sent_request->second - std::chrono::milliseconds(reply.configuration_age_ms)});
+    confirm_received_versions();
+}
+
+void report_service::confirm_received_versions()
+{
+    auto const configuration = m_fleet->configuration();
+    auto const oldest = m_kernel.now() - sent_request_retention;
+    std::erase_if(m_announced_versions, [&](announced_version const& each) {
+        auto const is_received =
+            configuration && each.version <= configuration->version && each.evacuations <= own_evacuations();
+        if (is_received) {
+            m_fleet->confirm_configuration(each.known_at);
+        }
+        return is_received || each.known_at < oldest;
+    });
 }
 
 std::string report_service::first_vm_with_store(bool only_own_zone) const
--- a/libraries/fleet/report_service.h
+++ b/libraries/fleet/report_service.h
@@ -93,6 +93,13 @@
         monotonic_time received_at;
     };
 
+    /// What a status reply said was the newest version, before this VM had it.
+    struct announced_version {
+        std::uint64_t version = 0;
+        evacuation_position evacuations;
+        monotonic_time known_at; ///< Time at which this version is known to have been the newest.
+    };
+
     void tick();
     /// Sends this VM's report to all zone peers.
     void broadcast();
@@ -124,6 +131,8 @@
     void request_store_status();
     void handle_store_status_request(peer_state const& peer, store_status_request const& request);
     void handle_store_status_reply(peer_state const& peer, store_status_reply const& reply);
+    /// Confirms the configuration as of the status replies whose version this VM has received since.
+    void confirm_received_versions();
     /// Returns the first by name of the VMs that can reach the store, including this one. Considers only the
     /// VMs of this zone if `only_own_zone` is set.
     std::string first_vm_with_store(bool only_own_zone) const;
@@ -165,6 +174,7 @@
     /// Send times of store_status_requests, keyed by number.
     std::map<std::uint32_t, monotonic_time> m_sent_requests;
     monotonic_time m_last_request_at;
+    std::vector<announced_version> m_announced_versions; ///< Versions that this VM does not have yet.
     std::uint64_t m_reported_version = 0;          ///< Configuration version when changes were last checked.
     std::uint32_t m_reported_directory_digest = 0; ///< Directory digest when changes were last checked.
     evacuation_position m_reported_evacuations;    ///< Evacuations when changes were last checked.
