sessions: Answer a statement before its transaction's connection is returned

Callers saw: 5.3 s after the SIGTERM of a VM, the process ended by itself while it answered what members had not answered, so all of its remaining callers lost their connections without an answer.

Cause: at the end of a drain the running statement is answered with an unknown outcome, and its transaction is rolled back first. Returning the connection ends the statement at the member, which called back into the session before it was marked as abandoned; the session has no connection any more by then, which VERIFY takes for an error. Only where this VM is itself the broker of the member. Class: a callback from within the call that ends its subject.

The connection is now taken out of the session first and returned when the session is closed.

Test: shutdown/statement_of_a_transaction_that_its_member_does_not_answer_gets_an_answer; on the code before: "invariant violated: m_connection" at client_session.cpp:524 and CRASH.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -110,6 +110,8 @@
     }
     auto const keep_alive = shared_from_this();
     m_closes_when_idle = true;
+    // Returning the connection ends a statement that was sent on it, which is answered before.
+    auto const connection = std::exchange(m_connection, std::nullopt);
     if (m_is_running) {
         auto const is_commit = m_running.kind == statement_kind::commit;
         auto const is_write =
--- a/tests/sessions/shutdown_tests.cpp
+++ b/tests/sessions/shutdown_tests.cpp
@@ -149,6 +149,32 @@
     cr_assert(writer.caller.answers().back().error == session_error::in_doubt);
 }
 
+/// Guards against a VM that ends by itself as its drain ends: a transaction whose statement was still at the
+/// member was rolled back, the statement ended with that, and its answer found no transaction.
+Test(shutdown, statement_of_a_transaction_that_its_member_does_not_answer_gets_an_answer)
+{
+    for (std::size_t vm = 0; vm < session_fleet_shape().zones.size(); ++vm) {
+        session_fleet fleet({}, 1);
+        fleet.change_configuration([](served_configuration& configuration) {
+            for (auto& [database, work] : configuration.classes) {
+                work.statement_timeout = 20s;
+            }
+        });
+        fleet.clock().run_for(4s);
+        session_caller caller(fleet, vm, session_fleet::database_of(0, read_consistency::every_commit),
+                              session_fleet::key_of(0));
+        begin_and_write(caller);
+        fleet.group().faults(fleet.group().leader()).lost_answer_share = 1;
+        caller.send(session_caller::write("y"));
+        fleet.stop_vm(vm);
+        fleet.clock().run_for(drain_time);
+        cr_assert(!fleet.is_running(vm), "VM %zu", vm);
+        cr_assert(caller.answers().size() == 3, "VM %zu: %zu answers", vm, caller.answers().size());
+        cr_assert(!caller.answers().back().is_ok());
+        cr_assert(caller.was_closed());
+    }
+}
+
 /// Guards against sessions that open at a VM which is about to end. Their callers come back to another VM at
 /// once.
 Test(shutdown, session_that_opens_late_in_a_drain_is_refused)
