sessions: Hold the sessions that the engine looks at

Found by reading, no test was shown to fail. The engine went through plain pointers each 100 ms. Ending the transaction of one session may start waiting requests; one whose caller has left may hold the last reference to its own session, which was then destroyed and visited later in the same look. A lower idle limit of transactions ends many at one look.

--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -104,8 +104,7 @@
     if (!configuration) {
         return;
     }
-    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
-    for (auto* const session : sessions) {
+    for (auto const& session : sessions()) {
         session->end_idle_transaction(configuration->transaction_idle_limit);
         session->report_overdue_statement();
     }
@@ -140,8 +139,7 @@
 {
     auto const count = m_sessions.size() / drain_steps + 1;
     std::size_t closed = 0;
-    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
-    for (auto* const session : sessions) {
+    for (auto const& session : sessions()) {
         if (closed < count && session->close_if_idle()) {
             ++closed;
         }
