platform: Refuse statements that cross the close of their session

Callers saw: a statement that was on its way when the VM closed its session, which was idle, got neither an answer nor a refusal. A caller whose single write was sent may not repeat it. Most of these sessions had just been opened for one operation.

Cause: a VM that is not ready, or drains, closed idle sessions by ending its output, and discarded what arrived then. On slow links and processors the statement may have been sent long before. Class: one side alone decides that a conversation has ended.

A statement that arrives meanwhile is not run; the error was the first part of its answer, and the end of the answer follows. The error says that nothing was run, so the caller may try again elsewhere.

Tests: caller_listener/statement_that_crosses_the_close_of_its_session_is_refused and idle_caller_receives_only_an_error_before_the_close_of_its_session; on the code before both fail, as nothing is received.

--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -159,6 +159,15 @@
                  std::move(fields));
 }
 
+void session_engine::record_late_statement(std::string const& id)
+{
+    ++m_counters.refused[static_cast<std::size_t>(session_error::busy)];
+    Json::Value fields(Json::objectValue);
+    fields["request"] = id;
+    m_kernel.log(log_level::info, service_name,
+                 "statement was refused, since it arrived after its session was closed", std::move(fields));
+}
+
 bool session_engine::takes_no_work() const
 {
     return m_drain_started && m_kernel.now() - *m_drain_started >= m_settings.transaction_drain_limit;
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -94,6 +94,9 @@
         m_refuse_peer_requests = std::move(refuse);
     }
 
+    /// Counts and logs a statement that arrived after this VM had closed its session, and was refused.
+    void record_late_statement(std::string const& id);
+
     session_counters const& counters() const { return m_counters; }
     session_counters& counters() { return m_counters; }
     std::size_t size() const { return m_sessions.size(); }
--- /dev/null
+++ b/tests/platform/caller_listener_tests.cpp
@@ -0,0 +1,102 @@
+#include <memory>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "platform/caller_listener.h"
+#include "session_fleet.h"
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+constexpr std::size_t stopped_vm = 0;
+
+/// Connection of a caller to the listener of a VM, whose fleet runs in virtual time.
+struct connected_caller {
+    connected_caller()
+        : fleet({}, 1), listener(std::make_unique<caller_listener>(loop, fleet.vm(stopped_vm).sessions()))
+    {
+        fleet.clock().run_for(4s);
+        cr_assert(listener->try_listen({"127.0.0.1", 0}).ok());
+        stream = tcp_stream::try_connect(loop, {"127.0.0.1", listener->port()});
+        cr_assert(stream != nullptr);
+        tcp_stream::events events;
+        events.bytes = [this](std::string_view bytes) { received += bytes; };
+        events.ended = [this] { has_ended = true; };
+        stream->start(std::move(events));
+    }
+
+    /// Runs the loop until the caller has received `text`, or its connection has ended, or 2 s have passed.
+    void wait_for(std::string_view text)
+    {
+        for (auto const end = loop.now() + 2s;
+             received.find(text) == std::string::npos && !has_ended && loop.now() < end;) {
+            loop.run_once(5ms);
+        }
+    }
+
+    void open_session()
+    {
+        stream->send("START " + session_fleet::database_of(0, read_consistency::own_writes) + " " +
+                     session_fleet::key_of(0) + "\r\n");
+        wait_for("READY I -\r\n");
+        cr_assert(received == "READY I -\r\n", "%s", received.c_str());
+        received.clear();
+    }
+
+    /// Lets the VM close the idle session, of which the caller has not learned yet.
+    void close_idle_session()
+    {
+        fleet.stop_vm(stopped_vm);
+        fleet.clock().run_for(200ms);
+        cr_assert(fleet.vm(stopped_vm).sessions().size() == 0);
+    }
+
+    reactor loop;
+    session_fleet fleet;
+    std::unique_ptr<caller_listener> listener;
+    std::shared_ptr<tcp_stream> stream;
+    std::string received;
+    bool has_ended = false;
+};
+
+} // namespace
+
+/// Guards against a statement that gets neither an answer nor a refusal: the VM closed its session, which was
+/// idle, while the statement was on its way, and discarded it.
+Test(caller_listener, statement_that_crosses_the_close_of_its_session_is_refused)
+{
+    connected_caller caller;
+    caller.open_session();
+    caller.close_idle_session();
+    caller.stream->send("QUERY 1 READ x\r\n");
+    caller.wait_for("READY");
+    cr_assert(caller.received.starts_with("ERROR BUSY "), "%s", caller.received.c_str());
+    cr_assert(caller.received.ends_with("\r\nREADY I -\r\n"), "%s", caller.received.c_str());
+    caller.received.clear();
+    caller.wait_for("READY");
+    cr_assert(caller.has_ended);
+    cr_assert(caller.received.empty(), "%s", caller.received.c_str());
+}
+
+/// Guards against a caller that takes an answer to a statement that it has not sent: an idle caller only
+/// receives an error before its connection ends.
+Test(caller_listener, idle_caller_receives_only_an_error_before_the_close_of_its_session)
+{
+    connected_caller caller;
+    caller.open_session();
+    caller.close_idle_session();
+    caller.wait_for("READY");
+    cr_assert(caller.has_ended);
+    cr_assert(caller.received.starts_with("ERROR BUSY "), "%s", caller.received.c_str());
+    cr_assert(caller.received.find("READY") == std::string::npos, "%s", caller.received.c_str());
+    for (auto const end = caller.loop.now() + 2s;
+         caller.listener->is_closing_connections() && caller.loop.now() < end;) {
+        caller.loop.run_once(5ms);
+    }
+    cr_assert(!caller.listener->is_closing_connections());
+    cr_assert(caller.listener->connections() == 0);
+}
