sessions: Judge overdue statements by the time limit of their arrival

A lower time limit that came into force while a statement waited made it count as overdue. The new test of changes in quick succession showed it: "4 statements were overdue", each within its own limit.

Every statement is answered once and within the longest time limit and 0.25 s.

--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -182,6 +182,8 @@
 {
     m_is_running = true;
     m_is_reported_overdue = false;
+    auto const work = m_state == transaction_state::idle ? find_class() : std::optional(m_transaction_class);
+    m_time_limit = work ? work->statement_timeout : duration::zero();
     m_arrived_at = m_kernel.now();
     m_last_active_at = m_arrived_at;
     m_served_by.clear();
@@ -649,9 +651,7 @@
     if (!m_is_running || m_is_reported_overdue || m_is_closed) {
         return;
     }
-    auto const work = m_state == transaction_state::idle ? find_class() : std::optional(m_transaction_class);
-    auto const limit = work ? overdue_multiple * work->statement_timeout : duration::zero();
-    if (m_kernel.now() - m_arrived_at <= limit + overdue_margin) {
+    if (m_kernel.now() - m_arrived_at <= overdue_multiple * m_time_limit + overdue_margin) {
         return;
     }
     m_is_reported_overdue = true;
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -137,6 +137,7 @@
     bool m_is_abandoned = false;        ///< Whether the running statement was answered before it has ended.
     bool m_is_closed = false;
     monotonic_time m_arrived_at;
+    duration m_time_limit{}; ///< Of the running statement, from the configuration at its arrival.
     monotonic_time m_last_active_at;
     std::string m_served_by; ///< Id of the member that last answered in a transaction; empty for none.
     std::string m_account;   ///< Client account of the statement that was authorized last; "-" for none.
