--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -46,6 +46,11 @@
     for (std::size_t i = 0; i < session_error_names.size(); ++i) {
         state["refused"][std::string(session_error_names[i].name)] = Json::UInt64(m_counters.refused[i]);
     }
+    for (std::size_t i = 0; i < session_end_names.size(); ++i) {
+        state["unanswered"][std::string(session_end_names[i].name)] = Json::UInt64(m_counters.unanswered[i]);
+    }
+    state["overdue"] = Json::UInt64(m_counters.overdue);
+    state["closed"] = Json::UInt64(m_counters.closed);
     return state;
 }
 
@@ -99,9 +104,9 @@
     if (!configuration) {
         return;
     }
-    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
-    for (auto* const session : sessions) {
+    for (auto const& session : sessions()) {
         session->end_idle_transaction(configuration->transaction_idle_limit);
+        session->report_overdue_statement();
     }
     update_cut_off();
     auto const has_better_peer = m_has_better_peer && m_has_better_peer();
@@ -134,12 +139,33 @@
 {
     auto const count = m_sessions.size() / drain_steps + 1;
     std::size_t closed = 0;
-    auto const sessions = std::vector(m_sessions.begin(), m_sessions.end());
-    for (auto* const session : sessions) {
+    for (auto const& session : sessions()) {
         if (closed < count && session->close_if_idle()) {
             ++closed;
         }
     }
+    if (closed == 0) {
+        return;
+    }
+    Json::Value fields(Json::objectValue);
+    fields["closed"] = Json::UInt64(closed);
+    fields["sessions"] = Json::UInt64(m_sessions.size());
+    fields["is_draining"] = is_draining();
+    fields["is_cut_off"] = m_cut_off_since.has_value();
+    if (auto const age = m_fleet->configuration_age()) {
+        fields["configuration_age_ms"] = to_milliseconds(*age);
+    }
+    m_kernel.log(log_level::info, service_name, "idle sessions were closed, since this VM is not ready",
+                 std::move(fields));
+}
+
+void session_engine::record_late_statement(std::string const& id)
+{
+    ++m_counters.refused[static_cast<std::size_t>(session_error::busy)];
+    Json::Value fields(Json::objectValue);
+    fields["request"] = id;
+    m_kernel.log(log_level::info, service_name,
+                 "statement was refused, since it arrived after its session was closed", std::move(fields));
 }
 
 bool session_engine::takes_no_work() const
