sessions: Pass no success of a commit on without contact to another zone

Cause: a leader behind a cut acknowledges commits through a replica that started there and that nobody outside knows, while the known replicas have stopped and one of them is promoted. Class: an acknowledgement is delivered by a VM that others take for lost.

A takeover whose old leader may run chooses no successor until the VMs of a zone without contact do so.

Test: zone_partition/leader_behind_a_cut_with_a_replica_that_starts_there_loses_no_delivered_commit.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -38,6 +38,7 @@
         m_kernel, *m_membership, [this](std::string const& vm) { send_ping(vm); },
         [this](std::string const& zone) { probe_member_of(zone); },
         [this](std::string const& zone, bool is_silent) { handle_zone_change(zone, is_silent); }});
+    start_contact_guard();
     m_choice.emplace(m_kernel, *m_membership,
                      [this](std::string const& zone) { return m_zones->is_silent(zone); });
     m_reports.emplace(
@@ -53,8 +54,59 @@
     m_kernel.start_periodic(contact_sweep_period, [this] { forget_former_vms(); });
 }
 
+void broker_service::start_contact_guard()
+{
+    m_contact.emplace(m_kernel, contact_guard::hooks{
+                                    [this] { return m_membership->identity().availability_zone; },
+                                    [this] { return other_zones(); },
+                                    [this](std::string const& zone) { ping_zone(zone); },
+                                });
+}
+
+std::vector<std::string> broker_service::other_zones() const
+{
+    std::set<std::string> zones;
+    auto const& own_zone = m_membership->identity().availability_zone;
+    for (auto const& [name, peer] : m_membership->peers()) {
+        if (peer.availability_zone != own_zone && !peer.availability_zone.empty() && peer.address.port != 0 &&
+            m_membership->accepts_work(peer)) {
+            zones.insert(peer.availability_zone);
+        }
+    }
+    return {zones.begin(), zones.end()};
+}
+
+void broker_service::ping_zone(std::string const& zone)
+{
+    std::vector<std::string> candidates;
+    for (auto const& [name, peer] : m_membership->peers()) {
+        if (peer.availability_zone == zone && peer.address.port != 0 && m_membership->accepts_work(peer)) {
+            candidates.push_back(name);
+        }
+    }
+    if (candidates.empty()) {
+        return;
+    }
+    auto const& vm = candidates[m_kernel.random_below(candidates.size())];
+    m_zones->record_sent(vm);
+    send_ping(vm);
+}
+
+std::string broker_service::zone_of_vm(std::string const& vm) const
+{
+    auto const found = m_membership->peers().find(vm);
+    return found == m_membership->peers().end() ? std::string() : found->second.availability_zone;
+}
+
+void broker_service::record_round_trip(std::string const& vm, monotonic_time sent_at)
+{
+    m_contact->record_round_trip(zone_of_vm(vm), sent_at);
+}
+
 void broker_service::forget_former_vms()
 {
+    auto const now = m_kernel.now();
+    std::erase_if(m_pings, [now](auto const& each) { return now - each.second >= contact_sweep_period; });
     auto const& peers = m_membership->peers();
     std::erase_if(m_health, [&peers](auto const& each) { return !peers.contains(each.first); });
 }
@@ -68,6 +120,7 @@
     state["leases"] = Json::UInt64(m_peer_connections.size());
     state["contacts"] = Json::UInt64(m_health.size());
     state["zones"] = m_zones->dump();
+    state["contact"] = m_contact->dump();
     for (auto const& [member, broker] : m_choice->brokers()) {
         state["brokers"][member] = broker;
     }
@@ -264,6 +317,12 @@
     if (auto* const reply = std::get_if<relay_reply>(&*decoded)) {
         handle_relay_reply(vm, std::move(*reply));
     }
+    else if (auto const* const ping = std::get_if<relay_ping>(&*decoded)) {
+        auto const sent = m_pings.extract(ping->number);
+        if (!sent.empty()) {
+            record_round_trip(vm, sent.mapped());
+        }
+    }
     else if (auto const* const document = std::get_if<document_reply>(&*decoded);
              document != nullptr && m_on_document_reply) {
         m_on_document_reply(*document);
@@ -286,6 +345,7 @@
     auto const answered = std::move(found->second);
     m_pending.erase(found);
     m_kernel.cancel_timer(answered.timer);
+    record_round_trip(vm, answered.sent_at);
     if (reply.answers.size() != answered.commands) {
         answered.done(make_failed_reply(answered.commands, member_error::connection_lost));
         return;
@@ -346,8 +406,8 @@
                      "request from a peer was ignored, since it could not be decoded", {});
         return;
     }
-    if (std::holds_alternative<relay_ping>(*decoded)) {
-        m_channels.reply(from, encode_relay_message(relay_ping{true}));
+    if (auto const* const ping = std::get_if<relay_ping>(&*decoded)) {
+        m_channels.reply(from, encode_relay_message(relay_ping{true, ping->number}));
     }
     else if (auto const* const release = std::get_if<relay_release>(&*decoded)) {
         auto const found = m_peer_connections.find(release->connection_id);
@@ -469,8 +529,9 @@
 
 void broker_service::send_ping(std::string const& vm)
 {
-    m_health[vm].pinged_at = m_kernel.now();
-    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+    auto const number = m_next_ping++;
+    m_pings[number] = m_health[vm].pinged_at = m_kernel.now();
+    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{false, number}));
 }
 
 void broker_service::probe_member_of(std::string const& zone)
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -10,6 +10,7 @@
 
 #include "brokers/broker_choice.h"
 #include "brokers/connection_reports.h"
+#include "brokers/contact_guard.h"
 #include "brokers/member_dispatcher.h"
 #include "brokers/relay_messages.h"
 #include "brokers/zone_monitor.h"
@@ -102,6 +103,9 @@
     /// True when this VM reaches no other zone, see zone_monitor.
     bool is_cut_off() const { return m_zones && m_zones->is_cut_off(); }
 
+    /// Proof of contact with other zones. The service has to be started.
+    contact_guard& contact() { return *m_contact; }
+
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
@@ -166,6 +170,14 @@
     /// Returns whether a broker of the member could not reach it a short time ago.
     bool was_absent(std::string const& member) const;
     void send_ping(std::string const& vm);
+    void start_contact_guard();
+    /// Zones other than this VM's own with VMs that messages can be sent to.
+    std::vector<std::string> other_zones() const;
+    /// Sends a ping to a VM of another zone.
+    void ping_zone(std::string const& zone);
+    std::string zone_of_vm(std::string const& vm) const;
+    /// Records the answer of a VM to a message that was sent at `sent_at`.
+    void record_round_trip(std::string const& vm, monotonic_time sent_at);
     /// Removes the contacts with VMs that are no longer known to the membership.
     void forget_former_vms();
     void probe_member_of(std::string const& zone);
@@ -193,7 +205,10 @@
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     /// Cancellations of the requests that run for peers, keyed by the peer's connection and its request id.
     std::map<std::pair<channel_id, std::uint64_t>, std::shared_ptr<request_cancellation>> m_cancellations;
-    std::optional<zone_monitor> m_zones; ///< Set when the service starts.
+    std::optional<zone_monitor> m_zones;             ///< Set when the service starts.
+    std::optional<contact_guard> m_contact;          ///< Set when the service starts.
+    std::map<std::uint64_t, monotonic_time> m_pings; ///< Send times of unanswered pings, keyed by number.
+    std::uint64_t m_next_ping = 1;
     bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
     std::uint64_t m_next_request_id = 1;
--- a/libraries/brokers/relay_messages.h
+++ b/libraries/brokers/relay_messages.h
@@ -45,7 +45,8 @@
 /// Requests a heartbeat, or is the reply to such a request if `is_reply` is set.
 struct relay_ping {
     bool is_reply = false;
-    MSGPACK_DEFINE(is_reply)
+    std::uint64_t number = 0; ///< Chosen by the sender of the request and repeated in the reply.
+    MSGPACK_DEFINE(is_reply, number)
 };
 
 /// Documents of the platform's store that VMs pass to each other.
--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -272,7 +272,7 @@
         log_awaited_replicas();
         return;
     }
-    if (!is_old_leader_out_of_use()) {
+    if (awaits_end_of_successes() || !is_old_leader_out_of_use()) {
         return;
     }
     m_successor = *chosen;
@@ -457,6 +457,24 @@
     return m_evidence.refuses_connections(member, m_kernel.now()) && has_contact(member);
 }
 
+bool group_takeover::awaits_end_of_successes()
+{
+    auto const& old_leader = m_evidence.old_leader();
+    auto const found = m_targets.find(old_leader);
+    if (is_handover(m_cause) || is_leader_answering() || m_evidence.final_position(m_kernel.now()) ||
+        is_known_not_to_run(old_leader) || found == m_targets.end() ||
+        !m_dependencies.is_contact_undecided(found->second.availability_zone)) {
+        return false;
+    }
+    if (!std::exchange(m_has_awaited_successes, true)) {
+        Json::Value fields(Json::objectValue);
+        fields["availability_zone"] = found->second.availability_zone;
+        log("waiting until VMs of the old leader's availability zone pass on no success of a commit",
+            std::move(fields));
+    }
+    return true;
+}
+
 bool group_takeover::is_old_leader_out_of_use()
 {
     auto const now = m_kernel.now();
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -77,6 +77,9 @@
         std::function<bool()> is_needed;
         /// Returns whether VMs of the availability zone were heard recently, and since `time`.
         std::function<bool(std::string const& zone, monotonic_time time)> heard_zone_since;
+        /// Returns whether VMs of the availability zone may still pass on successes of commits though this VM
+        /// has no contact with them, see contact_guard.
+        std::function<bool(std::string const& zone)> is_contact_undecided;
         /// Last order of the group that was not answered; outlives the takeover.
         std::optional<unanswered_order>& last_order;
         /// Called when the failover lock was acquired, or turned out to be another VM's.
@@ -157,6 +160,8 @@
     /// refused connection is the member's own.
     bool has_contact(std::string const& member) const;
     bool is_known_not_to_run(std::string const& member) const;
+    /// Returns whether callers behind a cut may still learn of commits of a leader that cannot be reached.
+    bool awaits_end_of_successes();
     /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
     bool is_old_leader_out_of_use();
 
@@ -205,7 +210,8 @@
     int m_order_attempts = 0;                    ///< Number of promotion orders that were attempted.
     bool m_has_term_begun = false; ///< Whether a member knows the new term, so that the successor has led.
     bool m_is_polling = false;     ///< Whether the timer of poll_fencing() runs.
-    bool m_has_interfered;         ///< Whether members were ordered anything that callers notice.
+    bool m_has_awaited_successes = false; ///< Whether awaits_end_of_successes() was true before.
+    bool m_has_interfered;                ///< Whether members were ordered anything that callers notice.
     bool m_has_ended = false;
 };
 
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -27,6 +27,7 @@
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_reports = &m_kernel.find<report_service>(report_service::service_name);
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
+    m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_reports->set_holds_failover_lock(
         [this](std::string const& group) { return m_held_locks.contains(group); });
     m_kernel.start_periodic(tick_period, [this] { tick(); });
@@ -155,6 +156,9 @@
         [this](std::string const& zone, monotonic_time time) {
             return m_reports->heard_zone_since(zone, time);
         },
+        [this](std::string const& zone) {
+            return !m_brokers->is_silent(zone) && m_brokers->contact().is_undecided(zone);
+        },
         m_last_orders[name],
         [this, name](bool is_held) {
             if (!is_held) {
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "brokers/broker_service.h"
 #include "failover/failover_lock.h"
 #include "failover/group_takeover.h"
 #include "fleet/report_service.h"
@@ -50,6 +51,7 @@
     membership_service* m_membership = nullptr;
     report_service* m_reports = nullptr;
     fleet_state* m_fleet = nullptr;
+    broker_service* m_brokers = nullptr;
     std::map<std::string, std::shared_ptr<group_takeover>> m_takeovers; ///< Keyed by group.
     std::set<std::string> m_held_locks;                       ///< Groups whose failover lock this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Keyed by group without a known leader.
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -403,8 +403,8 @@
 void client_session::execute(database_group& group, execution_request execution, execution_mode mode,
                              std::function<void(execution_result)> done)
 {
-    auto const started =
-        std::make_shared<statement_execution>(m_kernel, group, std::move(execution), mode, std::move(done));
+    auto const started = std::make_shared<statement_execution>(m_kernel, group, m_engine.contact(),
+                                                               std::move(execution), mode, std::move(done));
     m_execution = started;
     started->start();
 }
@@ -493,8 +493,10 @@
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto const member = m_connection->member;
     group.record_sent(member);
+    auto watch = request.commits_write ? m_engine.contact().watch(zone_of_member(group, member)) : nullptr;
     m_connection->pinned->send(std::move(request), [self = shared_from_this(), &group, member, statement,
-                                                    retries, sent_at](member_reply reply) {
+                                                    retries, sent_at,
+                                                    watch = std::move(watch)](member_reply reply) {
         group.record_returned(member);
         auto& answer = reply.answers.back();
         if (answer.is_ok()) {
@@ -532,10 +534,9 @@
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto result = to_session_answer(std::move(answer));
     if (is_commit) {
-        if (result.is_ok() && m_has_written && result.position) {
-            m_minimum_position = std::max(m_minimum_position.value_or(log_position{}), *result.position);
-            group.confirm_leader(m_connection->member, *result.position, sent_at);
-            group.record_commit(m_connection->member, *result.position);
+        if (result.is_ok() && m_has_written) {
+            finish_commit(statement, sent_at, std::move(result));
+            return;
         }
         if (error == member_error::connection_lost || error == member_error::timed_out) {
             result.error = m_has_written ? session_error::in_doubt : session_error::failed;
@@ -567,6 +568,34 @@
     finish(statement, std::move(result));
 }
 
+void client_session::finish_commit(session_statement const& statement, monotonic_time sent_at,
+                                   session_answer result)
+{
+    auto& group = m_engine.groups().group(m_transaction_class.group);
+    auto const member = m_connection->member;
+    m_state = transaction_state::idle;
+    release_connection();
+    m_engine.contact().confirm(zone_of_member(group, member), sent_at,
+                               [self = shared_from_this(), &group, member, statement, sent_at,
+                                result = std::move(result)](bool is_proven) mutable {
+                                   if (self->m_is_abandoned) {
+                                       return;
+                                   }
+                                   if (!is_proven) {
+                                       self->finish(statement, make_withheld_answer());
+                                       return;
+                                   }
+                                   if (result.position) {
+                                       self->m_minimum_position =
+                                           std::max(self->m_minimum_position.value_or(log_position{}),
+                                                    *result.position);
+                                       group.confirm_leader(member, *result.position, sent_at);
+                                       group.record_commit(member, *result.position);
+                                   }
+                                   self->finish(statement, std::move(result));
+                               });
+}
+
 void client_session::roll_back()
 {
     m_state = transaction_state::idle;
--- a/libraries/sessions/client_session.h
+++ b/libraries/sessions/client_session.h
@@ -80,6 +80,9 @@
     void send_in_transaction(session_statement const& statement, int retries);
     void handle_transaction_answer(session_statement const& statement, int retries, monotonic_time sent_at,
                                    member_answer answer);
+    /// Answers a COMMIT that wrote and that the member acknowledged, or withholds its success if the commit
+    /// may be lost.
+    void finish_commit(session_statement const& statement, monotonic_time sent_at, session_answer result);
     void apply_locally(session_statement const& statement);
 
     /// Checks the key and the class of work before each statement, since a key may be withdrawn and a class
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -33,6 +33,7 @@
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_rates = &m_kernel.find<rate_shares>(rate_shares::service_name);
     m_groups = &m_kernel.find<group_registry>(group_registry::service_name);
+    m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
 
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include "brokers/broker_service.h"
 #include "fleet/fleet_state.h"
 #include "kernel/kernel.h"
 #include "limits/rate_shares.h"
@@ -98,6 +99,7 @@
     fleet_state& fleet() { return *m_fleet; }
     rate_shares& rates() { return *m_rates; }
     group_registry& groups() { return *m_groups; }
+    contact_guard& contact() { return m_brokers->contact(); }
 
     void remove(client_session* session) { m_sessions.erase(session); }
 
@@ -116,6 +118,7 @@
     fleet_state* m_fleet = nullptr;
     rate_shares* m_rates = nullptr;
     group_registry* m_groups = nullptr;
+    broker_service* m_brokers = nullptr;
     std::set<client_session*> m_sessions;
     session_counters m_counters;
     std::function<bool()> m_has_better_peer;
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -94,6 +94,22 @@
     return result;
 }
 
+session_answer make_withheld_answer()
+{
+    session_answer result;
+    result.error = session_error::in_doubt;
+    result.error_text =
+        "the leader committed, but no VM of another availability zone was in contact, so that "
+        "a successor may lack the commit";
+    return result;
+}
+
+std::string zone_of_member(database_group const& group, std::string const& member)
+{
+    auto const found = group.members().find(member);
+    return found == group.members().end() ? std::string() : found->second.entry.availability_zone;
+}
+
 member_request make_member_request(execution_request const& execution)
 {
     member_request request;
@@ -117,9 +133,10 @@
     return request;
 }
 
-statement_execution::statement_execution(kernel& kernel, database_group& group, execution_request execution,
-                                         execution_mode mode, std::function<void(execution_result)> done)
-    : m_kernel(kernel), m_group(group), m_request(std::move(execution)), m_mode(mode),
+statement_execution::statement_execution(kernel& kernel, database_group& group, contact_guard& contact,
+                                         execution_request execution, execution_mode mode,
+                                         std::function<void(execution_result)> done)
+    : m_kernel(kernel), m_group(group), m_contact(contact), m_request(std::move(execution)), m_mode(mode),
       m_done(std::move(done)), m_deadline(m_request.arrived_at + m_request.work.statement_timeout)
 {
 }
@@ -307,7 +324,10 @@
 
 void statement_execution::send_attempt(std::string const& member)
 {
-    attempt sent{member, effective_mode(), m_kernel.now(), 0};
+    attempt sent{member, effective_mode(), m_kernel.now(), 0, zone_of_member(m_group, member), nullptr};
+    if (sent.mode == execution_mode::write) {
+        sent.watch = m_contact.watch(sent.zone);
+    }
     auto request = make_request(sent);
     if (!request) {
         start_next_attempt_after(position_poll_interval);
@@ -379,11 +399,11 @@
         return;
     }
     answer.state = transaction_state::idle;
+    if (answer.is_ok() && sent.mode == execution_mode::write) {
+        finish_write(sent, std::move(answer));
+        return;
+    }
     if (answer.is_ok()) {
-        if (sent.mode == execution_mode::write && answer.position) {
-            m_group.confirm_leader(sent.member, *answer.position, sent.sent_at);
-            m_group.record_commit(sent.member, *answer.position);
-        }
         finish({to_session_answer(std::move(answer)), std::nullopt});
         return;
     }
@@ -414,6 +434,28 @@
     }
 }
 
+void statement_execution::finish_write(attempt const& sent, member_answer answer)
+{
+    // The write has run, so it must not be refused meanwhile.
+    ++m_in_flight;
+    m_contact.confirm(sent.zone, sent.sent_at,
+                      [self = shared_from_this(), sent, answer = std::move(answer)](bool is_proven) {
+                          --self->m_in_flight;
+                          if (!self->m_done) {
+                              return;
+                          }
+                          if (!is_proven) {
+                              self->finish({make_withheld_answer(), std::nullopt});
+                              return;
+                          }
+                          if (answer.position) {
+                              self->m_group.confirm_leader(sent.member, *answer.position, sent.sent_at);
+                              self->m_group.record_commit(sent.member, *answer.position);
+                          }
+                          self->finish({to_session_answer(answer), std::nullopt});
+                      });
+}
+
 void statement_execution::handle_begin_answer(attempt const& sent, member_answer answer,
                                               pinned_connection_pointer connection)
 {
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "brokers/contact_guard.h"
 #include "fleet/served_configuration.h"
 #include "kernel/kernel.h"
 #include "members/database_group.h"
@@ -52,6 +53,12 @@
 /// Converts a member's answer into an answer to the session's caller.
 session_answer to_session_answer(member_answer answer);
 
+/// Answer to a statement whose commit a leader acknowledged, when its success may not be passed on.
+session_answer make_withheld_answer();
+
+/// Returns the availability zone of a member, or an empty name if it is not known.
+std::string zone_of_member(database_group const& group, std::string const& member);
+
 /// Makes the request that runs the statement of `execution`, with the values and the prepared statement that
 /// its connection must have.
 member_request make_member_request(execution_request const& execution);
@@ -60,8 +67,9 @@
 /// member if nothing was run or if a read may be repeated. Invokes the callback once.
 class statement_execution : public std::enable_shared_from_this<statement_execution> {
 public:
-    statement_execution(kernel& kernel, database_group& group, execution_request execution,
-                        execution_mode mode, std::function<void(execution_result)> done);
+    statement_execution(kernel& kernel, database_group& group, contact_guard& contact,
+                        execution_request execution, execution_mode mode,
+                        std::function<void(execution_result)> done);
 
     void start();
 
@@ -75,6 +83,8 @@
         execution_mode mode = execution_mode::read;
         monotonic_time sent_at;
         std::size_t answer_index = 0; ///< Index of the statement's own answer in the reply.
+        std::string zone;             ///< Availability zone of the member.
+        std::shared_ptr<void> watch;  ///< Keeps contact with other zones watched while a write runs.
     };
 
     bool needs_leader() const;
@@ -93,6 +103,8 @@
     void monitor_answer(std::string const& member, execution_mode mode);
     void handle_reply(attempt const& sent, member_reply reply);
     void handle_statement_answer(attempt const& sent, member_answer answer);
+    /// Passes the success of a write on, or withholds it if the commit may be lost.
+    void finish_write(attempt const& sent, member_answer answer);
     void handle_begin_answer(attempt const& sent, member_answer answer, pinned_connection_pointer connection);
     /// Handles an error which guarantees that nothing was run. Returns true if the error was handled or the
     /// statement was answered already; other errors are left to the caller.
@@ -109,6 +121,7 @@
 
     kernel& m_kernel;
     database_group& m_group;
+    contact_guard& m_contact;
     execution_request m_request;
     execution_mode m_mode;
     std::function<void(execution_result)> m_done;
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -231,7 +231,8 @@
 {
     m_unlisted.insert(id);
     add_member(id, group);
-    m_groups[group]->add_replica(id);
+    auto const is_isolated = m_cut_zones.contains(m_zone_of_member.at(id)) && !m_are_connections_refused;
+    m_groups[group]->add_replica(id, is_isolated);
 }
 
 void session_fleet::add_member(std::string const& id, std::size_t group)
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -59,10 +59,11 @@
     restarted.applied = restarted.log.size();
 }
 
-void virtual_database_group::add_replica(std::string const& id)
+void virtual_database_group::add_replica(std::string const& id, bool is_isolated)
 {
     m_ids.push_back(id);
     m_members[id].started_at = m_clock.now();
+    m_members[id].faults.is_isolated = is_isolated;
     receive(id, m_leader, end_of_log());
     m_members.at(id).applied = m_members.at(id).log.size();
 }
@@ -349,8 +350,8 @@
     auto const& receiver = m_members.at(replica);
     auto const& faults = receiver.faults;
     auto const& sender_faults = m_members.at(sender).faults;
-    return m_leader == sender && !faults.is_down && !faults.is_replication_cut && !faults.is_isolated &&
-           !sender_faults.is_down && !sender_faults.is_isolated && receiver.stopped_at_term <= m_term;
+    return m_leader == sender && !faults.is_down && !faults.is_replication_cut && !sender_faults.is_down &&
+           faults.is_isolated == sender_faults.is_isolated && receiver.stopped_at_term <= m_term;
 }
 
 void virtual_database_group::receive(std::string const& replica, std::string const& sender,
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -23,7 +23,8 @@
     bool is_down = false;             ///< The member neither answers callers nor receives log entries.
     bool refuses_connections = false; ///< The member's machine refuses connections, as its process has ended.
     bool is_replication_cut = false;  ///< The member receives no log entries from the leader.
-    bool is_isolated = false;     ///< The member exchanges no log entries and cannot learn of a successor.
+    /// The member exchanges log entries only with other isolated members and cannot learn of a successor.
+    bool is_isolated = false;
     double lost_answer_share = 0; ///< Fraction of executed statements whose answer is lost, 0 to 1.
     /// Mean time from receiving a log entry to applying it; the time is exponentially distributed.
     duration mean_apply_lag = std::chrono::milliseconds(20);
@@ -72,8 +73,8 @@
     /// which receives what it has missed from the leader.
     void restart(std::string const& id);
 
-    /// Starts a further replica, which receives the leader's log.
-    void add_replica(std::string const& id);
+    /// Starts a further replica, which receives the leader's log unless it is isolated from the leader.
+    void add_replica(std::string const& id, bool is_isolated);
 
     /// Time of a member's last restart; the default value if it was never restarted.
     monotonic_time started_at(std::string const& id) const { return m_members.at(id).started_at; }
--- a/tests/sessions/zone_partition_tests.cpp
+++ b/tests/sessions/zone_partition_tests.cpp
@@ -35,6 +35,7 @@
         monotonic_time sent_at;
         std::optional<duration> answered_after;
         bool is_ok = false;
+        std::string write; ///< Id of the statement if it writes; empty otherwise.
     };
 
     /// Sends one read and one statement for the leader through every VM each 50 ms; the sessions stay open.
@@ -56,7 +57,8 @@
     void send(std::size_t vm, read_consistency consistency, session_statement statement)
     {
         callers.emplace_back(fleet, vm, session_fleet::database_of(0, consistency), session_fleet::key_of(0));
-        sent.push_back({vm, fleet.clock().now(), std::nullopt, false});
+        sent.push_back({vm, fleet.clock().now(), std::nullopt, false,
+                        statement.kind == statement_kind::write ? statement.id : std::string()});
         if (callers.back().is_open()) {
             callers.back().send(std::move(statement));
         }
@@ -87,6 +89,15 @@
         return longest;
     }
 
+    /// Number of writes that callers know to be committed and that are not in the leader's log.
+    std::size_t lost_writes()
+    {
+        note_answers();
+        return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), [this](auto const& each) {
+            return each.is_ok && !each.write.empty() && fleet.group().count_in_log(each.write) == 0;
+        }));
+    }
+
     std::size_t ready_vms(std::string const& zone)
     {
         std::size_t count = 0;
@@ -257,3 +268,25 @@
     fixture.load_for(3s);
     cr_assert(fixture.fleet.promotions() == 0, "%zu promotions", fixture.fleet.promotions());
 }
+
+/// Guards against lost acknowledged commits: a replica that no VM outside the cut knows starts beside the
+/// leader, which acknowledges through it while the others are stopped and one of them is promoted.
+Test(zone_partition, leader_behind_a_cut_with_a_replica_that_starts_there_loses_no_delivered_commit)
+{
+    for (auto const start_after : {100ms, 300ms, 500ms, 700ms}) {
+        partition_fixture fixture;
+        fixture.load_for(1s);
+        auto const old_leader = fixture.fleet.group().leader();
+        auto const zone = fixture.leader_zone();
+        fixture.fleet.set_zone_cut(zone, true);
+        fixture.load_for(start_after);
+        fixture.fleet.add_unlisted_replica("m-0-joining-" + zone);
+        fixture.load_for(4s);
+        fixture.fleet.set_zone_cut(zone, false);
+        fixture.load_for(3s);
+        cr_expect(fixture.fleet.group().leader() != old_leader);
+        cr_expect(fixture.lost_writes() == 0,
+                  "%zu commits that callers know of are lost, replica after %.0f ms", fixture.lost_writes(),
+                  to_milliseconds(start_after));
+    }
+}
