brokers: Send no commit to a leader just after contact with its zone broke

What callers saw: commits that were sent just after a cut are in no log that is kept.

Cause: the promotion was ordered during the cut and takes effect some hundred milliseconds after its order. In between, VMs outside reach the old leader again, which acknowledges through a replica that its successor does not know. A VM outside delivers these successes, since its contact with other zones never broke.

VMs that noticed the break send no commit to a leader of that zone for a second: the VM with the caller, and the broker, inside the zone or outside. Writes are tried again like those of a leader that is not proven to lead, and a transaction is rolled back, with a promise that nothing is kept.

Test: zone_partition/commits_between_the_end_of_a_cut_and_the_promotion_ordered_during_it_are_not_lost. An order that is carried out more than a second after the break remains.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -63,13 +63,41 @@
                                 });
 }
 
+bool broker_service::may_commit(member_request const& request, std::string const& leader_zone)
+{
+    if (!request.commits_write) {
+        return true;
+    }
+    if (leader_zone != m_membership->identity().availability_zone) {
+        auto const found = m_silent_until.find(leader_zone);
+        auto const was_silent =
+            found != m_silent_until.end() && m_kernel.now() - found->second < contact_guard::settling_time;
+        return !m_zones->is_silent(leader_zone) && !was_silent;
+    }
+    auto const silent_until = m_zones->all_silent_until();
+    return !(silent_until && m_kernel.now() - *silent_until < contact_guard::settling_time) &&
+           m_contact->is_settled(leader_zone);
+}
+
+reply_callback broker_service::watch_contact(member_request const& request, std::string const& zone,
+                                             reply_callback done)
+{
+    auto watch = request.commits_write ? m_contact->watch(zone) : nullptr;
+    if (!watch) {
+        return done;
+    }
+    return [watch = std::move(watch), done = std::move(done)](member_reply reply) { done(std::move(reply)); };
+}
+
 std::vector<std::string> broker_service::other_zones() const
 {
     std::set<std::string> zones;
     auto const& own_zone = m_membership->identity().availability_zone;
     for (auto const& [name, peer] : m_membership->peers()) {
-        if (peer.availability_zone != own_zone && !peer.availability_zone.empty() && peer.address.port != 0 &&
-            m_membership->accepts_work(peer)) {
+        // VMs that shut down count as well, or a zone would seem to be gone while its last VM is replaced.
+        auto const is_known = peer.is_listed || m_membership->is_reachable(peer);
+        if (is_known && peer.address.port != 0 && !peer.availability_zone.empty() &&
+            peer.availability_zone != own_zone) {
             zones.insert(peer.availability_zone);
         }
     }
@@ -78,17 +106,21 @@
 
 void broker_service::ping_zone(std::string const& zone)
 {
-    std::vector<std::string> candidates;
+    std::vector<std::string> serving;
+    std::vector<std::string> leaving;
     for (auto const& [name, peer] : m_membership->peers()) {
-        if (peer.availability_zone == zone && peer.address.port != 0 && m_membership->accepts_work(peer)) {
-            candidates.push_back(name);
+        if (peer.availability_zone == zone && peer.address.port != 0) {
+            (m_membership->accepts_work(peer) ? serving : leaving).push_back(name);
         }
     }
+    auto const& candidates = serving.empty() ? leaving : serving;
     if (candidates.empty()) {
         return;
     }
     auto const& vm = candidates[m_kernel.random_below(candidates.size())];
-    m_zones->record_sent(vm);
+    if (!serving.empty()) {
+        m_zones->record_sent(vm);
+    }
     send_ping(vm);
 }
 
@@ -187,6 +219,13 @@
         run_later(member, std::move(request), std::move(done));
         return;
     }
+    if (!may_commit(request, member.availability_zone)) {
+        m_kernel.start_timer(duration::zero(), [commands = request.commands.size(), done = std::move(done)] {
+            done(make_failed_reply(commands, member_error::unproven_leader,
+                                   "contact with the leader's zone was lost a short time ago"));
+        });
+        return;
+    }
     request.was_member_absent = was_absent(member.id);
     if (vm != m_membership->identity().name) {
         relay(vm, member.group, member.id, 0, std::move(request), std::move(done));
@@ -200,6 +239,7 @@
         });
         return;
     }
+    done = watch_contact(request, member.availability_zone, std::move(done));
     // A member that this VM cannot reach may still be reachable for the next VM in rank.
     found->second.dispatcher->run(std::move(request),
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
@@ -460,23 +500,31 @@
         }
         m_channels.reply(from, encode_relay_message(answer));
     };
+    auto const zone = zone_of_member(message.member);
+    if (!may_commit(message.request, zone)) {
+        reply(make_failed_reply(
+            commands, message.connection_id != 0 ? member_error::not_started : member_error::unproven_leader,
+            "contact with other zones was lost a short time ago"));
+        return;
+    }
+    reply_callback watched = watch_contact(message.request, zone, std::move(reply));
     if (message.connection_id != 0) {
         auto const found = m_peer_connections.find(message.connection_id);
         if (found == m_peer_connections.end() || found->second.first != from) {
-            reply(
+            watched(
                 make_failed_reply(commands, member_error::connection_lost, "transaction is no longer open"));
             return;
         }
-        found->second.second->send(std::move(message.request), std::move(reply));
+        found->second.second->send(std::move(message.request), std::move(watched));
         return;
     }
     auto const found = m_dispatchers.find(message.member);
     if (found == m_dispatchers.end()) {
-        reply(make_failed_reply(commands, member_error::refused, "member is unknown to the broker"));
+        watched(make_failed_reply(commands, member_error::refused, "member is unknown to the broker"));
         return;
     }
     m_used_at[message.member] = m_kernel.now();
-    found->second.dispatcher->run(std::move(message.request), std::move(reply));
+    found->second.dispatcher->run(std::move(message.request), std::move(watched));
 }
 
 bool broker_service::is_used_as_broker_of(std::string const& member) const
@@ -565,6 +613,7 @@
 void broker_service::handle_zone_change(std::string const& zone, bool is_silent)
 {
     m_choice->reset();
+    m_silent_until[zone] = m_kernel.now();
     if (!is_silent) {
         return;
     }
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -106,6 +106,11 @@
     /// Proof of contact with other zones. The service has to be started.
     contact_guard& contact() { return *m_contact; }
 
+    /// Returns false if the request commits and contact between this VM and the leader's zone, or between
+    /// this zone and the others, broke a short time ago. The leader may then have been replaced by an order
+    /// that has not yet taken effect, and acknowledge through a replica that its successor does not know.
+    bool may_commit(member_request const& request, std::string const& leader_zone);
+
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
 
@@ -171,6 +176,8 @@
     bool was_absent(std::string const& member) const;
     void send_ping(std::string const& vm);
     void start_contact_guard();
+    /// Watches contact with other zones until `done` is called, if the request commits.
+    reply_callback watch_contact(member_request const& request, std::string const& zone, reply_callback done);
     /// Zones other than this VM's own with VMs that messages can be sent to.
     std::vector<std::string> other_zones() const;
     /// Sends a ping to a VM of another zone.
@@ -220,6 +227,7 @@
     std::size_t m_hand_overs = 0;
     std::function<void(std::string const&, held_connections const&)> m_on_connection_report;
     std::function<void(std::string const&)> m_on_ended;
+    std::map<std::string, monotonic_time> m_silent_until; ///< Last time at which a zone was silent.
 };
 
 } // namespace greengagehitch
--- a/libraries/brokers/contact_guard.cpp
+++ b/libraries/brokers/contact_guard.cpp
@@ -63,6 +63,10 @@
 void contact_guard::renew(std::weak_ptr<bool> const& watch)
 {
     if (watch.expired()) {
+        // An answer that arrives after the next commit was sent tells nothing about the time between them.
+        if (m_waiting.empty() && !m_asked.empty() && m_kernel.now() - m_asked.front() <= max_gap) {
+            m_asked.clear();
+        }
         return;
     }
     ask();
@@ -159,6 +163,19 @@
                  std::move(fields));
 }
 
+bool contact_guard::is_settled(std::string const& leader_zone)
+{
+    if (!is_needed(leader_zone)) {
+        return true;
+    }
+    auto const now = m_kernel.now();
+    auto const is_broken = !m_asked.empty() && now - m_asked.front() > max_gap;
+    if (is_broken && now - *m_last_asked_at >= answer_time) {
+        ask();
+    }
+    return !is_broken && now >= m_unbroken_since;
+}
+
 bool contact_guard::is_undecided(std::string const& zone)
 {
     auto const zones = m_hooks.other_zones();
--- a/libraries/brokers/contact_guard.h
+++ b/libraries/brokers/contact_guard.h
@@ -54,6 +54,12 @@
     /// `leader_zone` and answered now, may be passed on; at once if no proof is needed.
     void confirm(std::string const& leader_zone, monotonic_time sent_at, result_callback done);
 
+    /// Returns false while contact is broken and for `settling_time` afterwards, so that no commit may be
+    /// sent to a leader in `leader_zone`: a promotion that was ordered during the break may not have taken
+    /// effect, and the leader acknowledges through a replica that its successor does not know. Asks while
+    /// contact is broken.
+    bool is_settled(std::string const& leader_zone);
+
     /// Returns whether VMs of the zone may still pass on successes though this VM has no contact with them.
     /// To be called repeatedly; asks the zone, so that the result is false within `lapse_time`.
     bool is_undecided(std::string const& zone);
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -99,6 +99,7 @@
     fleet_state& fleet() { return *m_fleet; }
     rate_shares& rates() { return *m_rates; }
     group_registry& groups() { return *m_groups; }
+    broker_service& brokers() { return *m_brokers; }
     contact_guard& contact() { return m_brokers->contact(); }
 
     void remove(client_session* session) { m_sessions.erase(session); }
--- a/tests/brokers/contact_guard_tests.cpp
+++ b/tests/brokers/contact_guard_tests.cpp
@@ -191,6 +191,41 @@
     cr_assert(fixture.asked["b"] + fixture.asked["c"] == 2);
 }
 
+/// Guards against commits that reach a leader after a cut, before the promotion ordered during it takes
+/// effect.
+Test(contact_guard, no_commit_is_sent_while_contact_is_broken_or_has_not_settled)
+{
+    contact_guard_fixture fixture;
+    auto watch = fixture.guard.watch("a");
+    fixture.clock.run_for(1s);
+    cr_assert(fixture.guard.is_settled("a"));
+    fixture.is_cut = true;
+    fixture.clock.run_for(600ms);
+    cr_assert(!fixture.guard.is_settled("a"));
+    cr_assert(fixture.guard.is_settled("b"));
+    fixture.is_cut = false;
+    fixture.clock.run_for(200ms);
+    cr_assert(!fixture.guard.is_settled("a"));
+    fixture.clock.run_for(contact_guard::settling_time);
+    cr_assert(fixture.guard.is_settled("a"));
+}
+
+/// Guards against a VM that sends no commit for good, since nothing asks the other zones while it sends none.
+Test(contact_guard, contact_that_returns_while_no_commit_runs_is_noticed)
+{
+    contact_guard_fixture fixture;
+    auto watch = fixture.guard.watch("a");
+    fixture.clock.run_for(1s);
+    fixture.is_cut = true;
+    fixture.clock.run_for(600ms);
+    watch.reset();
+    fixture.clock.run_for(2s);
+    fixture.is_cut = false;
+    cr_assert(!fixture.guard.is_settled("a"));
+    fixture.clock.run_for(contact_guard::settling_time + 10ms);
+    cr_assert(fixture.guard.is_settled("a"));
+}
+
 /// Guards against a takeover that orders a successor while callers behind the cut still learn of commits.
 Test(contact_guard, zone_out_of_contact_is_undecided_until_the_time_has_lapsed)
 {
--- a/tests/sessions/zone_partition_tests.cpp
+++ b/tests/sessions/zone_partition_tests.cpp
@@ -23,7 +23,10 @@
 }
 
 struct partition_fixture {
-    partition_fixture() : fleet(make_shape(), 1) { fleet.clock().run_for(4s); }
+    explicit partition_fixture(session_fleet_shape shape = make_shape()) : fleet(std::move(shape), 1)
+    {
+        fleet.clock().run_for(4s);
+    }
 
     std::string leader_zone() { return fleet.group().leader().substr(fleet.group().leader().size() - 1); }
 
@@ -290,3 +293,24 @@
                   to_milliseconds(start_after));
     }
 }
+
+/// Guards against lost acknowledged commits: the cut ends after the promotion was ordered and before it takes
+/// effect, and the old leader acknowledges through a replica that the successor does not know.
+Test(zone_partition, commits_between_the_end_of_a_cut_and_the_promotion_ordered_during_it_are_not_lost)
+{
+    for (auto const cut_for : {800ms, 1000ms, 1200ms, 1400ms, 1600ms}) {
+        auto shape = make_shape();
+        shape.group.promotion_time = 600ms;
+        partition_fixture fixture(shape);
+        fixture.load_for(1s);
+        auto const zone = fixture.leader_zone();
+        fixture.fleet.set_zone_cut(zone, true);
+        fixture.load_for(350ms);
+        fixture.fleet.add_unlisted_replica("m-0-joining-" + zone);
+        fixture.load_for(cut_for - 350ms);
+        fixture.fleet.set_zone_cut(zone, false);
+        fixture.load_for(3s);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits that callers know of are lost, cut for %.0f ms",
+                  fixture.lost_writes(), to_milliseconds(cut_for));
+    }
+}
