brokers: Send commits to leaders of other zones just after an own cut

After a cut of its own zone a VM refused writes to leaders of all zones for a second, as it had found these zones silent. Leaders of other zones are not replaced because of that cut, so that their commits are sent at once.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -68,15 +68,17 @@
     if (!request.commits_write) {
         return true;
     }
-    if (leader_zone != m_membership->identity().availability_zone) {
-        auto const found = m_silent_until.find(leader_zone);
-        auto const was_silent =
-            found != m_silent_until.end() && m_kernel.now() - found->second < contact_guard::settling_time;
-        return !m_zones->is_silent(leader_zone) && !was_silent;
-    }
-    auto const silent_until = m_zones->all_silent_until();
-    return !(silent_until && m_kernel.now() - *silent_until < contact_guard::settling_time) &&
-           m_contact->is_settled(leader_zone);
+    auto const now = m_kernel.now();
+    auto const all_silent_until = m_zones->all_silent_until();
+    auto const was_cut_off = all_silent_until && now - *all_silent_until < contact_guard::settling_time;
+    if (leader_zone == m_membership->identity().availability_zone) {
+        return !was_cut_off && m_contact->is_settled(leader_zone);
+    }
+    // Leaders elsewhere were not replaced if this VM's own zone was cut off.
+    auto const found = m_silent_until.find(leader_zone);
+    auto const was_silent =
+        found != m_silent_until.end() && now - found->second < contact_guard::settling_time;
+    return was_cut_off || (!m_zones->is_silent(leader_zone) && !was_silent);
 }
 
 reply_callback broker_service::watch_contact(member_request const& request, std::string const& zone,
