Merge successes of commits behind a cut

A VM passes on the success of a commit at a leader of its own zone only with contact to another zone, and a takeover of a leader that may run waits until its zone is silent; see docs/design/successes-behind-a-cut.md.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -38,6 +38,7 @@
         m_kernel, *m_membership, [this](std::string const& vm) { send_ping(vm); },
         [this](std::string const& zone) { probe_member_of(zone); },
         [this](std::string const& zone, bool is_silent) { handle_zone_change(zone, is_silent); }});
+    start_contact_guard();
     m_choice.emplace(m_kernel, *m_membership,
                      [this](std::string const& zone) { return m_zones->is_silent(zone); });
     m_reports.emplace(
@@ -53,8 +54,93 @@
     m_kernel.start_periodic(contact_sweep_period, [this] { forget_former_vms(); });
 }
 
+void broker_service::start_contact_guard()
+{
+    m_contact.emplace(m_kernel, contact_guard::hooks{
+                                    [this] { return m_membership->identity().availability_zone; },
+                                    [this] { return other_zones(); },
+                                    [this](std::string const& zone) { ping_zone(zone); },
+                                });
+}
+
+bool broker_service::may_commit(member_request const& request, std::string const& leader_zone)
+{
+    if (!request.commits_write) {
+        return true;
+    }
+    auto const now = m_kernel.now();
+    auto const all_silent_until = m_zones->all_silent_until();
+    auto const was_cut_off = all_silent_until && now - *all_silent_until < contact_guard::settling_time;
+    if (leader_zone == m_membership->identity().availability_zone) {
+        return !was_cut_off && m_contact->is_settled(leader_zone);
+    }
+    // Leaders elsewhere were not replaced if this VM's own zone was cut off.
+    auto const found = m_silent_until.find(leader_zone);
+    auto const was_silent =
+        found != m_silent_until.end() && now - found->second < contact_guard::settling_time;
+    return was_cut_off || (!m_zones->is_silent(leader_zone) && !was_silent);
+}
+
+reply_callback broker_service::watch_contact(member_request const& request, std::string const& zone,
+                                             reply_callback done)
+{
+    auto watch = request.commits_write ? m_contact->watch(zone) : nullptr;
+    if (!watch) {
+        return done;
+    }
+    return [watch = std::move(watch), done = std::move(done)](member_reply reply) { done(std::move(reply)); };
+}
+
+std::vector<std::string> broker_service::other_zones() const
+{
+    std::set<std::string> zones;
+    auto const& own_zone = m_membership->identity().availability_zone;
+    for (auto const& [name, peer] : m_membership->peers()) {
+        // VMs that shut down count as well, or a zone would seem to be gone while its last VM is replaced.
+        auto const is_known = peer.is_listed || m_membership->is_reachable(peer);
+        if (is_known && peer.address.port != 0 && !peer.availability_zone.empty() &&
+            peer.availability_zone != own_zone) {
+            zones.insert(peer.availability_zone);
+        }
+    }
+    return {zones.begin(), zones.end()};
+}
+
+void broker_service::ping_zone(std::string const& zone)
+{
+    std::vector<std::string> serving;
+    std::vector<std::string> leaving;
+    for (auto const& [name, peer] : m_membership->peers()) {
+        if (peer.availability_zone == zone && peer.address.port != 0) {
+            (m_membership->accepts_work(peer) ? serving : leaving).push_back(name);
+        }
+    }
+    auto const& candidates = serving.empty() ? leaving : serving;
+    if (candidates.empty()) {
+        return;
+    }
+    auto const& vm = candidates[m_kernel.random_below(candidates.size())];
+    if (!serving.empty()) {
+        m_zones->record_sent(vm);
+    }
+    send_ping(vm);
+}
+
+std::string broker_service::zone_of_vm(std::string const& vm) const
+{
+    auto const found = m_membership->peers().find(vm);
+    return found == m_membership->peers().end() ? std::string() : found->second.availability_zone;
+}
+
+void broker_service::record_round_trip(std::string const& vm, monotonic_time sent_at)
+{
+    m_contact->record_round_trip(zone_of_vm(vm), sent_at);
+}
+
 void broker_service::forget_former_vms()
 {
+    auto const now = m_kernel.now();
+    std::erase_if(m_pings, [now](auto const& each) { return now - each.second >= contact_sweep_period; });
     auto const& peers = m_membership->peers();
     std::erase_if(m_health, [&peers](auto const& each) { return !peers.contains(each.first); });
 }
@@ -68,6 +154,7 @@
     state["leases"] = Json::UInt64(m_peer_connections.size());
     state["contacts"] = Json::UInt64(m_health.size());
     state["zones"] = m_zones->dump();
+    state["contact"] = m_contact->dump();
     for (auto const& [member, broker] : m_choice->brokers()) {
         state["brokers"][member] = broker;
     }
@@ -134,6 +221,13 @@
         run_later(member, std::move(request), std::move(done));
         return;
     }
+    if (!may_commit(request, member.availability_zone)) {
+        m_kernel.start_timer(duration::zero(), [commands = request.commands.size(), done = std::move(done)] {
+            done(make_failed_reply(commands, member_error::unproven_leader,
+                                   "contact with the leader's zone was lost a short time ago"));
+        });
+        return;
+    }
     request.was_member_absent = was_absent(member.id);
     if (vm != m_membership->identity().name) {
         relay(vm, member.group, member.id, 0, std::move(request), std::move(done));
@@ -147,6 +241,7 @@
         });
         return;
     }
+    done = watch_contact(request, member.availability_zone, std::move(done));
     // A member that this VM cannot reach may still be reachable for the next VM in rank.
     found->second.dispatcher->run(std::move(request),
                                   [this, id = member.id, vm, done = std::move(done)](member_reply reply) {
@@ -264,6 +359,12 @@
     if (auto* const reply = std::get_if<relay_reply>(&*decoded)) {
         handle_relay_reply(vm, std::move(*reply));
     }
+    else if (auto const* const ping = std::get_if<relay_ping>(&*decoded)) {
+        auto const sent = m_pings.extract(ping->number);
+        if (!sent.empty()) {
+            record_round_trip(vm, sent.mapped());
+        }
+    }
     else if (auto const* const document = std::get_if<document_reply>(&*decoded);
              document != nullptr && m_on_document_reply) {
         m_on_document_reply(*document);
@@ -286,6 +387,7 @@
     auto const answered = std::move(found->second);
     m_pending.erase(found);
     m_kernel.cancel_timer(answered.timer);
+    record_round_trip(vm, answered.sent_at);
     if (reply.answers.size() != answered.commands) {
         answered.done(make_failed_reply(answered.commands, member_error::connection_lost));
         return;
@@ -346,8 +448,8 @@
                      "request from a peer was ignored, since it could not be decoded", {});
         return;
     }
-    if (std::holds_alternative<relay_ping>(*decoded)) {
-        m_channels.reply(from, encode_relay_message(relay_ping{true}));
+    if (auto const* const ping = std::get_if<relay_ping>(&*decoded)) {
+        m_channels.reply(from, encode_relay_message(relay_ping{true, ping->number}));
     }
     else if (auto const* const release = std::get_if<relay_release>(&*decoded)) {
         auto const found = m_peer_connections.find(release->connection_id);
@@ -400,23 +502,31 @@
         }
         m_channels.reply(from, encode_relay_message(answer));
     };
+    auto const zone = zone_of_member(message.member);
+    if (!may_commit(message.request, zone)) {
+        reply(make_failed_reply(
+            commands, message.connection_id != 0 ? member_error::not_started : member_error::unproven_leader,
+            "contact with other zones was lost a short time ago"));
+        return;
+    }
+    reply_callback watched = watch_contact(message.request, zone, std::move(reply));
     if (message.connection_id != 0) {
         auto const found = m_peer_connections.find(message.connection_id);
         if (found == m_peer_connections.end() || found->second.first != from) {
-            reply(
+            watched(
                 make_failed_reply(commands, member_error::connection_lost, "transaction is no longer open"));
             return;
         }
-        found->second.second->send(std::move(message.request), std::move(reply));
+        found->second.second->send(std::move(message.request), std::move(watched));
         return;
     }
     auto const found = m_dispatchers.find(message.member);
     if (found == m_dispatchers.end()) {
-        reply(make_failed_reply(commands, member_error::refused, "member is unknown to the broker"));
+        watched(make_failed_reply(commands, member_error::refused, "member is unknown to the broker"));
         return;
     }
     m_used_at[message.member] = m_kernel.now();
-    found->second.dispatcher->run(std::move(message.request), std::move(reply));
+    found->second.dispatcher->run(std::move(message.request), std::move(watched));
 }
 
 bool broker_service::is_used_as_broker_of(std::string const& member) const
@@ -469,8 +579,9 @@
 
 void broker_service::send_ping(std::string const& vm)
 {
-    m_health[vm].pinged_at = m_kernel.now();
-    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{}));
+    auto const number = m_next_ping++;
+    m_pings[number] = m_health[vm].pinged_at = m_kernel.now();
+    m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{false, number}));
 }
 
 void broker_service::probe_member_of(std::string const& zone)
@@ -504,6 +615,7 @@
 void broker_service::handle_zone_change(std::string const& zone, bool is_silent)
 {
     m_choice->reset();
+    m_silent_until[zone] = m_kernel.now();
     if (!is_silent) {
         return;
     }
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -28,6 +28,7 @@
     m_reports = &m_kernel.find<report_service>(report_service::service_name);
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_rosters = &m_kernel.find<roster_service>(roster_service::service_name);
+    m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_reports->set_holds_failover_lock(
         [this](std::string const& group) { return m_held_locks.contains(group); });
     m_kernel.start_periodic(tick_period, [this] { tick(); });
@@ -166,6 +167,9 @@
             return m_reports->heard_zone_since(zone, time);
         },
         [this, name](roster_callback done) { m_rosters->read(name, std::move(done)); },
+        [this](std::string const& zone) {
+            return !m_brokers->is_silent(zone) && m_brokers->contact().is_undecided(zone);
+        },
         m_last_orders[name],
         [this, name](bool is_held) {
             if (!is_held) {
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "brokers/broker_service.h"
 #include "failover/failover_lock.h"
 #include "failover/group_takeover.h"
 #include "failover/roster_service.h"
@@ -55,6 +56,7 @@
     report_service* m_reports = nullptr;
     fleet_state* m_fleet = nullptr;
     roster_service* m_rosters = nullptr;
+    broker_service* m_brokers = nullptr;
     std::map<std::string, std::shared_ptr<group_takeover>> m_takeovers; ///< Keyed by group.
     std::set<std::string> m_held_locks;                       ///< Groups whose failover lock this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Keyed by group without a known leader.
