members: Log and count what statements wait for

While a group could not serve, two fifths of its callers' requests got no answer for seconds, and neither logs nor metrics told whether they waited for a leader, for a confirmed position, for a member or for the next attempt. Each group now keeps its waiting statements by reason, with the time of arrival of the oldest one. They appear in the state dump, in greengagehitch_waiting_requests{reason}, and in one line a second for each group in which a statement has waited for 300 ms, with the leader as this VM knows it.

--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -32,6 +32,10 @@
 constexpr duration latency_lifetime = std::chrono::seconds(1);
 constexpr duration usual_latency = std::chrono::milliseconds(30);
 constexpr int smoothing_divisor = 6;
+/// Time that a statement waits before the group logs what its statements wait for, and the shortest interval
+/// between two such lines.
+constexpr duration long_wait = std::chrono::milliseconds(300);
+constexpr duration waiting_log_interval = std::chrono::seconds(1);
 /// Share of the recent statements that failed at a member above which the member gets few reads.
 constexpr double grey_failure_share = 0.3;
 constexpr double failure_smoothing = 1.0 / 8;
@@ -318,6 +322,30 @@
     }
 }
 
+void database_group::log_waiting()
+{
+    auto const now = m_kernel.now();
+    auto const summary = m_requests.sum_up(now);
+    if (summary.longest < long_wait || now < m_next_waiting_log_at) {
+        return;
+    }
+    m_next_waiting_log_at = now + waiting_log_interval;
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_name;
+    for (auto const& each : wait_reason_names) {
+        fields["waiting"][std::string(each.name)] =
+            Json::UInt64(summary.counts[static_cast<std::size_t>(each.value)]);
+    }
+    fields["longest_ms"] = to_milliseconds(summary.longest);
+    auto const* const known = leader();
+    fields["leader"] = known == nullptr ? "" : known->entry.id;
+    fields["is_leader_absent"] = m_absence.is_absent();
+    if (m_absence.is_absent()) {
+        fields["expected_ms"] = to_milliseconds(expected_leader_wait());
+    }
+    m_kernel.log(log_level::info, "groups", "statements wait at the group", std::move(fields));
+}
+
 void database_group::search_leader()
 {
     if (m_is_searching || m_search_account.empty()) {
@@ -710,6 +738,12 @@
         entry["is_partitioned"] = is_unreachable(member);
         state["members"][id] = std::move(entry);
     }
+    auto const summary = m_requests.sum_up(m_kernel.now());
+    for (auto const& each : wait_reason_names) {
+        state["waiting"][std::string(each.name)] =
+            Json::UInt64(summary.counts[static_cast<std::size_t>(each.value)]);
+    }
+    state["longest_wait_ms"] = to_milliseconds(summary.longest);
     if (auto const age = confirmation_age()) {
         state["evidence_age_ms"] = to_milliseconds(*age);
     }
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -14,6 +14,7 @@
 #include "members/leader_absence.h"
 #include "members/leader_position_history.h"
 #include "members/member_choice.h"
+#include "members/waiting_requests.h"
 
 namespace greengagehitch {
 
@@ -108,6 +109,12 @@
     void wait_for_leader(monotonic_time deadline, std::function<void(bool)> callback);
     std::size_t waiting_for_leader() const { return m_waiting.size(); }
 
+    /// Statements of callers that wait at this group.
+    waiting_requests& waiting() { return m_requests; }
+    waiting_requests const& waiting() const { return m_requests; }
+    /// Logs the statements that wait, if one of them has waited long, at most once a second.
+    void log_waiting();
+
     /// Requests the leader's current log position. If no leader is known, probes all members to find one.
     void refresh_leader_position(std::string const& client_account);
 
@@ -223,6 +230,8 @@
     log_position m_highest_acknowledged;
     std::string m_last_leader;
     std::map<std::string, former_member> m_former_members;
+    waiting_requests m_requests;
+    monotonic_time m_next_waiting_log_at;
     std::map<std::uint64_t, leader_wait> m_waiting;
     std::uint64_t m_next_wait = 1;
     bool m_is_searching = false;
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -60,6 +60,9 @@
             m_next_complete_report_at = m_kernel.now() + complete_report_interval;
         }
         report_connections(is_complete);
+        for (auto const& [name, group] : m_groups) {
+            group->log_waiting();
+        }
     });
     m_brokers->set_connection_hooks(
         [this](std::string const& vm, held_connections const& held) {
--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -60,6 +60,15 @@
         leaders_to_move += leader != nullptr && group->is_evacuated(*leader) ? 1 : 0;
     }
     text += fmt::format("greengagehitch_leaders_in_evacuated_zones {}\n", leaders_to_move);
+    for (auto const& reason : wait_reason_names) {
+        std::size_t waiting = 0;
+        for (auto const& [name, group] : vm.sessions().groups().groups()) {
+            waiting += group->waiting()
+                           .sum_up(vm.sessions().service_kernel().now())
+                           .counts[static_cast<std::size_t>(reason.value)];
+        }
+        text += fmt::format("greengagehitch_waiting_requests{{reason=\"{}\"}} {}\n", reason.name, waiting);
+    }
     for (auto const& [name, group] : vm.sessions().groups().groups()) {
         text += fmt::format("greengagehitch_leader_term{{group=\"{}\"}} {}\n", name, group->confirmed_term());
         if (auto const age = group->confirmation_age()) {
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -512,9 +512,11 @@
     }
     group.record_sent(member);
     auto watch = request.commits_write ? m_engine.contact().watch(zone_of_member(group, member)) : nullptr;
+    auto const waiting = group.waiting().add(wait_reason::member_answer, sent_at);
     m_connection->pinned->send(std::move(request), [self = shared_from_this(), &group, member, statement,
-                                                    retries, sent_at,
+                                                    retries, sent_at, waiting,
                                                     watch = std::move(watch)](member_reply reply) {
+        group.waiting().remove(waiting);
         group.record_returned(member);
         auto& answer = reply.answers.back();
         if (answer.is_ok()) {
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -137,7 +137,8 @@
                                          execution_request execution, execution_mode mode,
                                          std::function<void(execution_result)> done)
     : m_kernel(kernel), m_group(group), m_contact(contact), m_request(std::move(execution)), m_mode(mode),
-      m_done(std::move(done)), m_deadline(m_request.arrived_at + m_request.work.statement_timeout)
+      m_done(std::move(done)), m_deadline(m_request.arrived_at + m_request.work.statement_timeout),
+      m_waiting_number(m_group.waiting().add(wait_reason::next_attempt, m_kernel.now()))
 {
 }
 
@@ -175,6 +176,7 @@
 
 void statement_execution::start_next_attempt_after(duration delay)
 {
+    m_group.waiting().set_reason(m_waiting_number, wait_reason::next_attempt);
     m_kernel.start_timer(delay, [self = shared_from_this()] { self->start_next_attempt(); });
 }
 
@@ -225,6 +227,7 @@
                spread(m_group.expected_leader_wait()));
         return;
     }
+    m_group.waiting().set_reason(m_waiting_number, wait_reason::leader);
     m_group.wait_for_leader(m_deadline, [self = shared_from_this()](bool is_known) {
         if (is_known) {
             self->start_next_attempt();
@@ -248,6 +251,7 @@
     }
     --m_attempts;
     start_next_attempt_after(position_poll_interval);
+    m_group.waiting().set_reason(m_waiting_number, wait_reason::confirmed_position);
 }
 
 std::optional<log_position> statement_execution::required_position() const
@@ -334,6 +338,7 @@
         return;
     }
     ++m_in_flight;
+    m_group.waiting().set_reason(m_waiting_number, wait_reason::member_answer);
     m_group.record_sent(member);
     m_group.run(member, *std::move(request), [self = shared_from_this(), sent](member_reply reply) {
         self->handle_reply(sent, std::move(reply));
@@ -583,6 +588,7 @@
 void statement_execution::finish(execution_result result)
 {
     if (auto const done = std::exchange(m_done, nullptr)) {
+        m_group.waiting().remove(m_waiting_number);
         done(std::move(result));
     }
 }
--- a/libraries/sessions/statement_execution.h
+++ b/libraries/sessions/statement_execution.h
@@ -126,6 +126,7 @@
     execution_mode m_mode;
     std::function<void(execution_result)> m_done;
     monotonic_time m_deadline;
+    std::uint64_t m_waiting_number;   ///< Number of the statement among those that wait at the group.
     std::set<std::string> m_excluded; ///< Ids of members at which no read is tried again.
     std::size_t m_attempts = 0;
     std::size_t m_in_flight = 0;   ///< Attempts that were sent and are not yet answered.
