failover: Settle orders whose successor leads, and drop entries that an heir replaces

Found in review, by reading: an order that was carried out without an answer stayed outstanding after its takeover had ended, so that the VM replaced the healthy new leader again; one that was refused after an unanswered attempt stayed so for the life of the process; each crash and return left an entry in the roster, and a time-out of a probe was lost.

An order is settled once its successor was seen leading, and counts for 15 s at most. The roster drops an entry whose address a listed member of the group has, and keeps an ended one for 10 minutes. Probes end before the next one.

The stand-in refuses connections to an address without a member.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -271,8 +271,12 @@
     if (status.role == member_role::primary && status.term >= m_term) {
         group().apply_reported_leader(member, status.term);
         auto const is_successor = m_phase >= phase::ordering && member == m_successor;
-        end(is_successor ? "done" : "another member already leads the new term or a later one",
-            !is_successor);
+        if (is_successor) {
+            finish();
+        }
+        else {
+            end("another member already leads the new term or a later one", true);
+        }
         return;
     }
     m_has_term_begun = m_has_term_begun || (status.term >= m_term && m_phase >= phase::ordering);
@@ -678,7 +682,8 @@
 
 bool group_takeover::has_outstanding_order() const
 {
-    return m_dependencies.deposes_replaced_leaders && m_dependencies.last_order.has_value();
+    auto const& last = m_dependencies.last_order;
+    return m_dependencies.deposes_replaced_leaders && last && last->may_be_carried_out(m_kernel.now());
 }
 
 void group_takeover::send_order()
@@ -754,7 +759,7 @@
 {
     auto const* const known = group().find_member(m_successor);
     if (known != nullptr && known->confirmed_term >= m_term) {
-        end("done", false);
+        finish();
         return;
     }
     if (tries >= max_leadership_polls) {
@@ -765,6 +770,14 @@
     start_timer(leadership_poll_period, [tries](group_takeover& self) { self.await_leadership(tries + 1); });
 }
 
+void group_takeover::finish()
+{
+    if (m_dependencies.deposes_replaced_leaders) {
+        m_dependencies.last_order.reset();
+    }
+    end("done", false);
+}
+
 void group_takeover::end(std::string_view outcome, bool must_resume)
 {
     if (std::exchange(m_has_ended, true)) {
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -49,10 +49,15 @@
     return cause == takeover_cause::draining || cause == takeover_cause::evacuated;
 }
 
+/// Time after which the platform has carried out or dropped an order that it did not answer.
+inline constexpr duration unanswered_order_lifetime = std::chrono::seconds(15);
+
 /// Promotion order that was not answered, so that the platform may still carry it out.
 struct unanswered_order {
     std::string member;
-    monotonic_time sent_at;
+    monotonic_time sent_at; ///< Time of the last attempt.
+
+    bool may_be_carried_out(monotonic_time now) const { return now - sent_at < unanswered_order_lifetime; }
 };
 
 /// Replacement of the leader of one group, from the search for a successor until it leads.
@@ -189,6 +194,9 @@
     void handle_missing_evidence();
     void handle_order_answer(absl::Status const& status);
     void await_leadership(int tries);
+    /// Ends the takeover once the successor was seen leading. No earlier order can be carried out then: the
+    /// platform has seen this fence, and orders under it name the present leader.
+    void finish();
     void end(std::string_view outcome, bool must_resume);
 
     /// Starts a timer that is ignored once the takeover has ended.
--- a/libraries/failover/roster_service.cpp
+++ b/libraries/failover/roster_service.cpp
@@ -19,9 +19,10 @@
 constexpr duration probe_period = std::chrono::milliseconds(500);
 /// Interval at which a member is probed that runs although the directory does not list it.
 constexpr duration running_probe_period = std::chrono::seconds(2);
-constexpr duration probe_timeout = std::chrono::milliseconds(500);
+/// Shorter than the period, so that each attempt has a result.
+constexpr duration probe_timeout = std::chrono::milliseconds(400);
 /// Time after which a member whose address refuses connections is taken for ended for good.
-constexpr duration ended_member_memory = std::chrono::seconds(30);
+constexpr duration ended_member_memory = std::chrono::minutes(10);
 /// Placeholder account for connections that belong to no client account.
 constexpr auto control_account = "-";
 
@@ -224,6 +225,12 @@
             roster.add_listed(member.entry);
         }
     }
+    for (auto const& [id, entry] : state.stored->roster.entries()) {
+        // The member that now runs at the address has the log, and an entry of its own.
+        if (!is_listed(group, id) && is_address_listed(group, entry.address)) {
+            roster.remove(id);
+        }
+    }
     auto const now = m_kernel.now();
     auto const newest = group.leader_positions().newest();
     for (auto const& [id, probed] : state.probes) {
@@ -258,7 +265,9 @@
     auto const now = m_kernel.now();
     auto const& entries = state.stored->roster.entries();
     std::erase_if(state.probes, [&](auto const& each) {
-        return !entries.contains(each.first) || is_listed(group, each.first);
+        auto const entry = entries.find(each.first);
+        return entry == entries.end() || is_listed(group, each.first) ||
+               is_address_listed(group, entry->second.address);
     });
     for (auto const& [id, entry] : entries) {
         // A listed member at the address has the log, and an entry of its own.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -113,7 +113,8 @@
 bool takeover_service::has_outstanding_order(std::string const& group) const
 {
     auto const last = m_last_orders.find(group);
-    return m_deposes_replaced_leaders && last != m_last_orders.end() && last->second.has_value();
+    return m_deposes_replaced_leaders && last != m_last_orders.end() && last->second &&
+           last->second->may_be_carried_out(m_kernel.now());
 }
 
 bool takeover_service::should_start_takeover(database_group const& group) const
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -312,8 +312,10 @@
             if (target.member.empty()) {
                 target.member = member_at(target.address);
             }
-            if (!can_reach_member(*self, target.member)) {
-                if (m_are_connections_refused) {
+            // Nothing runs at an address without a member.
+            auto const has_member = !target.member.empty();
+            if (!has_member || !can_reach_member(*self, target.member)) {
+                if (!has_member || m_are_connections_refused) {
                     run_after_latency(self->index, [opened = events.opened](session_vm&) {
                         member_answer answer;
                         answer.error = member_error::refused;
