--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -140,7 +140,7 @@
 /// Target of a connection, and the client account that uses it.
 struct backend_connection_target {
     endpoint address;
-    std::string group;  ///< Database group that the member belongs to.
+    std::string group; ///< Database group that the member belongs to.
     /// Id of the expected member; another member at this address refuses the connection. Empty for any member
     /// of the group.
     std::string member;
