tests: Crash the replica while its takeover waits for an unanswered order

The test of guards nothing on today's code. It is to show that an order without answer replaces no leader that has returned, and for that the takeover must not repeat the order before the leader is back.

Now the callers do not wait for their answers, the other replica crashes as soon as the order was sent, and the test asserts that the old leader is still the last one as it returns.

--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -423,13 +423,20 @@
         auto const old = group.leader();
         fixture.fleet.delay_next_order(6s);
         group.crash(old);
-        fixture.write_for(1s);
+        // Callers that wait for the leader show all VMs that it is gone.
+        std::vector<session_caller> writers;
+        for (std::size_t i = 0; i < 100 && fixture.fleet.delayed_order().empty(); ++i) {
+            writers.push_back(fixture.caller(i % fixture.fleet.vms()));
+            writers.back().send(session_caller::write("x"));
+            fixture.fleet.clock().run_for(20ms);
+        }
         auto const ordered = fixture.fleet.delayed_order();
         cr_assert(!ordered.empty());
         std::string const other = ordered == "m-0-b" ? "m-0-c" : "m-0-b";
         // The takeover loses its evidence, so it does not repeat the order before the leader is back.
         group.crash(other);
         fixture.fleet.clock().run_for(1s);
+        cr_assert(group.leader() == old, "the order has been repeated and accepted");
         group.restart(old);
         // Reads show all VMs that the leader is back.
         std::vector<session_caller> readers;
