tests: Add a soak of real processes with random faults

tests/processes/fault_soak.py BUILD SEED runs three processes of greengagehitch-platformd, with the review's stand-ins for the store, the orders and the members, and 12 callers that use their sessions until the process is gone, some of which send several statements at once. SIGTERM, SIGKILL (also of the process that wrote last under a condition), SIGSTOP, SIGHUP, changes of the configuration, crashes of members, replicas that receive nothing and slow members come at random, in series and overlapping.

test_planned_stop.py holds process tests of what the soak finds. Its first test opens sessions at a process that is about to end.

--- /dev/null
+++ b/tests/processes/fault_soak.py
@@ -0,0 +1,512 @@
+"""Random faults against real processes of greengagehitch-platformd, with stand-ins for everything around them.
+
+Usage: fault_soak.py BUILD SEED [SECONDS OF FAULTS]. Exit code: 0 all checks held, 1 one was broken. KEEP=1 keeps the logs.
+
+Planned work (SIGTERM, SIGHUP, changes of the configuration) and faults (SIGKILL, SIGSTOP, crashes of members, replicas
+that receive nothing) come in series and overlap. Callers use their sessions until the process is gone.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import random
+import re
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
+
+import fleet as fleet_stand_in  # noqa: E402
+from wire_stand_ins import Group, HttpServer, Member, Record, Store  # noqa: E402
+
+ZONES = ("north", "south", "east")
+DATABASES = {"stock": "bounded_staleness", "ponds": "read_your_writes", "ledger": "primary"}
+KEY = "key-1"
+GRACE_PERIOD = fleet_stand_in.BOUNDS["grace-period-s"]
+# A request whose connection ends this soon after it was sent was on its way to a VM that had closed the connection.
+LOSS_SLACK = fleet_stand_in.BOUNDS["loss-slack-ms"] / 1000
+CALLERS = 12
+ANSWER_TIMEOUT = 10  # Far above the time limits of statements, so that a missing answer shows.
+NO_ANSWER = ("CLOSED", "NONE")
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
+MEMBER_WORK = 0.02  # Seconds that a statement takes at a member.
+SETTLE_TIME = fleet_stand_in.BOUNDS["recovery-s"]  # Seconds without faults at the end.
+LAST_CHECK_TIME = 3  # Each VM has to serve a statement within this time after the end.
+
+
+class SoakMember(Member):
+    """Member that can crash, return with its log, and receive nothing for a while."""
+
+    is_deaf = False
+
+    def receive(self, commit):
+        return not self.is_deaf and super().receive(commit)
+
+    def catch_up(self):
+        """Takes over the primary's log, as a replica that receives again does."""
+        primary = self.group.primary()
+        if self.is_running and not self.is_deaf and primary not in (None, self):
+            self.role, self.term = "replica", primary.term
+            self.log = list(primary.log)
+        self.rebuild()
+
+    def rebuild(self):
+        self.data = {item: data for commit in self.log for item, data in commit[2]}
+        self.applied = len(self.log)
+
+    def crash(self):
+        self.is_running = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        self.is_running = True
+        self.stopped_at = 0
+        self.born = int(time.time() * 1000)
+        self.catch_up()
+
+
+class SoakGroup(Group):
+    def finish_promotion(self, chosen, holder):
+        if not chosen.is_running or chosen.role == "primary":
+            return
+        super().finish_promotion(chosen, holder)
+        for member in self.members:
+            member.catch_up() if member is not chosen else member.rebuild()
+
+
+class SoakStore(Store):
+    """Remembers which VM wrote last under a condition."""
+
+    last_writer = None
+
+    def transact(self, call):
+        if call.get("expected"):
+            for write in call.get("writes", []):
+                text = base64.b64decode(write["value"]).decode("latin-1")
+                named = re.search(r"edge-[a-z]+-\d+", text)
+                self.last_writer = named.group(0) if named else self.last_writer
+        return super().transact(call)
+
+
+class SoakVm(fleet_stand_in.Vm):
+    """VM whose process the platform starts again whenever it ends."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.disturbed = []  # Intervals of kills and stops.
+        self.termed_at = None
+
+    def disturb(self):
+        """Returns the interval, whose end the caller sets. A kill lasts until the process has ended."""
+        self.disturbed.append([time.monotonic(), float("inf")])
+        return self.disturbed[-1]
+
+    def was_disturbed(self, start, end):
+        return any(first <= end and last >= start for first, last in self.disturbed)
+
+    async def supervise(self, broken):
+        while True:
+            self.start()
+            self.termed_at = None
+            while self.process.poll() is None:
+                await asyncio.sleep(0.02)
+                if self.termed_at is not None and time.monotonic() > self.termed_at + GRACE_PERIOD:
+                    if not self.was_disturbed(self.termed_at, time.monotonic()):
+                        broken.append("%s was still running at the end of the grace period" % self.name)
+                    self.kill_now()
+            self.fleet.record.add("%s ends with %d" % (self.name, self.process.returncode))
+            # Before its start, a process has no callers, so a signal to stop may end it at once.
+            if self.process.returncode not in (0, -signal.SIGKILL, -signal.SIGTERM):
+                broken.append("%s ended with %d" % (self.name, self.process.returncode))
+            for interval in self.disturbed:
+                interval[1] = min(interval[1], time.monotonic())
+            await asyncio.sleep(0.3)
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def kill_now(self):
+        self.disturb()
+        self.signal(signal.SIGKILL)
+
+
+class SoakFleet(fleet_stand_in.Fleet):
+    def __init__(self, folder, build, seed):  # pylint: disable=super-init-not-called
+        self.folder = folder
+        self.record = Record(os.path.join(folder, "record.txt"))
+        self.role = {"run": os.path.join(build, "platform", "greengagehitch-platformd"),
+                     "template": os.path.join("platform", "settings.yaml.template")}
+        self.store = SoakStore(self.record)
+        self.orders = HttpServer(self.handle_order)
+        self.groups, self.zones, self.tasks = {}, ZONES, []
+        ports = fleet_stand_in.free_ports(4)
+        # Each seed has its own addresses, so that several can run at a time.
+        self.vms = [SoakVm(self, "edge-%s-1" % zone, zone, "127.%d.%d.1" % (1 + seed % 250, 10 + index), ports)
+                    for index, zone in enumerate(ZONES)]
+        self.configuration = {"version": 7, "routes": [], "services": [], "tenants": [],
+                              "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144,
+                                         "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tx-idle-ms": 3000}}
+
+    async def start(self, broken):
+        await self.start_platform()
+        group = SoakGroup("bookings", self.record)
+        self.groups["bookings"] = group
+        for index, zone in enumerate(ZONES):
+            await SoakMember(group, "i-%d" % (index + 1), zone, role="replica" if index else "primary",
+                             work=MEMBER_WORK).start("127.0.0.1")
+        self.configuration["services"].append({"name": "bookings", "health-check-path": "/health",
+                                               "max-connections": 34, "sync-replicas": 1})
+        for database, kind in DATABASES.items():
+            self.add_route(database, "bookings", kind=kind, timeout=1500, target=400)
+        self.add_tenant("village", KEY, rate=5000)
+        self.publish_configuration()
+        self.tasks = [asyncio.ensure_future(self.beat(member)) for member in group.members]
+        self.tasks += [asyncio.ensure_future(vm.supervise(broken)) for vm in self.vms]
+        await asyncio.sleep(0.1)
+        await self.wait_ready()
+
+    def end(self):
+        for task in self.tasks:
+            task.cancel()
+        for vm in self.vms:
+            if vm.is_running():
+                vm.process.kill()
+                vm.process.wait()
+
+    async def beat(self, member):
+        """Reports the member at its rate and at each change of its role, and lets its entry expire with it."""
+        while True:
+            if not member.is_running:
+                await asyncio.sleep(0.1)
+                continue
+            role, end = member.role, time.monotonic() + fleet_stand_in.HEARTBEAT
+            self.store.put_json("servers", member.identity, member.entry())
+            while member.is_running and member.role == role and time.monotonic() < end:
+                await asyncio.sleep(0.05)
+
+
+class SoakCaller:
+    """Opens sessions and uses them until they end. All requests and writes are noted with their results."""
+
+    def __init__(self, name, fleet, rng, requests, writes, broken):
+        self.name, self.fleet, self.rng = name, fleet, rng
+        self.requests, self.writes, self.broken = requests, writes, broken
+        self.number = 0
+        self.end = float("inf")
+
+    async def run(self):
+        while time.monotonic() < self.end:
+            await self.try_session(self.rng.choice(self.fleet.vms))
+            await asyncio.sleep(self.rng.uniform(0.01, 0.1))
+
+    async def serves(self, vm):
+        self.end = time.monotonic() + LAST_CHECK_TIME
+        while time.monotonic() < self.end:
+            await self.try_session(vm, 1)
+            if self.requests[-1]["vm"] is vm and self.requests[-1]["result"] == "DONE":
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def try_session(self, vm, operations=None):
+        try:
+            await self.use_session(vm, operations or self.rng.choice((1, 5, 1000)))
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError, OSError):
+            pass
+
+    async def use_session(self, vm, operations):
+        self.vm, self.own = vm, []
+        self.item = "x%s.%d" % (self.name, self.number)
+        database = self.rng.choice(list(DATABASES))
+        self.reader, self.writer = await asyncio.open_connection(vm.host, vm.callers_port)
+        try:
+            self.writer.write(("START %s %s\r\n" % (database, KEY)).encode())
+            opened = await asyncio.wait_for(self.reader.readline(), 2)
+            if not opened.startswith(b"READY"):
+                return
+            rests, looks = self.rng.random() < 0.3, self.rng.random() < 0.7
+            for _ in range(operations):
+                if time.monotonic() >= self.end or not await self.run_operation(database):
+                    return
+                await asyncio.sleep(self.rng.uniform(0, 0.5) if rests else 0)
+                if looks and await self.receives_message():
+                    return  # As the protocol asks, of which some callers take no notice.
+            self.writer.write(b"BYE\r\n")
+        finally:
+            self.writer.close()
+
+    async def receives_message(self):
+        """Returns whether a message or the end of the connection arrives, though no answer is outstanding."""
+        try:
+            await asyncio.wait_for(self.reader.readline(), 0.001)
+            return True
+        except asyncio.TimeoutError:
+            return False
+
+    async def run_operation(self, database):
+        """Returns whether the session can be used further."""
+        kind = self.rng.choice(("read", "write", "pipeline", "transaction"))
+        if kind == "transaction":
+            return await self.run_transaction()
+        count = self.rng.randint(2, 6) if kind == "pipeline" else 1
+        texts = [self.write_text() if kind == "write" or self.rng.random() < 0.5 else "READ " + self.item
+                 for _ in range(count)]
+        requests = await self.request(texts)
+        for each in requests:
+            if each["text"].startswith("WRITE"):
+                self.note_writes([each["text"]], each["result"])
+            elif each["result"] == "DONE" and database != "stock":
+                self.check_own_write(each)
+        return requests[-1]["result"] not in NO_ANSWER
+
+    async def run_transaction(self):
+        last, texts = (await self.request(["BEGIN"]))[0], []
+        while last["result"] == "DONE" and len(texts) < 3:
+            await asyncio.sleep(self.rng.uniform(0, 0.1))
+            texts.append(self.write_text())
+            last = (await self.request(texts[-1:]))[0]
+        # No caller asks for the commit after an error, so nothing may be kept.
+        result = "ABORTED"
+        if texts and last["result"] not in NO_ANSWER:
+            last = (await self.request(["COMMIT" if last["result"] == "DONE" else "ROLLBACK"]))[0]
+            result = last["result"] if last["text"] == "COMMIT" else result
+        self.note_writes(texts, result)
+        return last["result"] not in NO_ANSWER
+
+    def write_text(self):
+        self.number += 1
+        return "WRITE %s %s-%d" % (self.item, self.name, self.number)
+
+    def note_writes(self, texts, result):
+        for text in texts:
+            value = text.split(" ")[2]
+            self.writes[value] = result
+            self.own.append((value, result))
+
+    def check_own_write(self, request):
+        """A session reads its last acknowledged write, or one whose outcome is unknown."""
+        acknowledged = [value for value, result in self.own if result == "DONE"]
+        known = set(acknowledged[-1:] or ["none"])
+        known |= {value for value, result in self.own if result != "DONE" and result not in PROMISES}
+        if request["rows"][0] not in known:
+            self.broken.append("STALE: %s read %s instead of %s" % (request["id"], request["rows"][0], sorted(known)))
+
+    async def request(self, texts):
+        """Sends statements at once and notes the result of each."""
+        sent, noted = time.monotonic(), []
+        for text in texts:
+            self.number += 1
+            noted.append({"id": "%s-%d" % (self.name, self.number), "text": text, "vm": self.vm, "sent": sent,
+                          "result": "CLOSED", "rows": []})
+        self.requests += noted
+        try:
+            self.writer.write("".join("QUERY %s %s\r\n" % (each["id"], each["text"]) for each in noted).encode())
+            for each in noted:
+                await asyncio.wait_for(self.read_answer(each), ANSWER_TIMEOUT)
+        except asyncio.TimeoutError:
+            each["result"] = "NONE"
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        for each in noted:
+            each["end"] = time.monotonic()
+            if each["result"] != "DONE":
+                self.fleet.record.add("%s at %s: %s ends with %s after %.3f s" % (
+                    each["id"], self.vm.name, each["text"], each["result"], each["end"] - sent))
+        return noted
+
+    async def read_answer(self, request):
+        result = None
+        while True:
+            word, _, rest = (await self.reader.readuntil(b"\n")).decode().strip("\r\n").partition(" ")
+            if word == "ROW":
+                request["rows"].append(rest)
+            elif word in ("DONE", "ERROR"):
+                result = "DONE" if word == "DONE" else rest.split(" ")[0]
+            elif word == "READY":
+                request["result"] = result
+                return
+
+
+class Trouble:
+    """Disturbs the fleet at random."""
+
+    def __init__(self, fleet, rng):
+        self.fleet, self.rng = fleet, rng
+        self.group = fleet.groups["bookings"]
+        self.down = None  # Member that has crashed; one at a time.
+        self.tasks = []
+
+    async def run(self, end):
+        actions = (self.stop_by_plan,) * 6 + (self.reload,) * 3 + (self.change_configuration,) * 4 + (
+            self.kill, self.kill_last_writer, self.freeze, self.freeze, self.crash_member, self.crash_member,
+            self.deafen_member, self.slow_members)
+        while time.monotonic() < end:
+            for _ in range(self.rng.choice((1, 1, 2, 4))):  # Some come in series.
+                self.tasks.append(asyncio.ensure_future(self.rng.choice(actions)(self.rng.choice(self.fleet.vms))))
+                await asyncio.sleep(self.rng.uniform(0, 0.4))
+            await asyncio.sleep(self.rng.uniform(0.2, 2.5))
+        await asyncio.gather(*self.tasks)
+
+    async def stop_by_plan(self, vm):
+        if vm.is_running():
+            vm.signal(signal.SIGTERM)
+            vm.termed_at = vm.termed_at or time.monotonic()
+
+    async def reload(self, vm):
+        if vm.is_running():
+            vm.signal(signal.SIGHUP)
+
+    async def change_configuration(self, _):
+        configuration = self.fleet.configuration
+        for _ in range(self.rng.choice((1, 1, 5))):
+            configuration["version"] += self.rng.randint(1, 3)
+            for route in configuration["routes"]:
+                route["timeout-ms"] = self.rng.choice((900, 1500, 3000))
+            configuration["limits"]["tx-idle-ms"] = self.rng.choice((800, 3000))
+            configuration["routes"] = [each for each in configuration["routes"] if each["database"] in DATABASES]
+            if self.rng.random() < 0.5:
+                self.fleet.add_route("more%d" % configuration["version"], "bookings")
+            self.fleet.publish_configuration()
+            await asyncio.sleep(self.rng.uniform(0.02, 0.3))
+
+    async def kill(self, vm):
+        if vm.is_running():
+            vm.kill_now()
+
+    async def kill_last_writer(self, _):
+        for vm in self.fleet.vms:
+            if vm.name == self.fleet.store.last_writer:
+                await self.kill(vm)
+
+    async def freeze(self, vm):
+        if not vm.is_running():
+            return
+        process = vm.process
+        interval = vm.disturb()
+        vm.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+        interval[1] = time.monotonic()
+
+    async def crash_member(self, _):
+        if self.down is not None:
+            return
+        self.down = member = self.rng.choice(self.group.members)
+        self.fleet.record.add("%s crashes" % member.identity)
+        member.crash()
+        await asyncio.sleep(self.rng.uniform(0.5, 5))
+        await member.restart()
+        self.fleet.record.add("%s is back as %s" % (member.identity, member.role))
+        await asyncio.sleep(2)
+        self.down = None
+
+    async def deafen_member(self, _):
+        member = self.rng.choice(self.group.members)
+        self.fleet.record.add("%s receives nothing" % member.identity)
+        member.is_deaf = True
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        member.is_deaf = False
+        if member.role == "replica":
+            member.catch_up()
+
+    async def slow_members(self, _):
+        for member in self.group.members:
+            member.work = self.rng.choice((0.02, 0.1, 0.5))
+        await asyncio.sleep(self.rng.uniform(0.5, 3))
+        for member in self.group.members:
+            member.work = MEMBER_WORK
+
+
+def check_answers(requests, run_ids, broken):
+    """LOST: around planned work, each request that was read whole gets a complete answer."""
+    late = 0
+    for each in requests:
+        if each["result"] not in NO_ANSWER or each["vm"].was_disturbed(each["sent"], each.get("end", each["sent"]) + 0.1):
+            continue
+        time_taken = each["end"] - each["sent"]
+        if each["id"] in run_ids or time_taken > LOSS_SLACK:
+            broken.append("LOST: %s (%s) at %s ended with %s after %.3f s, %s to a member" % (
+                each["id"], each["text"], each["vm"].name, each["result"], time_taken,
+                "passed on" if each["id"] in run_ids else "not passed on"))
+        else:
+            late += 1
+    return late
+
+
+def check_log(writes, log, broken):
+    """LOST, TWICE, REFUSED: what the log of the last primary holds of each write."""
+    counts = {}
+    for commit in log:
+        for _, value in commit[2]:
+            counts[value] = counts.get(value, 0) + 1
+    for value, result in writes.items():
+        count = counts.get(value, 0)
+        if result == "DONE" and count == 0:
+            broken.append("LOST: acknowledged write %s is not in the log" % value)
+        elif result in PROMISES and count != 0:
+            broken.append("REFUSED: write %s was answered %s, but is in the log" % (value, result))
+        elif count > 1:
+            broken.append("TWICE: write %s is in the log %d times" % (value, count))
+
+
+async def soak(folder, build, seed, seconds):
+    """Returns the broken rules and a summary."""
+    rng, broken, requests, writes = random.Random(seed), [], [], {}
+    fleet = SoakFleet(folder, build, seed)
+    try:
+        await fleet.start(broken)
+        trouble = Trouble(fleet, random.Random(rng.random()))
+        callers = [SoakCaller("c%d" % index, fleet, random.Random(rng.random()), requests, writes, broken)
+                   for index in range(CALLERS)]
+        tasks = [asyncio.ensure_future(each.run()) for each in callers]
+        await trouble.run(time.monotonic() + seconds)
+        end = time.monotonic() + SETTLE_TIME
+        for caller in callers:
+            caller.end = end
+        await asyncio.gather(*tasks)
+        for vm in fleet.vms:
+            if not await callers[0].serves(vm):
+                broken.append("RECOVER: %s serves nothing at the end" % vm.name)
+    finally:
+        fleet.end()
+    run_ids = {run["id"] for run in fleet.record.runs}
+    late = check_answers(requests, run_ids, broken)
+    check_log(writes, fleet.groups["bookings"].primary().log, broken)
+    answered = sum(each["result"] == "DONE" for each in requests)
+    unanswered = sum(each["result"] in NO_ANSWER for each in requests)
+    for each in broken:
+        fleet.record.add("BROKEN " + each)
+    return broken, "%d requests, %d with success, %d without an answer, %d of them to connections just closed" % (
+        len(requests), answered, unanswered, late)
+
+
+def run(build, seed, seconds, folder):
+    return asyncio.run(soak(folder, os.path.abspath(build), seed, seconds))
+
+
+def main():
+    build, seed = sys.argv[1], int(sys.argv[2])
+    seconds = float(sys.argv[3]) if len(sys.argv) > 3 else 25
+    folder = tempfile.mkdtemp(prefix="fault-soak-%d-" % seed)
+    broken, summary = run(build, seed, seconds, folder)
+    print("seed %d: %s; %d checks broken" % (seed, summary, len(broken)))
+    for each in broken:
+        print("  " + each)
+    if broken or os.environ.get("KEEP"):
+        print("  logs are in " + folder)
+    else:
+        shutil.rmtree(folder)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/processes/test_planned_stop.py
@@ -0,0 +1,98 @@
+"""Tests planned stops of real processes of greengagehitch-platformd, beside callers that come and stay until the end."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+from fault_soak import KEY, SoakFleet  # noqa: E402
+
+BUILD = os.path.abspath(sys.argv.pop() if len(sys.argv) > 1 else "build/release")
+SEED = 1000 + os.getpid()  # Only chooses the addresses.
+
+
+class Session:
+    """Connection of a caller, whose lines a test sends and reads itself."""
+
+    def __init__(self, vm):
+        self.vm = vm
+
+    async def connect(self):
+        self.reader, self.writer = await asyncio.open_connection(self.vm.host, self.vm.callers_port)
+        return self
+
+    async def send(self, *lines):
+        self.writer.write("".join(line + "\r\n" for line in lines).encode())
+
+    async def read_all(self, timeout=8):
+        """Returns all further lines until the connection ends."""
+        try:
+            text = await asyncio.wait_for(self.reader.read(-1), timeout)
+        except ConnectionError:
+            text = b""
+        self.writer.close()
+        return text.decode().split("\r\n")[:-1]
+
+    async def open(self):
+        await self.connect()
+        await self.send("START ponds " + KEY)
+        return (await asyncio.wait_for(self.reader.readline(), 3)).decode().strip()
+
+
+class PlannedStopTest(unittest.TestCase):
+    def run_with_fleet(self, case):
+        async def run():
+            with tempfile.TemporaryDirectory() as folder:
+                fleet, broken = SoakFleet(folder, BUILD, SEED), []
+                try:
+                    await fleet.start(broken)
+                    await asyncio.wait_for(case(fleet, fleet.vms[1]), 40)
+                finally:
+                    fleet.end()
+                self.assertEqual(broken, [])
+        asyncio.run(run())
+
+    def test_session_that_opens_as_the_process_ends_is_refused_or_served(self):
+        """Guards against a session that opens while the process waits for callers to receive their last answers: its
+        statement was passed on to a member, and the process ended."""
+        async def case(fleet, vm):
+            for member in fleet.groups["bookings"].members:
+                member.work = 0.6
+            vm.signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            answers = []
+
+            async def call(number):
+                session = Session(vm)
+                opened = await session.open()
+                if opened.startswith("READY"):
+                    await session.send("QUERY late-%d READ x" % number)
+                    answers.append((time.monotonic() - stopped_at, [line.split(" ")[0] for line in await session.read_all()]))
+
+            # Sessions that the VM closes and whose callers stay, so that the process has to wait for them.
+            process, staying, calls = vm.process, [], []
+            await asyncio.sleep(2.35)
+            while process.poll() is None and time.monotonic() < stopped_at + 2.5:
+                staying.append(Session(vm))
+                self.assertEqual(await staying[-1].open(), "READY I -")
+                await asyncio.sleep(0.04)
+            await asyncio.sleep(stopped_at + 2.75 - time.monotonic())  # The drain is over at 2.7 s.
+            while process.poll() is None and time.monotonic() < stopped_at + 6:
+                calls.append(asyncio.ensure_future(call(len(calls))))
+                await asyncio.sleep(0.02)
+            await asyncio.gather(*calls, return_exceptions=True)
+            for each in staying:
+                each.writer.close()
+            self.assertEqual(process.poll(), 0)
+            for sent, words in answers:
+                self.assertIn("READY", words, "sent %.2f s after the SIGTERM: %s" % (sent, answers))
+        self.run_with_fleet(case)
+
+
+if __name__ == "__main__":
+    unittest.main()
