--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -93,6 +94,20 @@
                 self.assertIn("READY", words, "sent %.2f s after the SIGTERM: %s" % (sent, answers))
         self.run_with_fleet(case)
 
+    def test_signal_to_reload_during_the_start_does_not_end_the_process(self):
+        """Guards against a process that ends when its settings change while it starts."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = os.path.join(folder, "settings")
+            os.mkfifo(path)
+            process = subprocess.Popen([os.path.join(BUILD, "platform", "greengagehitch-platformd"), "--check-settings"],
+                                       env={"GREENGAGEHITCH_CONFIG": path}, stderr=subprocess.PIPE)
+            with open(path, "w") as settings:  # Waits until the process reads its settings.
+                process.send_signal(signal.SIGHUP)
+                time.sleep(0.2)
+                settings.write("not valid")
+            _, error = process.communicate(timeout=20)
+            self.assertEqual(process.returncode, 3, error)  # Its settings are not valid.
+
 
 if __name__ == "__main__":
     unittest.main()
