--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from fault_soak import KEY, SoakFleet  # noqa: E402
+from fault_soak import GRACE_PERIOD, KEY, SoakFleet  # noqa: E402
 
 BUILD = os.path.abspath(sys.argv.pop() if len(sys.argv) > 1 else "build/release")
 SEED = 1000 + os.getpid()  # Only chooses the addresses.
@@ -94,6 +94,38 @@
                 self.assertIn("READY", words, "sent %.2f s after the SIGTERM: %s" % (sent, answers))
         self.run_with_fleet(case)
 
+    def test_process_ends_within_the_grace_period_while_calls_to_the_store_are_running(self):
+        """Guards against a process that is killed at the end of the grace period: its drain took as long as it may, and
+        then the process waited for the answers to calls that nobody needed any more."""
+        async def case(fleet, vm):
+            async def answer_late(call):
+                await asyncio.sleep(30)
+
+            session = Session(vm)
+            self.assertEqual(await session.open(), "READY I -")
+            for route in fleet.configuration["routes"]:
+                route["timeout-ms"] = 20000
+            fleet.configuration["version"] += 1
+            fleet.publish_configuration()
+            await asyncio.sleep(1)
+            for member in fleet.groups["bookings"].members:
+                member.work = 20
+            await session.send("QUERY long-1 READ x")
+            await asyncio.sleep(0.2)
+            process = vm.process
+            vm.signal(signal.SIGTERM)
+            stopped_at = time.monotonic()
+            await asyncio.sleep(4)
+            fleet.store.http.handler = lambda *call: answer_late(call)
+            words = [line.split(" ")[0] for line in await session.read_all()]
+            while process.poll() is None and time.monotonic() < stopped_at + 10:
+                await asyncio.sleep(0.01)
+            took = time.monotonic() - stopped_at
+            self.assertEqual(words[:2], ["ERROR", "READY"])
+            self.assertEqual(process.poll(), 0)
+            self.assertLess(took, GRACE_PERIOD)
+        self.run_with_fleet(case)
+
     def test_signal_to_reload_during_the_start_does_not_end_the_process(self):
         """Guards against a process that ends when its settings change while it starts."""
         with tempfile.TemporaryDirectory() as folder:
