tests: Hold the requests of the drain test until the daemon drains

Its eight requests took 0.4 s each, and one call of the operators' client, which starts a process, had to fall into the time in which all of them overlap. On a busy machine no call did.

The members are now paused until the daemon says that it drains, so no request can end before. The test asks for the same answers and exit code, and proves besides that the requests were in flight during the drain.

--- a/tests/processes/test_daemon.py
+++ b/tests/processes/test_daemon.py
@@ -190,14 +190,15 @@
     def test_sigterm_waits_for_requests_in_flight(self):
         fleet = Fleet(BUILD, daemons=1, schema=SCHEMA)
         try:
-            fleet.apply_configuration(CONFIGURATION)
+            fleet.apply_configuration(CONFIGURATION.replace("delay: 2s", "delay: 30s"))
             key = fleet.operator("key", "give", "rink")["key"]
 
             def call():
                 return fleet.call(0, "execute", {"class": "stock", "statement": {"sql": "select 3"}}, key)
             fleet.wait_until(lambda: "result" in call(), what="the first read")
+            # No request ends before the daemon drains, however long the operators' client takes to see them.
             for member in range(3):
-                fleet.switch(member, service_us=400000)
+                fleet.switch(member, paused=True)
             answers = []
             callers = [threading.Thread(target=lambda: answers.append(call())) for _ in range(8)]
             for caller in callers:
@@ -205,6 +206,9 @@
             fleet.wait_until(lambda: fleet.operator("status")["requests_in_flight"] == 8,
                              what="all requests to be in flight")
             fleet.daemons[0]["process"].terminate()
+            fleet.wait_until(lambda: fleet.operator("status")["is_draining"], what="the drain")
+            for member in range(3):
+                fleet.switch(member, paused=False)
             for caller in callers:
                 caller.join()
             self.assertEqual([answer["result"]["results"][0]["rows"] for answer in answers], [[[3]]] * 8)
