tests: Send SIGHUP only to processes whose program has begun

The soak now looks at the process's signal mask before it sends one. Signals during the start itself are the subject of PlannedStopTest.test_signal_to_reload_during_the_start_does_not_end_the_process.

--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -133,6 +133,12 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def blocks_signals(self):
+        """Returns whether the program has begun. Before, SIGHUP has the default effect, which no program can change."""
+        with open("/proc/%d/status" % self.process.pid) as status:
+            blocked = int(re.search(r"^SigBlk:\s*([0-9a-f]+)", status.read(), re.M).group(1), 16)
+        return bool(blocked & 1 << (signal.SIGHUP - 1))
+
     def kill_now(self):
         self.disturb()
         self.signal(signal.SIGKILL)
@@ -361,7 +367,7 @@
             vm.termed_at = vm.termed_at or time.monotonic()
 
     async def reload(self, vm):
-        if vm.is_running():
+        if vm.is_running() and vm.blocks_signals():
             vm.signal(signal.SIGHUP)
 
     async def change_configuration(self, _):
