--- a/tests/platform/caller_listener_tests.cpp
+++ b/tests/platform/caller_listener_tests.cpp
@@ -111,7 +111,7 @@
     connected_caller caller;
     caller.open_session();
     caller.close_idle_session();
-    for (auto const end = caller.loop.now() + 8s; !caller.has_ended && caller.loop.now() < end;) {
+    for (auto const end = caller.loop.now() + 2s; !caller.has_ended && caller.loop.now() < end;) {
         caller.stream->send("QUERY 1 READ x\r\n");
         caller.loop.run_once(20ms);
     }
