failover: Log each promotion order when it is sent

A VM logged an order only with the platform's answer. An order whose VM is lost, or that gets no answer, was in no log, so a record did not show which VM knew of which order, nor for which member and under which fence.

The new line has member, fence and attempt.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -707,6 +707,11 @@
         return;
     }
     promotion_order const order{m_name, m_successor, m_dependencies.vm, m_fence};
+    Json::Value fields(Json::objectValue);
+    fields["member"] = m_successor;
+    fields["fence"] = Json::UInt64(m_fence);
+    fields["attempt"] = m_order_attempts;
+    log("ordering the promotion of the successor", std::move(fields));
     m_dependencies.last_order = {m_successor, m_kernel.now()};
     m_dependencies.promote(
         order, m_kernel.guard<absl::Status>([weak = weak_from_this()](absl::Status const& status) {
