failover: Find orders of VMs that are gone in the row of the lock

Callers lost acknowledged commits after this chain: a VM orders a replica to lead, the platform does not answer and carries out the order seconds later, the VM is lost, the old leader returns, and the other replica restarts and receives again. The leader acknowledges commits through it, and the late order promotes the replica that lacks them.

Cause: only the VM that ordered knew of its order. The replicas that it had stopped stayed stopped until one of them restarted, and a VM that then became responsible saw a leader in good order.

Each claim of the failover lock now writes its row as open, and a takeover that ends with no order outstanding marks it as settled. A VM that becomes responsible for a group, or starts a takeover, reads the row. An open claim of up to 16.4 s (15 s of an order, which is sent at most 1.4 s after its claim) counts as an order without answer: a takeover starts at once, stops the replicas, steps the leader down before the lock can be had, and has an order with a higher fence answered, which makes the late one void. A claim that replaced an open one is settled only by an answered order. Two further gaps of the same kind, found by reading and without a test of their own: a refused first order (409) forgot an earlier one without answer, and so did the confirmation of a successor that may lead by an order before that one.

The tests of the lock are of functions that are new.

Left: an order that is carried out before its lock has expired (4.5 s), while a replica restarts before others notice after 2.7 s that the VM is silent.

--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -49,7 +49,9 @@
         *claimed_at_ms > static_cast<std::uint64_t>(std::max<std::int64_t>(row.read_at_ms, 0))) {
         return std::nullopt;
     }
-    return lock_row{*holder, *member, *fence, static_cast<std::int64_t>(*claimed_at_ms)};
+    auto const& is_settled = (*root)["is_settled"];
+    return lock_row{*holder, *member, *fence, static_cast<std::int64_t>(*claimed_at_ms),
+                    !is_settled.isBool() || is_settled.asBool()};
 }
 
 failover_lock::lock_row failover_lock::parse(std::string const& group, table_row const& row)
@@ -92,6 +94,10 @@
         }
         auto const row = read->value_or(table_row{});
         auto const known = parse(group, row);
+        auto const written = m_written.find(group);
+        auto const has_replaced_open = written != m_written.end() && written->second.version == row.version
+                                           ? written->second.has_replaced_open
+                                           : !known.is_settled;
         auto const is_own_lock = known.holder == holder;
         auto const is_claim_of_era = known.fence >= first_fence_of_era(row);
         if (!is_claim_of_era && may_have_lost_claims(checks_fences)) {
@@ -115,35 +121,100 @@
         auto const fence = is_own_lock && is_claim_of_era && known.member == member
                                ? known.fence
                                : std::max(known.fence + 1, first_fence_of_era(row) | row.version);
-        write(group, row.version, {holder, member, fence, row.read_at_ms}, done);
+        write(group, row.version, {holder, member, fence, row.read_at_ms, false}, has_replaced_open, done);
     };
     m_platform.read_row(row_key(group),
                         m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(std::move(handle_row)));
 }
 
-void failover_lock::write(std::string const& group, std::uint64_t version, lock_row const& row,
-                          lock_callback done)
+std::string failover_lock::encode(lock_row const& row)
 {
     Json::Value value(Json::objectValue);
     value["holder"] = row.holder;
     value["member"] = row.member;
     value["fence"] = Json::UInt64(row.fence);
     value["claimed_at_ms"] = Json::Int64(row.claimed_at_ms);
-    Json::Value fields(value);
+    value["is_settled"] = row.is_settled;
+    return to_json_line(value);
+}
+
+void failover_lock::write(std::string const& group, std::uint64_t version, lock_row const& row,
+                          bool has_replaced_open, lock_callback done)
+{
+    Json::Value fields(Json::objectValue);
+    fields["holder"] = row.holder;
+    fields["member"] = row.member;
+    fields["fence"] = Json::UInt64(row.fence);
+    fields["claimed_at_ms"] = Json::Int64(row.claimed_at_ms);
     fields["group"] = group;
     fields["read_version"] = Json::UInt64(version);
-    auto handle_answer = [this, fence = row.fence, fields = std::move(fields),
+    auto handle_answer = [this, group, row, has_replaced_open, fields = std::move(fields),
                           done = std::move(done)](absl::StatusOr<std::uint64_t> const& put) {
         if (put.ok()) {
+            m_written[group] = {*put, row, has_replaced_open};
             m_kernel.log(log_level::info, "takeover", "failover lock was acquired", fields);
-            done(fence);
+            done(row.fence);
         }
         else {
             done(put.status());
         }
     };
-    m_platform.put_row(row_key(group), version, to_json_line(value),
+    m_platform.put_row(row_key(group), version, encode(row),
                        m_kernel.guard<absl::StatusOr<std::uint64_t>>(std::move(handle_answer)));
 }
 
+void failover_lock::read(std::string const& group, claim_callback done)
+{
+    auto handle_row = [this, group,
+                       done = std::move(done)](absl::StatusOr<std::optional<table_row>> const& read) {
+        if (!read.ok()) {
+            done(read.status());
+            return;
+        }
+        auto const row = read->value_or(table_row{});
+        auto const claim = row.version == 0 ? std::nullopt : try_parse(row);
+        if (!claim) {
+            done(std::optional<lock_claim>());
+            return;
+        }
+        lock_claim const found{claim->holder, claim->member, claim->fence,
+                               std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
+                               claim->is_settled};
+        Json::Value fields(Json::objectValue);
+        fields["group"] = group;
+        fields["holder"] = found.holder;
+        fields["member"] = found.member;
+        fields["fence"] = Json::UInt64(found.fence);
+        fields["age_ms"] = to_milliseconds(found.age);
+        fields["is_settled"] = found.is_settled;
+        m_kernel.log(log_level::info, "takeover", "read the last claim of the failover lock",
+                     std::move(fields));
+        done(std::optional(found));
+    };
+    m_platform.read_row(row_key(group),
+                        m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(std::move(handle_row)));
+}
+
+void failover_lock::settle(std::string const& group, bool was_answered)
+{
+    auto const found = m_written.find(group);
+    if (found == m_written.end() || (found->second.has_replaced_open && !was_answered)) {
+        return;
+    }
+    auto const [version, claim, has_replaced_open] = std::move(found->second);
+    m_written.erase(found);
+    auto row = claim;
+    row.is_settled = true;
+    m_platform.put_row(
+        row_key(group), version, encode(row),
+        m_kernel.guard<absl::StatusOr<std::uint64_t>>([this, group, fence = row.fence](auto const& put) {
+            Json::Value fields(Json::objectValue);
+            fields["group"] = group;
+            fields["fence"] = Json::UInt64(fence);
+            fields["result"] = put.ok() ? "written" : std::string(put.status().message());
+            m_kernel.log(log_level::info, "takeover", "claim of the failover lock is settled",
+                         std::move(fields));
+        }));
+}
+
 } // namespace greengagehitch
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -19,6 +19,19 @@
 /// means that the store did not confirm the write.
 using lock_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
 
+/// Last claim of a failover lock, as the store's row has it.
+struct lock_claim {
+    std::string holder;
+    std::string member; ///< Member that the holder orders to lead.
+    std::uint64_t fence = 0;
+    duration age{}; ///< Time since the claim, by the store's clock.
+    /// False while an order under this claim, or an earlier one, may have been sent and not been answered.
+    bool is_settled = true;
+};
+
+/// Receives the last claim, or std::nullopt if the row is absent or cannot be decoded.
+using claim_callback = std::function<void(absl::StatusOr<std::optional<lock_claim>>)>;
+
 /// Lock for ordering promotions in a group, kept as a row in the platform's store. A conditional write
 /// ensures that one VM holds it at a time. Its expiry is computed from timestamps of the store's clock.
 class failover_lock {
@@ -33,6 +46,15 @@
     void acquire(std::string const& holder, std::string const& group, std::string const& member,
                  bool checks_fences, lock_callback done);
 
+    /// Reads the last claim of the group's lock.
+    void read(std::string const& group, claim_callback done);
+
+    /// Marks the claim that was written last by this VM as settled. No order under it, or under an earlier
+    /// claim, may be outstanding. Unless an order under it `was_answered`, nothing is known of the orders of
+    /// the claim before it, so the row then stays open if that one was. A write that fails is not repeated:
+    /// the next VM that reads the row has an order answered which was not necessary.
+    void settle(std::string const& group, bool was_answered);
+
     /// True while a claim that the store lost when it was restored may still be valid. The lock is then given
     /// only if it was claimed since.
     bool may_have_lost_claims(bool checks_fences) const;
@@ -43,6 +65,15 @@
         std::string member;
         std::uint64_t fence = 0;
         std::int64_t claimed_at_ms = 0; ///< Time of the last acquisition, by the store's clock.
+        /// Whether no order under the claim is outstanding. VMs of builds without the mark never write false.
+        bool is_settled = true;
+    };
+
+    /// Claim that this VM wrote last.
+    struct written_claim {
+        std::uint64_t version = 0;
+        lock_row row;
+        bool has_replaced_open = false; ///< Whether a claim that it has replaced was not settled.
     };
 
     /// Returns std::nullopt for a row that no VM can have written.
@@ -50,7 +81,9 @@
     /// Returns the lock in the row. One that cannot be decoded counts as claimed by another VM when this VM
     /// first read it.
     lock_row parse(std::string const& group, table_row const& row);
-    void write(std::string const& group, std::uint64_t version, lock_row const& row, lock_callback done);
+    void write(std::string const& group, std::uint64_t version, lock_row const& row, bool has_replaced_open,
+               lock_callback done);
+    static std::string encode(lock_row const& row);
 
     struct unreadable_row {
         std::uint64_t version = 0;
@@ -60,6 +93,7 @@
     kernel& m_kernel;
     platform_hooks const& m_platform;
     std::map<std::string, unreadable_row> m_unreadable; ///< Keyed by group.
+    std::map<std::string, written_claim> m_written;     ///< Claims that are not settled, keyed by group.
 };
 
 } // namespace greengagehitch
--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -35,13 +35,14 @@
 /// Interval at which members are asked while a leader has stepped down and nobody leads.
 constexpr duration fenced_command_period = std::chrono::milliseconds(50);
 constexpr duration roster_retry_delay = std::chrono::milliseconds(250);
+/// Interval at which the lock is tried again while a VM that is gone holds it and its order is outstanding.
+constexpr duration lock_retry_delay = std::chrono::milliseconds(500);
+/// Time for the store to answer whether orders of other VMs are outstanding, before a needless takeover ends.
+constexpr duration max_lock_read_time = std::chrono::seconds(1);
 constexpr duration order_retry_delay = std::chrono::milliseconds(300);
 constexpr int max_order_attempts = 25;
 constexpr duration leadership_poll_period = std::chrono::milliseconds(60);
 constexpr int max_leadership_polls = 50;
-/// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
-/// sent.
-constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
 /// Added to leadership_proof_lifetime for differences between the rates of the VMs' clocks.
 constexpr duration leadership_proof_margin = std::chrono::milliseconds(50);
 /// Placeholder account for probes, which belong to no client account.
@@ -140,7 +141,8 @@
 {
     if (member == m_evidence.old_leader() && !m_evidence.is_old_leader_replica(m_kernel.now())) {
         // A takeover that turns out to be needless must not have deposed the leader.
-        return m_phase < phase::fencing ? command_kind::status : command_kind::step_down;
+        return m_phase < phase::fencing && !must_fence_at_once() ? command_kind::status
+                                                                 : command_kind::step_down;
     }
     // A replica that stopped would not receive what the old leader sent before it stepped down.
     auto const must_receive = is_handover(m_cause) && m_phase < phase::ordering;
@@ -333,6 +335,10 @@
         return;
     }
     if (!m_dependencies.is_needed() && !has_outstanding_order()) {
+        if (m_dependencies.deposes_replaced_leaders && !m_dependencies.has_read_lock_since(m_started_at) &&
+            elapsed() < max_lock_read_time) {
+            return;
+        }
         end("the leader no longer has to be replaced", true);
         return;
     }
@@ -344,8 +350,11 @@
     if (awaits_end_of_successes() || !is_old_leader_out_of_use()) {
         return;
     }
-    m_successor = *chosen;
     auto const now = m_kernel.now();
+    if (now < m_next_claim_at) {
+        return;
+    }
+    m_successor = *chosen;
     auto const* const answer = m_evidence.find_answer(m_successor, now);
     Json::Value fields(Json::objectValue);
     fields["member"] = m_successor;
@@ -653,6 +662,14 @@
         if (is_held_by_other) {
             m_dependencies.lock_changed(false);
         }
+        if (is_held_by_other && has_outstanding_order() && m_phase < phase::ordering &&
+            m_dependencies.is_responsible()) {
+            // The holder is gone. Until its lock expires, the replicas stay stopped and the leader fenced.
+            m_successor.clear();
+            set_phase(phase::surveying);
+            m_next_claim_at = m_kernel.now() + lock_retry_delay;
+            return;
+        }
         // The VM that holds the lock may have ordered the replicas to stop, and still needs that.
         end(is_held_by_other ? std::string(fence.status().message())
                              : "store did not confirm the failover lock",
@@ -680,6 +697,12 @@
            m_kernel.now() - last->sent_at >= max_order_delay;
 }
 
+bool group_takeover::must_fence_at_once() const
+{
+    return has_outstanding_order() && !is_handover(m_cause) &&
+           (is_leader_answering() || m_evidence.final_position(m_kernel.now()));
+}
+
 bool group_takeover::has_outstanding_order() const
 {
     auto const& last = m_dependencies.last_order;
@@ -712,7 +735,10 @@
     fields["fence"] = Json::UInt64(m_fence);
     fields["attempt"] = m_order_attempts;
     log("ordering the promotion of the successor", std::move(fields));
-    m_dependencies.last_order = {m_successor, m_kernel.now()};
+    if (m_order_attempts == 1) {
+        m_prior_order = m_dependencies.last_order;
+    }
+    m_dependencies.last_order = {m_successor, m_kernel.now(), m_fence};
     m_dependencies.promote(
         order, m_kernel.guard<absl::Status>([weak = weak_from_this()](absl::Status const& status) {
             auto const self = weak.lock();
@@ -742,10 +768,14 @@
     log("platform answered the promotion order", std::move(fields));
     // Earlier attempts were not answered and may still be carried out, but not under a fence that is checked:
     // theirs are lower, or the same and for the same member.
-    auto const is_settled = status.ok() && m_dependencies.deposes_replaced_leaders;
-    if (is_settled || (m_order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status)))) {
+    if (status.ok() && m_dependencies.deposes_replaced_leaders) {
+        m_was_order_answered = true;
         m_dependencies.last_order.reset();
     }
+    else if (m_order_attempts == 1 && (status.ok() || absl::IsFailedPrecondition(status))) {
+        // The order is settled, but an earlier one may not be.
+        m_dependencies.last_order = status.ok() ? std::nullopt : m_prior_order;
+    }
     if (status.ok()) {
         set_phase(phase::confirming);
         await_leadership(0);
@@ -775,11 +805,23 @@
     start_timer(leadership_poll_period, [tries](group_takeover& self) { self.await_leadership(tries + 1); });
 }
 
-void group_takeover::finish()
+void group_takeover::settle_orders()
 {
-    if (m_dependencies.deposes_replaced_leaders) {
-        m_dependencies.last_order.reset();
+    if (!m_dependencies.deposes_replaced_leaders || m_was_order_answered) {
+        return;
+    }
+    auto const& prior = m_order_attempts > 0 ? m_prior_order : m_dependencies.last_order;
+    // The successor may lead by an order before the one for another member, which then is not void.
+    if (prior && prior->member != m_successor && prior->may_be_carried_out(m_kernel.now())) {
+        m_dependencies.last_order = prior;
+        return;
     }
+    m_dependencies.last_order.reset();
+}
+
+void group_takeover::finish()
+{
+    settle_orders();
     end("done", false);
 }
 
@@ -797,6 +839,9 @@
     if (must_resume && m_has_interfered && !has_outstanding_order()) {
         m_control.resume_receiving(m_evidence.old_leader());
     }
+    if (m_fence != 0 && m_dependencies.deposes_replaced_leaders && !m_dependencies.last_order) {
+        m_dependencies.lock.settle(m_name, m_was_order_answered);
+    }
     m_dependencies.ended();
 }
 
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -52,10 +52,15 @@
 /// Time after which the platform has carried out or dropped an order that it did not answer.
 inline constexpr duration unanswered_order_lifetime = std::chrono::seconds(15);
 
+/// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
+/// sent.
+inline constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
+
 /// Promotion order that was not answered, so that the platform may still carry it out.
 struct unanswered_order {
     std::string member;
-    monotonic_time sent_at; ///< Time of the last attempt.
+    monotonic_time sent_at;  ///< Time of the last attempt, or its upper bound if another VM sent the order.
+    std::uint64_t fence = 0; ///< Fence of the last attempt.
 
     bool may_be_carried_out(monotonic_time now) const { return now - sent_at < unanswered_order_lifetime; }
 };
@@ -88,8 +93,12 @@
         /// Returns whether VMs of the availability zone may still pass on successes of commits though this VM
         /// has no contact with them, see contact_guard.
         std::function<bool(std::string const& zone)> is_contact_undecided;
-        /// Last order of the group that was not answered; outlives the takeover.
+        /// Last order of the group that was not answered, by this VM or another one; outlives the takeover.
         std::optional<unanswered_order>& last_order;
+        /// Returns whether orders of other VMs that are not answered were looked for since `time`.
+        std::function<bool(monotonic_time time)> has_read_lock_since;
+        /// Returns whether this VM still is the one that has to act for the group.
+        std::function<bool()> is_responsible;
         /// Called when the failover lock was acquired, or turned out to be another VM's.
         std::function<void(bool is_held)> lock_changed;
         /// Called once, when the takeover ends.
@@ -190,12 +199,16 @@
     /// Returns whether the platform may still carry out an order that it did not answer. Only an answered
     /// order with a higher fence rules that out.
     bool has_outstanding_order() const;
+    /// Returns whether the old leader steps down before the lock is held: while an order is outstanding, a
+    /// replica that restarts must not let it acknowledge commits.
+    bool must_fence_at_once() const;
     void send_order();
+    /// Notes that no order for another member is outstanding.
+    void settle_orders();
     void handle_missing_evidence();
     void handle_order_answer(absl::Status const& status);
     void await_leadership(int tries);
-    /// Ends the takeover once the successor was seen leading. No earlier order can be carried out then: the
-    /// platform has seen this fence, and orders under it name the present leader.
+    /// Ends the takeover once the successor was seen leading.
     void finish();
     void end(std::string_view outcome, bool must_resume);
 
@@ -227,6 +240,7 @@
     std::string m_successor; ///< Id of the chosen member; empty while surveying.
     std::uint64_t m_fence = 0;
     monotonic_time m_lock_acquired_at;
+    monotonic_time m_next_claim_at; ///< Time before which the lock is not tried again.
     /// Time at which all proofs of the old leader's leadership have expired; set once the replicas whose
     /// answers are needed have stopped receiving.
     std::optional<monotonic_time> m_old_leader_expires_at;
@@ -234,6 +248,9 @@
         m_fenced_since; ///< Time at which the old leader was seen to have stepped down.
     std::vector<std::string> m_awaited_replicas; ///< As they were logged last.
     int m_order_attempts = 0;                    ///< Number of promotion orders that were attempted.
+    /// Order that was outstanding before the first one of this takeover.
+    std::optional<unanswered_order> m_prior_order;
+    bool m_was_order_answered = false; ///< Whether the platform accepted an order of this takeover.
     bool m_has_term_begun = false; ///< Whether a member knows the new term, so that the successor has led.
     bool m_is_polling = false;     ///< Whether the timer of poll_fencing() runs.
     bool m_has_awaited_successes = false; ///< Whether awaits_end_of_successes() was true before.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -16,6 +16,9 @@
 constexpr duration vanished_leader_timeout = std::chrono::milliseconds(1'500);
 /// Minimum time between the end of a takeover that interfered with the group and the start of the next one.
 constexpr duration pause_after_end = std::chrono::milliseconds(1'500);
+/// Interval at which it is decided anew whether this VM has to act for a group.
+constexpr duration responsibility_period = std::chrono::milliseconds(300);
+constexpr duration lock_read_retry_delay = std::chrono::milliseconds(500);
 /// Placeholder account for probes, which belong to no client account.
 constexpr auto control_account = "-";
 
@@ -59,6 +62,9 @@
 void takeover_service::check_group(database_group& group)
 {
     auto const now = m_kernel.now();
+    if (m_deposes_replaced_leaders) {
+        watch_responsibility(group);
+    }
     if (auto const running = m_takeovers.find(group.name()); running != m_takeovers.end()) {
         auto const current = running->second;
         current->tick();
@@ -82,6 +88,9 @@
     }
     auto* const leader = group.leader();
     if (leader == nullptr) {
+        if (has_outstanding_order(group.name())) {
+            return takeover_cause::vanished;
+        }
         auto const since = m_leaderless_since.emplace(group.name(), m_kernel.now()).first->second;
         group.refresh_leader_position(control_account);
         return m_kernel.now() - since >= vanished_leader_timeout ? std::optional(takeover_cause::vanished)
@@ -172,6 +181,11 @@
             return !m_brokers->is_silent(zone) && m_brokers->contact().is_undecided(zone);
         },
         m_last_orders[name],
+        [this, name](monotonic_time time) {
+            auto const& read_at = m_lock_watches[name].read_at;
+            return read_at && *read_at >= time;
+        },
+        [this, name] { return should_start_takeover(m_groups->group(name)); },
         [this, name](bool is_held) {
             if (!is_held) {
                 m_held_locks.erase(name);
@@ -186,6 +200,78 @@
         std::move(dependencies));
     m_takeovers[name] = started;
     started->start();
+    if (m_deposes_replaced_leaders) {
+        m_lock_watches[name].must_read = true;
+        read_lock(name);
+    }
+}
+
+void takeover_service::watch_responsibility(database_group const& group)
+{
+    auto& watch = m_lock_watches[group.name()];
+    auto const now = m_kernel.now();
+    if (now >= watch.next_check_at) {
+        watch.next_check_at = now + responsibility_period;
+        auto const was_responsible = std::exchange(watch.is_responsible, should_start_takeover(group));
+        if (!watch.is_responsible) {
+            watch.must_read = false;
+        }
+        else if (!was_responsible && !m_held_locks.contains(group.name())) {
+            watch.must_read = true;
+        }
+    }
+    if (watch.must_read && now >= watch.next_read_at) {
+        read_lock(group.name());
+    }
+}
+
+void takeover_service::read_lock(std::string const& group)
+{
+    auto& watch = m_lock_watches[group];
+    if (std::exchange(watch.is_reading, true)) {
+        return;
+    }
+    auto const asked_at = m_kernel.now();
+    m_lock.read(group, [this, group, asked_at](absl::StatusOr<std::optional<lock_claim>> const& claim) {
+        auto& reading = m_lock_watches[group];
+        reading.is_reading = false;
+        if (!claim.ok()) {
+            reading.next_read_at = m_kernel.now() + lock_read_retry_delay;
+            return;
+        }
+        reading.must_read = false;
+        reading.read_at = asked_at;
+        if (*claim) {
+            handle_claim(group, **claim);
+        }
+    });
+}
+
+void takeover_service::handle_claim(std::string const& group, lock_claim const& claim)
+{
+    auto& last = m_last_orders[group];
+    if (claim.is_settled) {
+        // All orders under lower fences are void.
+        if (last && last->fence < claim.fence) {
+            last.reset();
+        }
+        return;
+    }
+    // The holder may have sent its order this long after the claim.
+    unanswered_order const found{claim.member, m_kernel.now() - claim.age + max_lock_age, claim.fence};
+    auto const is_own = m_held_locks.contains(group) && claim.holder == m_membership->identity().name;
+    if (is_own || !found.may_be_carried_out(m_kernel.now()) || (last && last->fence >= found.fence)) {
+        return;
+    }
+    last = found;
+    Json::Value fields(Json::objectValue);
+    fields["group"] = group;
+    fields["holder"] = claim.holder;
+    fields["member"] = claim.member;
+    fields["fence"] = Json::UInt64(claim.fence);
+    fields["age_ms"] = to_milliseconds(claim.age);
+    m_kernel.log(log_level::info, service_name,
+                 "another VM may have sent a promotion order that was not answered", std::move(fields));
 }
 
 void takeover_service::handle_end(std::string const& group)
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -39,12 +39,27 @@
     void tick();
     void check_group(database_group& group);
     std::optional<takeover_cause> find_cause(database_group& group);
-    /// Returns whether the platform may still carry out an order of this VM that it did not answer. It may
-    /// replace a leader that has returned, so another order has to be answered first.
+    /// Returns whether the platform may still carry out an order that it did not answer. It may replace a
+    /// leader that has returned, so another order has to be answered first.
     bool has_outstanding_order(std::string const& group) const;
     bool should_start_takeover(database_group const& group) const;
     void start_takeover(database_group& group, takeover_cause cause);
     void handle_end(std::string const& group);
+    /// Looks for an order of another VM without an answer when this VM becomes the one that has to act for
+    /// the group: that VM may be gone.
+    void watch_responsibility(database_group const& group);
+    void read_lock(std::string const& group);
+    void handle_claim(std::string const& group, lock_claim const& claim);
+
+    /// What this VM knows of the orders of other VMs for one group.
+    struct lock_watch {
+        bool is_responsible = false;
+        bool must_read = false;
+        bool is_reading = false;
+        monotonic_time next_check_at;
+        monotonic_time next_read_at;
+        std::optional<monotonic_time> read_at; ///< Time at which the last answered read was sent.
+    };
 
     kernel& m_kernel;
     failover_lock m_lock;
@@ -61,6 +76,7 @@
     std::set<std::string> m_held_locks;                       ///< Groups whose failover lock this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Keyed by group without a known leader.
     std::map<std::string, std::optional<unanswered_order>> m_last_orders; ///< Keyed by group.
+    std::map<std::string, lock_watch> m_lock_watches;                     ///< Keyed by group.
     std::map<std::string, monotonic_time> m_next_takeover_at; ///< Earliest next takeover, keyed by group.
 };
 
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -485,6 +485,7 @@
 
 void session_fleet::execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done)
 {
+    ++m_sent_orders;
     if (m_do_orders_fail) {
         m_clock.start_timer(failed_order_time, [done = std::move(done)] {
             done(absl::UnavailableError("platform did not answer"));
@@ -492,9 +493,9 @@
         return;
     }
     auto delay = m_shape.latency;
-    if (m_next_order_delay) {
-        delay = *std::exchange(m_next_order_delay, std::nullopt);
-        m_delayed_order = order.member;
+    if (auto const late = std::exchange(m_next_order_delay, std::nullopt); late || m_order_delay) {
+        delay = late ? *late : *m_order_delay;
+        m_delayed_order = order;
         m_clock.start_timer(failed_order_time, [done = std::move(done)] {
             done(absl::UnavailableError("platform did not answer"));
         });
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -82,8 +82,15 @@
     /// Lets the platform leave the next promotion order unanswered and carry it out after `delay`, if its
     /// fence is still the highest then.
     void delay_next_order(duration delay) { m_next_order_delay = delay; }
+    /// Lets the platform treat all promotion orders as `delay_next_order` does, or answer them at once again
+    /// if there is no delay. Orders that were delayed before are carried out as before.
+    void set_order_delay(std::optional<duration> delay) { m_order_delay = delay; }
     /// Returns the member of the last delayed order; empty if there was none.
-    std::string const& delayed_order() const { return m_delayed_order; }
+    std::string const& delayed_order() const { return m_delayed_order.member; }
+    /// Returns the index of the VM that sent the last delayed order. There must be one.
+    std::size_t delayed_order_vm() { return find_vm(m_delayed_order.holder)->index; }
+    /// Returns the number of promotion orders that VMs have sent.
+    std::size_t sent_orders() const { return m_sent_orders; }
 
     /// Marks a member as draining in the directory.
     void drain_member(std::string const& id);
@@ -200,7 +207,9 @@
     std::size_t m_promotions = 0;
     bool m_do_orders_fail = false;
     std::optional<duration> m_next_order_delay;
-    std::string m_delayed_order; ///< Id of a member.
+    std::optional<duration> m_order_delay;
+    promotion_order m_delayed_order; ///< Last delayed order.
+    std::size_t m_sent_orders = 0;
     std::size_t m_stale_promotion_orders = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -146,13 +146,15 @@
     m_stale_reads += noted != m_noted_reads.end() && applied < noted->second ? 1 : 0;
 }
 
-bool virtual_database_group::holds_all_acknowledged() const
+std::size_t virtual_database_group::lost_commits() const
 {
     auto const& log = m_members.at(m_leader).log;
-    return std::all_of(m_acknowledged.begin(), m_acknowledged.end(), [&log](auto const& each) {
-        return std::any_of(log.begin(), log.end(),
-                           [&each](auto const& entry) { return entry.statement == each.second.statement; });
-    });
+    return static_cast<std::size_t>(
+        std::count_if(m_acknowledged.begin(), m_acknowledged.end(), [&log](auto const& each) {
+            return std::none_of(log.begin(), log.end(), [&each](auto const& entry) {
+                return entry.statement == each.second.statement;
+            });
+        }));
 }
 
 std::size_t virtual_database_group::count_in_log(std::string const& statement) const
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -86,8 +86,10 @@
     /// leader or down by then.
     void promote(std::string const& id);
 
+    /// Returns the number of acknowledged commits that the leader's log lacks.
+    std::size_t lost_commits() const;
     /// Returns whether the leader's log contains every acknowledged commit.
-    bool holds_all_acknowledged() const;
+    bool holds_all_acknowledged() const { return lost_commits() == 0; }
     /// Returns the number of acknowledged commits.
     std::size_t acknowledged() const { return m_acknowledged.size(); }
     /// Returns how many entries of the leader's log come from the statement with this id.
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -58,6 +58,16 @@
         return result;
     }
 
+    lock_claim read()
+    {
+        std::optional<lock_claim> result;
+        lock.read("group", [&result](absl::StatusOr<std::optional<lock_claim>> const& claim) {
+            result = claim.ok() ? *claim : std::nullopt;
+        });
+        cr_assert(result.has_value());
+        return *result;
+    }
+
     monotonic_time now{1h};
     std::uint64_t era = 1;
     std::optional<monotonic_time> restored_at;
@@ -161,3 +171,63 @@
         cr_assert(*after > *before, "%s", odd);
     }
 }
+
+/// Guards against a late order that no VM knows of: its holder is gone, and the row looks as if nothing were
+/// outstanding.
+Test(failover_lock, claim_is_open_until_its_orders_are_settled)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "member-a", true).ok());
+    fixture.pass(2s);
+    auto const open = fixture.read();
+    cr_assert(!open.is_settled);
+    cr_assert(open.holder == "vm-1" && open.member == "member-a");
+    cr_assert(open.age == 2s);
+    fixture.lock.settle("group", true);
+    cr_assert(fixture.read().is_settled);
+    cr_assert(fixture.read().fence == open.fence);
+    cr_assert(fixture.read().age == 2s);
+    cr_assert(fixture.acquire("vm-1", "member-a", true).ok());
+    cr_assert(!fixture.read().is_settled);
+}
+
+/// Guards against a late order that no VM knows of: the next holder orders nothing, and its claim has
+/// replaced that of the order.
+Test(failover_lock, claim_that_replaced_an_open_one_is_settled_only_by_an_answered_order)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "member-a", true).ok());
+    fixture.pass(5s);
+    failover_lock next{fixture.core, fixture.hooks};
+    for (auto const* const member : {"member-b", "member-c"}) {
+        next.acquire("vm-2", "group", member, true,
+                     [](absl::StatusOr<std::uint64_t> const& fence) { cr_assert(fence.ok()); });
+    }
+    next.settle("group", false);
+    cr_assert(!fixture.read().is_settled);
+    next.settle("group", true);
+    cr_assert(fixture.read().is_settled);
+}
+
+/// Guards against a lock that its new holder loses: the last holder settles its claim late.
+Test(failover_lock, claim_that_was_replaced_is_not_settled_by_its_holder)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "member-a", true).ok());
+    fixture.pass(5s);
+    failover_lock next{fixture.core, fixture.hooks};
+    next.acquire("vm-2", "group", "member-b", true,
+                 [](absl::StatusOr<std::uint64_t> const& fence) { cr_assert(fence.ok()); });
+    fixture.lock.settle("group", true);
+    cr_assert(fixture.read().holder == "vm-2");
+    cr_assert(!fixture.read().is_settled);
+}
+
+/// Guards against needless takeovers during an upgrade: VMs of the earlier build write no mark.
+Test(failover_lock, claim_without_a_mark_counts_as_settled)
+{
+    failover_lock_fixture fixture;
+    fixture.value = R"({"holder":"vm-1","member":"member-a","fence":7,"claimed_at_ms":500})";
+    fixture.version = 7;
+    cr_assert(fixture.read().is_settled);
+}
