tests: Show the order that takes effect before its VM is missed

A VM that ordered a promotion is killed, the leader is back after 0.5 s, the replica that was not ordered restarts after 1 s, and the platform carries out the order 2, 3 or 4 s after it was sent. Others miss the VM after 2.7 s, and its lock is valid for 4.5 s, so no order can overtake the late one, and nobody steps the leader down in time.

A way to mend it: VMs that know the holder of the lock stop the replicas and step the leader down as soon as a connection to it is lost, which needs no lock.

--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -279,6 +279,19 @@
     check_all(scenarios);
 }
 
+/// Guards against lost acknowledged commits: as before, and the replica that was not ordered restarts before
+/// others notice that the VM is gone.
+Test(order_of_a_lost_vm, replica_that_restarts_before_an_early_order_confirms_no_commit_that_is_lost)
+{
+    std::vector<order_scenario> scenarios;
+    for (auto const lost_after : {0ms, 480ms}) {
+        for (duration const order_delay : {duration(2s), duration(3s), duration(4s)}) {
+            scenarios.push_back({lost_after, vm_fault::killed, 500ms, 1s, order_delay});
+        }
+    }
+    check_all(scenarios);
+}
+
 /// Guards against needless takeovers: each VM is restarted by plan, one after the other, after a handover
 /// that ended well.
 Test(order_of_a_lost_vm, planned_restarts_after_a_handover_cause_no_takeover)
