failover: Keep a claim open that replaced one which cannot be decoded

A claim that replaced an open one is settled only by an answered order. One whose row cannot be decoded counted as settled there, so the next holder could settle its claim without an order, and an order of the unknown holder that is carried out late was known to no VM.

Such a row counts as open now when it is replaced. A VM that only reads it still starts no takeover for it.

--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -72,7 +72,7 @@
                      "failover lock cannot be decoded; it counts as held by another VM for its lifetime",
                      std::move(fields));
     }
-    return {unknown_holder, {}, first_fence_of_era(row), unreadable.first_read_at_ms};
+    return {unknown_holder, {}, first_fence_of_era(row), unreadable.first_read_at_ms, false};
 }
 
 bool failover_lock::may_have_lost_claims(bool checks_fences) const
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -231,3 +231,19 @@
     fixture.version = 7;
     cr_assert(fixture.read().is_settled);
 }
+
+/// Guards against a late order that no VM knows of: its claim cannot be decoded any more, and the claim that
+/// replaced it looks as if nothing were outstanding.
+Test(failover_lock, claim_that_replaced_an_undecodable_one_is_settled_only_by_an_answered_order)
+{
+    failover_lock_fixture fixture;
+    fixture.value = "damaged";
+    fixture.version = 7;
+    cr_assert(!fixture.acquire("vm-2", "member-b", true).ok());
+    fixture.pass(5s);
+    cr_assert(fixture.acquire("vm-2", "member-b", true).ok());
+    fixture.lock.settle("group", false);
+    cr_assert(!fixture.read().is_settled);
+    fixture.lock.settle("group", true);
+    cr_assert(fixture.read().is_settled);
+}
