failover: Settle the roster's row after writes without an answer

Callers would see: commits that they were told of are in no log that is kept, after the loss of the leader, one replica and all VMs. Found by reading, shown in virtual time only.

Cause: what the store holds was taken for what was last read. A write of the roster without an answer counted as not done, but is carried out as long as the row has the version it was made for: it bounds the log of a member that runs again. A member that is listed only while the row is rejected was never written. A row that cannot be decoded was replaced by one without the members that the directory has forgotten.

Now a keeper that has read the row writes it once, even unchanged, so that no earlier write of any VM can follow. It keeps what it wanted to write, and where that and the row differ on a bound, there is none. It adds members that the directory listed a while ago, and reads the row again every 10 s. If the row cannot be decoded, a keeper that knows no members waits until a leader answers; takeovers wait, too. Cost: one more write for each new keeper, one read every 10 s for each group.

--- a/libraries/failover/member_roster.cpp
+++ b/libraries/failover/member_roster.cpp
@@ -1,5 +1,7 @@
 #include "failover/member_roster.h"
 
+#include <algorithm>
+
 #include "base/json.h"
 
 namespace greengagehitch {
@@ -74,6 +76,28 @@
     m_entries[member.id] = {member.address, member.availability_zone, std::nullopt};
 }
 
+void member_roster::add_former(member_entry const& member)
+{
+    auto const is_known = std::any_of(m_entries.begin(), m_entries.end(), [&member](auto const& each) {
+        return each.first == member.id || each.second.address == member.address;
+    });
+    if (!is_known) {
+        m_entries[member.id] = {member.address, member.availability_zone, std::nullopt};
+    }
+}
+
+void member_roster::merge(member_roster const& other)
+{
+    for (auto const& [id, entry] : other.m_entries) {
+        auto const [own, is_new] = m_entries.try_emplace(id, entry);
+        if (is_new) {
+            continue;
+        }
+        auto& bound = own->second.log_bound;
+        bound = bound && entry.log_bound ? std::optional(std::max(*bound, *entry.log_bound)) : std::nullopt;
+    }
+}
+
 void member_roster::set_log_bound(std::string const& id, std::optional<log_position> bound)
 {
     auto const found = m_entries.find(id);
--- a/libraries/failover/member_roster.h
+++ b/libraries/failover/member_roster.h
@@ -37,6 +37,11 @@
 
     /// Adds a member that the directory lists, or updates its entry. It runs, so its log has no bound.
     void add_listed(member_entry const& member);
+    /// Adds a member that the directory listed some time ago, unless a known member has its address.
+    void add_former(member_entry const& member);
+    /// Adds the members of another roster, and removes bounds that only one of the two has: what either lacks
+    /// may have been found since the other was made.
+    void merge(member_roster const& other);
     /// Sets the bound of a known member's log, or removes it.
     void set_log_bound(std::string const& id, std::optional<log_position> bound);
     void remove(std::string const& id) { m_entries.erase(id); }
--- a/libraries/failover/roster_service.cpp
+++ b/libraries/failover/roster_service.cpp
@@ -14,6 +14,9 @@
 constexpr duration choice_period = std::chrono::seconds(2);
 /// Age above which the configuration does not show that this VM reaches the store.
 constexpr duration max_store_silence = std::chrono::seconds(3);
+/// Interval at which the keeper reads the row again. Two VMs may take themselves for the keeper while one
+/// hears nothing of the other.
+constexpr duration read_period = std::chrono::seconds(10);
 /// Delay between a call to the store that failed and the next one.
 constexpr duration retry_delay = std::chrono::seconds(1);
 constexpr duration probe_period = std::chrono::milliseconds(500);
@@ -146,6 +149,8 @@
     }
     if (!state.is_keeper) {
         state.stored.reset();
+        state.wanted.reset();
+        state.undecodable_since.reset();
         state.probes.clear();
         return;
     }
@@ -155,12 +160,14 @@
     if (state.is_calling || now < state.next_call_at) {
         return;
     }
-    if (!state.stored) {
+    if (!state.stored || now >= state.next_read_at) {
         read_row(group.name());
         return;
     }
     auto const updated = updated_roster(group, state);
-    if (updated != state.stored->roster) {
+    // A write of this VM or of the keeper before it that was not answered may be carried out for as long as
+    // the row has the version that it was made for, so the row is written once even if nothing has changed.
+    if (updated != state.stored->roster || !state.stored->is_settled) {
         write_row(group.name(), updated);
     }
 }
@@ -168,32 +175,55 @@
 void roster_service::read_row(std::string const& group)
 {
     m_states[group].is_calling = true;
-    m_platform.read_row(
-        row_key(group),
-        m_kernel.guard<absl::StatusOr<std::optional<table_row>>>([this, group](auto const& row) {
-            auto& state = m_states[group];
-            state.is_calling = false;
-            if (!row.ok()) {
-                state.next_call_at = m_kernel.now() + retry_delay;
-                return;
-            }
-            auto const read = row->value_or(table_row{});
-            auto roster =
-                read.version == 0 ? std::optional(member_roster()) : member_roster::try_decode(read.value);
-            if (!roster) {
-                Json::Value fields(Json::objectValue);
-                fields["version"] = Json::UInt64(read.version);
-                log("roster of the group cannot be decoded; it is written anew from the directory", group,
-                    std::move(fields));
-            }
-            state.stored = {read.version, roster.value_or(member_roster())};
-        }));
+    m_platform.read_row(row_key(group), m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(
+                                            [this, group](auto const& row) {
+                                                auto& state = m_states[group];
+                                                state.is_calling = false;
+                                                if (!row.ok()) {
+                                                    state.next_call_at = m_kernel.now() + retry_delay;
+                                                    return;
+                                                }
+                                                handle_row(group, row->value_or(table_row{}));
+                                            }));
+}
+
+void roster_service::handle_row(std::string const& group, table_row const& row)
+{
+    auto& state = m_states[group];
+    auto const now = m_kernel.now();
+    state.next_read_at = now + read_period;
+    if (state.stored && state.stored->version == row.version) {
+        return;
+    }
+    auto roster = row.version == 0 ? std::optional(member_roster()) : member_roster::try_decode(row.value);
+    if (!roster) {
+        if (!state.undecodable_since) {
+            state.undecodable_since = now;
+            Json::Value fields(Json::objectValue);
+            fields["version"] = Json::UInt64(row.version);
+            log("roster of the group cannot be decoded", group, std::move(fields));
+        }
+        // While no leader answers, a takeover must not take the listed members for all.
+        auto const newest = m_groups->group(group).leader_positions().newest();
+        if (!state.wanted && (!newest || newest->sent_at < *state.undecodable_since)) {
+            m_groups->group(group).refresh_leader_position(control_account);
+            state.next_call_at = now + retry_delay;
+            return;
+        }
+    }
+    state.undecodable_since.reset();
+    auto stored = roster.value_or(member_roster());
+    if (state.wanted) {
+        stored.merge(*state.wanted);
+    }
+    state.stored = {row.version, std::move(stored), false};
 }
 
 void roster_service::write_row(std::string const& group, member_roster const& roster)
 {
     auto& writing = m_states[group];
     writing.is_calling = true;
+    writing.wanted = roster;
     Json::Value fields(Json::objectValue);
     for (auto const& [id, entry] : roster.entries()) {
         fields[entry.log_bound ? "bounded" : "members"].append(id);
@@ -204,7 +234,7 @@
                                auto& state = m_states[group];
                                state.is_calling = false;
                                if (version.ok()) {
-                                   state.stored = {*version, roster};
+                                   state.stored = {*version, roster, true};
                                    log("roster of the group was written", group, written);
                                    return;
                                }
@@ -225,6 +255,7 @@
             roster.add_listed(member.entry);
         }
     }
+    add_former_members(group, roster);
     for (auto const& [id, entry] : state.stored->roster.entries()) {
         // The member that now runs at the address has the log, and an entry of its own.
         if (!is_listed(group, id) && is_address_listed(group, entry.address)) {
@@ -260,6 +291,25 @@
     return roster;
 }
 
+void roster_service::add_former_members(database_group const& group, member_roster& roster) const
+{
+    auto const add = [&](member_entry const& entry) {
+        if (!is_address_listed(group, entry.address)) {
+            roster.add_former(entry);
+        }
+    };
+    for (auto const& [id, member] : group.members()) {
+        if (member.entry.absent_since) {
+            add(member.entry);
+        }
+    }
+    for (auto const& [id, former] : group.former_members()) {
+        if (m_kernel.now() - former.removed_at < ended_member_memory) {
+            add(former.entry);
+        }
+    }
+}
+
 void roster_service::probe_unlisted_members(database_group const& group, group_state& state)
 {
     auto const now = m_kernel.now();
--- a/libraries/failover/roster_service.h
+++ b/libraries/failover/roster_service.h
@@ -51,6 +51,8 @@
     struct stored_roster {
         std::uint64_t version = 0;
         member_roster roster;
+        /// Whether this VM wrote it, so that no earlier write of any VM can still be carried out.
+        bool is_settled = false;
     };
 
     /// Attempts to connect to the address of a member that the directory does not list.
@@ -66,7 +68,13 @@
         bool is_keeper = false;
         bool is_calling = false; ///< Whether a call to the store is in progress.
         monotonic_time next_call_at;
+        monotonic_time next_read_at;
         std::optional<stored_roster> stored;
+        /// Roster that this VM has tried to write last, also if the store did not answer. No value unless it
+        /// is the keeper.
+        std::optional<member_roster> wanted;
+        /// Time since when the row cannot be decoded.
+        std::optional<monotonic_time> undecodable_since;
         std::map<std::string, probe> probes; ///< Keyed by member id.
     };
 
@@ -74,9 +82,12 @@
     void check_group(database_group& group);
     bool is_keeper_of(std::string const& group) const;
     void read_row(std::string const& group);
+    void handle_row(std::string const& group, table_row const& row);
     void write_row(std::string const& group, member_roster const& roster);
     /// Returns the roster that the store should hold.
     member_roster updated_roster(database_group& group, group_state& state);
+    /// Adds the members that the directory listed while the row was not written.
+    void add_former_members(database_group const& group, member_roster& roster) const;
     void probe_unlisted_members(database_group const& group, group_state& state);
     void handle_probe(std::string const& group, std::string const& member, member_answer const& answer,
                       monotonic_time started_at);
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include "brokers/relay_messages.h"
+
 namespace greengagehitch::standin {
 
 namespace {
@@ -15,6 +17,7 @@
 constexpr duration publish_period = 300ms;
 constexpr duration answer_timeout = 20s;
 constexpr duration failed_order_time = 500ms;
+constexpr duration failed_write_time = 500ms;
 
 std::string next_statement_id()
 {
@@ -315,7 +318,8 @@
             // Nothing runs at an address without a member.
             auto const has_member = !target.member.empty();
             if (!has_member || !can_reach_member(*self, target.member)) {
-                if (!has_member || m_are_connections_refused) {
+                if (!has_member || m_are_connections_refused ||
+                    m_refused.contains({self->index, target.member})) {
                     run_after_latency(self->index, [opened = events.opened](session_vm&) {
                         member_answer answer;
                         answer.error = member_error::refused;
@@ -369,19 +373,7 @@
     };
     hooks.platform.put_row = [this, self](std::string const& key, std::uint64_t expected,
                                           std::string const& value, auto done) {
-        m_clock.start_timer(m_shape.latency, [this, self, key, expected, value, done = std::move(done)] {
-            auto& entry = m_store[key];
-            if (!self->can_reach_store) {
-                done(absl::UnavailableError("cut"));
-            }
-            else if (entry.version != expected) {
-                done(absl::AbortedError("row has another version"));
-            }
-            else {
-                entry = {value, m_store_version++};
-                done(entry.version);
-            }
-        });
+        put_row(*self, key, expected, value, std::move(done));
     };
     hooks.platform.list_vms = [this](auto done) {
         std::vector<vm_record> records;
@@ -399,6 +391,36 @@
     return hooks;
 }
 
+void session_fleet::put_row(virtual_vm const& vm, std::string const& key, std::uint64_t expected,
+                            std::string const& value, put_callback const& done)
+{
+    auto const faults = m_row_faults[key];
+    auto const carry_out = [this, &vm, key, expected, value](put_callback const& answer) {
+        auto& entry = m_store[key];
+        if (!vm.can_reach_store) {
+            answer(absl::UnavailableError("cut"));
+        }
+        else if (entry.version != expected) {
+            answer(absl::AbortedError("row has another version"));
+        }
+        else {
+            entry = {value, m_store_version++};
+            answer(entry.version);
+        }
+    };
+    if (faults.rejects_writes || faults.write_delay) {
+        m_clock.start_timer(failed_write_time,
+                            [done] { done(absl::UnavailableError("store did not answer")); });
+    }
+    if (faults.rejects_writes) {
+        return;
+    }
+    m_clock.start_timer(faults.write_delay.value_or(m_shape.latency),
+                        [carry_out, done = faults.write_delay ? put_callback([](auto const&) {}) : done] {
+                            carry_out(done);
+                        });
+}
+
 void session_fleet::open_connection(std::uint64_t number, backend_connection_target const& target,
                                     backend_connection_events events)
 {
@@ -478,8 +500,15 @@
     if (found == m_channels.end() || !can_exchange_messages(*m_vms[from], *m_vms[found->second.first])) {
         return;
     }
-    run_after_latency(found->second.first, [name = m_vms[from]->name, message](session_vm& vm) {
-        vm.brokers().handle_reply(name, message);
+    auto sent = message;
+    if (m_without_ping_numbers.contains(from)) {
+        auto const decoded = try_decode_relay_message(message);
+        if (decoded.ok() && std::holds_alternative<relay_ping>(*decoded)) {
+            sent = encode_relay_message(relay_ping{true, 0});
+        }
+    }
+    run_after_latency(found->second.first, [name = m_vms[from]->name, sent](session_vm& vm) {
+        vm.brokers().handle_reply(name, sent);
     });
 }
 
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -61,6 +61,46 @@
     /// Cuts a VM off from its peers, or reconnects it.
     void set_peer_cut(std::size_t index, bool is_cut) { m_vms[index]->can_reach_peers = !is_cut; }
 
+    /// Lets a member's machine refuse the connections of one VM only, or accept them again. Commands on open
+    /// connections get no answer meanwhile.
+    void set_member_refused(std::size_t vm, std::string const& member, bool is_refused)
+    {
+        if (is_refused) {
+            m_refused.insert({vm, member});
+        }
+        else {
+            m_refused.erase({vm, member});
+        }
+    }
+    /// Cuts two zones off from each other only, or reconnects them. Their members exchange no log entries.
+    void set_zone_pair_cut(std::string const& first, std::string const& second, bool is_cut)
+    {
+        if (is_cut) {
+            m_cut_pairs.insert({first, second});
+        }
+        else {
+            m_cut_pairs.erase({first, second});
+        }
+    }
+    /// Lets a VM answer pings as builds did that did not number them.
+    void set_numbers_no_pings(std::size_t vm) { m_without_ping_numbers.insert(vm); }
+
+    /// How the store treats the writes of one row.
+    struct row_faults {
+        bool rejects_writes = false;
+        /// Time after which a write without an answer is carried out if its condition still holds then.
+        std::optional<duration> write_delay;
+    };
+    /// Returns the faults of a row, which a test changes.
+    row_faults& faults_of_row(std::string const& key) { return m_row_faults[key]; }
+    /// Writes a row as another writer.
+    void set_row(std::string const& key, std::string const& value)
+    {
+        m_store[key] = {value, m_store_version++};
+    }
+    /// Returns the value of a row; empty if there is none.
+    std::string const& row(std::string const& key) { return m_store[key].value; }
+
     /// Makes a member answer single statements of callers with the error `busy`, without running them, or
     /// ends this. A transaction stays open. Statements that are sent together with other commands run.
     void set_member_busy(std::string const& id, bool is_busy);
@@ -140,11 +180,13 @@
     }
     bool can_reach_zone(std::string const& from, std::string const& to) const
     {
-        return from == to || (!m_cut_zones.contains(from) && !m_cut_zones.contains(to));
+        return from == to || (!m_cut_zones.contains(from) && !m_cut_zones.contains(to) &&
+                              !m_cut_pairs.contains({from, to}) && !m_cut_pairs.contains({to, from}));
     }
     bool can_reach_member(virtual_vm const& from, std::string const& member) const
     {
-        return from.can_reach_members && can_reach_zone(from.zone, m_zone_of_member.at(member));
+        return from.can_reach_members && !m_refused.contains({from.index, member}) &&
+               can_reach_zone(from.zone, m_zone_of_member.at(member));
     }
     void send_message(std::size_t from, std::string const& to, std::string const& message);
     void reply(std::size_t from, channel_id to, std::string const& message);
@@ -157,6 +199,9 @@
     std::string member_at(endpoint const& address) const;
     /// Returns whether a busy member answers these commands itself, which it then does after the latency.
     bool answers_busy(std::uint64_t number, std::vector<member_command> const& commands);
+    using put_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
+    void put_row(virtual_vm const& vm, std::string const& key, std::uint64_t expected,
+                 std::string const& value, put_callback const& done);
     /// Checks the fence of a promotion order after the latency, and promotes the member if it is current.
     void execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done);
     /// Notes the group, the zone and the address of a new member.
@@ -180,6 +225,9 @@
     std::map<std::string, std::string> m_zone_of_member; ///< Keyed by member id.
     std::map<std::string, endpoint> m_address_of_member; ///< Keyed by member id.
     std::set<std::string> m_cut_zones;
+    std::set<std::pair<std::string, std::string>> m_cut_pairs;
+    std::set<std::pair<std::size_t, std::string>> m_refused; ///< VMs that members refuse, with the members.
+    std::set<std::size_t> m_without_ping_numbers;            ///< Indexes of VMs.
     bool m_are_connections_refused = false; ///< Whether connections across a cut are refused.
     std::uint64_t m_next_connection = 1;
     std::set<std::string> m_draining; ///< Ids of the draining members.
@@ -190,7 +238,8 @@
     std::unordered_map<std::string, virtual_vm*> m_vm_of_host; ///< Keyed by the host of the VM's address.
     std::map<std::string, store_entry> m_store;
     std::uint64_t m_store_version = 1;
-    std::map<std::string, std::uint64_t> m_fences; ///< Highest fence seen, keyed by group.
+    std::map<std::string, row_faults> m_row_faults; ///< Keyed by the key of the row.
+    std::map<std::string, std::uint64_t> m_fences;  ///< Highest fence seen, keyed by group.
     /// Indexes of the client VM and the server VM, keyed by channel number.
     std::map<std::uint64_t, std::pair<std::size_t, std::size_t>> m_channels;
     /// Channel numbers, keyed by the indexes of the client VM and the server VM.
--- /dev/null
+++ b/tests/sessions/roster_tests.cpp
@@ -0,0 +1,236 @@
+#include <deque>
+
+#include <criterion/criterion.h>
+
+#include "failover/roster_service.h"
+#include "session_fleet.h"
+
+// Pattern: a member that the directory no longer lists confirms commits, and is lost together with the leader
+// and with all VMs. The VMs that start take the members that they know for the whole group.
+
+using namespace std::chrono_literals;
+using namespace greengagehitch;
+using namespace greengagehitch::standin;
+
+namespace {
+
+session_fleet_shape make_shape()
+{
+    session_fleet_shape shape;
+    shape.group.entry_lifetime = 3600ms;
+    return shape;
+}
+
+struct roster_fixture {
+    roster_fixture() : fleet(make_shape(), 1) { fleet.clock().run_for(4s); }
+
+    std::string row_key() { return std::string(roster_key_prefix) + fleet.group().name(); }
+
+    /// Sends one write through each VM every 20 ms.
+    void load_for(duration length)
+    {
+        auto const end = fleet.clock().now() + length;
+        while (fleet.clock().now() < end) {
+            for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+                send_write(vm);
+            }
+            fleet.clock().run_for(std::min<duration>(20ms, end - fleet.clock().now()));
+        }
+    }
+
+    void send_write(std::size_t vm)
+    {
+        if (!fleet.is_running(vm)) {
+            return;
+        }
+        callers.emplace_back(fleet, vm, session_fleet::database_of(0, read_consistency::every_commit),
+                             session_fleet::key_of(0));
+        auto const write = session_caller::write("x");
+        writes.push_back(write.id);
+        if (callers.back().is_open()) {
+            callers.back().send(write);
+        }
+    }
+
+    /// Number of writes that callers know to be committed.
+    std::size_t delivered_writes() const
+    {
+        std::size_t count = 0;
+        for (auto const& each : callers) {
+            count += !each.answers().empty() && each.answers().front().is_ok() ? 1 : 0;
+        }
+        return count;
+    }
+
+    /// Number of writes that callers know to be committed and that are not in the leader's log.
+    std::size_t lost_writes()
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < callers.size(); ++i) {
+            auto const& answers = callers[i].answers();
+            count += !answers.empty() && answers.front().is_ok() && fleet.group().count_in_log(writes[i]) == 0
+                         ? 1
+                         : 0;
+        }
+        return count;
+    }
+
+    /// Ends members and kills all VMs, which start again after `down_for`.
+    void lose(std::vector<std::string> const& members, duration down_for)
+    {
+        for (auto const& id : members) {
+            fleet.group().crash(id);
+        }
+        for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+            fleet.kill_vm(vm);
+        }
+        fleet.clock().run_for(down_for);
+        for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+            fleet.start_vm(vm);
+        }
+    }
+
+    void set_replication_cut(std::vector<std::string> const& members, bool is_cut)
+    {
+        for (auto const& id : members) {
+            fleet.group().faults(id).is_replication_cut = is_cut;
+        }
+    }
+
+    session_fleet fleet;
+    std::deque<session_caller> callers;
+    std::vector<std::string> writes;
+};
+
+} // namespace
+
+/// Guards against lost acknowledged commits: a write of the roster that was not answered is carried out
+/// seconds later, when the member whose log it bounds runs again.
+Test(roster, late_write_bounds_no_member_that_runs_again)
+{
+    for (auto const returns_after : {700ms, 1200ms, 1700ms, 2500ms}) {
+        roster_fixture fixture;
+        auto& group = fixture.fleet.group();
+        fixture.load_for(500ms);
+        group.crash("m-0-c");
+        fixture.load_for(2s);
+        fixture.fleet.faults_of_row(fixture.row_key()).write_delay = 6s;
+        // The entry lapses after 3.6 s, and the address is probed until it has refused twice.
+        fixture.load_for(1600ms);
+        fixture.load_for(returns_after);
+        fixture.fleet.faults_of_row(fixture.row_key()).write_delay.reset();
+        group.restart("m-0-c");
+        fixture.load_for(9s);
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.load_for(2s);
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, member back after %lld ms",
+                  fixture.lost_writes(), static_cast<long long>(returns_after.count()));
+    }
+}
+
+/// Guards against the same with the keeper that wrote gone: its write is carried out while the next keeper
+/// keeps the roster.
+Test(roster, late_write_of_a_former_keeper_bounds_no_member_that_runs_again)
+{
+    for (auto const returns_after : {100ms, 700ms, 1200ms}) {
+        roster_fixture fixture;
+        auto& group = fixture.fleet.group();
+        fixture.load_for(500ms);
+        group.crash("m-0-c");
+        fixture.load_for(2s);
+        fixture.fleet.faults_of_row(fixture.row_key()).write_delay = 8s;
+        fixture.load_for(2900ms);
+        fixture.fleet.faults_of_row(fixture.row_key()).write_delay.reset();
+        // Any of the VMs may be the keeper; each of them is stopped once.
+        for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+            fixture.fleet.kill_vm(vm);
+            fixture.load_for(50ms);
+            fixture.fleet.start_vm(vm);
+        }
+        fixture.load_for(returns_after);
+        group.restart("m-0-c");
+        fixture.load_for(9s);
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.load_for(2s);
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, member back after %lld ms",
+                  fixture.lost_writes(), static_cast<long long>(returns_after.count()));
+    }
+}
+
+/// Guards against lost acknowledged commits: a member is listed only while the store rejects the roster's
+/// row, and goes on confirming commits.
+Test(roster, member_that_joined_and_lost_the_store_while_the_row_was_rejected_is_awaited)
+{
+    for (auto const rejected_for : {2s, 5s, 10s}) {
+        roster_fixture fixture;
+        std::string const joining = "m-0-bb";
+        fixture.load_for(500ms);
+        fixture.fleet.faults_of_row(fixture.row_key()).rejects_writes = true;
+        fixture.fleet.add_unlisted_replica(joining);
+        fixture.fleet.list_member(joining);
+        fixture.load_for(1s);
+        fixture.fleet.unlist_member(joining);
+        fixture.load_for(rejected_for - 1s);
+        fixture.fleet.faults_of_row(fixture.row_key()).rejects_writes = false;
+        fixture.load_for(3s);
+        fixture.set_replication_cut({"m-0-b", "m-0-c"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", joining}, 500ms);
+        fixture.set_replication_cut({"m-0-b", "m-0-c"}, false);
+        fixture.load_for(5s);
+        fixture.fleet.group().restart(joining);
+        fixture.fleet.list_member(joining);
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, row rejected for %lld s",
+                  fixture.lost_writes(), static_cast<long long>(rejected_for.count()));
+    }
+}
+
+/// Guards against lost acknowledged commits: the row cannot be decoded and is written anew without the
+/// members that the directory has forgotten.
+Test(roster, row_that_cannot_be_decoded_is_not_replaced_by_one_without_a_forgotten_member)
+{
+    for (bool const do_members_change : {false, true}) {
+        roster_fixture fixture;
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.load_for(4s);
+        fixture.fleet.set_row(fixture.row_key(), "?");
+        if (do_members_change) {
+            fixture.fleet.add_unlisted_replica("m-0-bb");
+            fixture.fleet.list_member("m-0-bb");
+        }
+        fixture.load_for(3s);
+        auto const others = do_members_change ? std::vector<std::string>{"m-0-b", "m-0-bb"}
+                                              : std::vector<std::string>{"m-0-b"};
+        fixture.set_replication_cut(others, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut(others, false);
+        fixture.load_for(5s);
+        fixture.fleet.group().restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, members %s", fixture.lost_writes(),
+                  do_members_change ? "change" : "stay");
+    }
+}
