tests: Show members that are lost before the roster knows of them

Three tests fail for real faults that are not mended; the bound is that no commit of which a caller knows is lost:

- roster/member_that_joined_*: a member joins, confirms commits and is lost with the leader and all VMs. 21 to 101 commits are lost if that is 0.1 to 0.5 s after it was listed, none from 0.55 to 1.0 s.
VMs are down for 4 s, so that the entry has lapsed.
- roster/member_that_ran_between_two_probes_*: a member that ended runs again without an entry and is lost with them after 0.1 or 0.2 s: 29 and 54 are lost, none from 0.3 to 1.0 s.
- roster/member_that_refuses_one_vm_only_*: an unlisted member refuses the connections of the roster's keeper only, which bounds its log while it goes on receiving: 247 are lost if VM 0 is refused, none with the other four.

--- a/tests/sessions/roster_tests.cpp
+++ b/tests/sessions/roster_tests.cpp
@@ -102,8 +102,35 @@
     std::vector<std::string> writes;
 };
 
+/// Time for which VMs are down, so that the entries of members that ended with them have lapsed.
+constexpr duration long_outage = 4s;
+
 } // namespace
 
+/// Guards against lost acknowledged commits: a member that joined is in the directory and confirms commits
+/// before the roster lists it, and is lost with the leader and all VMs.
+Test(roster, member_that_joined_and_is_lost_with_all_vms_before_it_was_written_loses_no_commit)
+{
+    for (auto lost_after = 100ms; lost_after <= 1000ms; lost_after += 50ms) {
+        roster_fixture fixture;
+        std::string const joining = "m-0-bb";
+        fixture.load_for(500ms);
+        fixture.fleet.add_unlisted_replica(joining);
+        fixture.fleet.list_member(joining);
+        fixture.set_replication_cut({"m-0-b", "m-0-c"}, true);
+        fixture.load_for(lost_after);
+        fixture.fleet.unlist_member(joining);
+        fixture.lose({"m-0-a", joining}, long_outage);
+        fixture.set_replication_cut({"m-0-b", "m-0-c"}, false);
+        fixture.load_for(5s);
+        fixture.fleet.group().restart(joining);
+        fixture.fleet.list_member(joining);
+        fixture.load_for(5s);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, members and VMs lost after %lld ms",
+                  fixture.lost_writes(), static_cast<long long>(lost_after.count()));
+    }
+}
+
 /// Guards against lost acknowledged commits: a write of the roster that was not answered is carried out
 /// seconds later, when the member whose log it bounds runs again.
 Test(roster, late_write_bounds_no_member_that_runs_again)
@@ -234,3 +261,55 @@
                   do_members_change ? "change" : "stay");
     }
 }
+
+/// Guards against lost acknowledged commits: a member that had ended starts again, behind a cut from the
+/// store, confirms commits and ends with the leader and all VMs before its address was probed again.
+Test(roster, member_that_ran_between_two_probes_loses_no_commit)
+{
+    for (auto ran_for = 100ms; ran_for <= 1000ms; ran_for += 100ms) {
+        roster_fixture fixture;
+        auto& group = fixture.fleet.group();
+        fixture.load_for(500ms);
+        group.crash("m-0-c");
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.load_for(8s);
+        group.restart("m-0-c");
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(ran_for);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, member ran for %lld ms",
+                  fixture.lost_writes(), static_cast<long long>(ran_for.count()));
+    }
+}
+
+/// Guards against lost acknowledged commits: a member that the directory does not list refuses connections of
+/// one VM only, the keeper of the roster, which bounds its log while it goes on confirming commits.
+Test(roster, member_that_refuses_one_vm_only_is_not_taken_for_ended)
+{
+    for (std::size_t vm = 0; vm < 5; ++vm) {
+        roster_fixture fixture;
+        auto& group = fixture.fleet.group();
+        fixture.load_for(500ms);
+        fixture.fleet.set_member_refused(vm, "m-0-c", true);
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.load_for(6s);
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.fleet.set_member_refused(vm, "m-0-c", false);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, VM %zu is refused",
+                  fixture.lost_writes(), vm);
+    }
+}
--- a/tests/sessions/takeover_tests.cpp
+++ b/tests/sessions/takeover_tests.cpp
@@ -447,3 +447,47 @@
                   static_cast<unsigned long long>(seed), group.leader().c_str());
     }
 }
+
+/// Guards against lost acknowledged commits: the leader has ended, and the only replica that received the
+/// commits refuses connections of one VM only, the one that runs the takeover.
+Test(takeover, replica_that_refuses_one_vm_only_is_not_left_out)
+{
+    for (std::size_t vm = 0; vm < 5; ++vm) {
+        for (bool const do_all_vms_restart : {false, true}) {
+            takeover_fixture fixture;
+            auto& group = fixture.fleet.group();
+            group.faults("m-0-b").is_replication_cut = true;
+            fixture.write_for(2s);
+            fixture.fleet.set_member_refused(vm, "m-0-a", true);
+            fixture.fleet.set_member_refused(vm, "m-0-c", true);
+            fixture.write_for(1s);
+            group.crash("m-0-a");
+            for (std::size_t i = 0; do_all_vms_restart && i < fixture.fleet.vms(); ++i) {
+                fixture.fleet.kill_vm(i);
+                fixture.fleet.start_vm(i);
+            }
+            group.faults("m-0-b").is_replication_cut = false;
+            fixture.write_for(20s);
+            cr_expect(group.leader() != "m-0-b", "VM %zu is refused, VMs %s", vm,
+                      do_all_vms_restart ? "restart" : "stay");
+            cr_expect(group.holds_all_acknowledged(), "VM %zu is refused", vm);
+        }
+    }
+}
+
+/// Guards against a leader that serves other VMs and is replaced because it refuses connections of one VM.
+Test(takeover, leader_and_replica_that_refuse_one_vm_only_are_not_replaced)
+{
+    for (std::size_t vm = 0; vm < 5; ++vm) {
+        takeover_fixture fixture;
+        auto& group = fixture.fleet.group();
+        group.faults("m-0-b").is_replication_cut = true;
+        fixture.write_for(2s);
+        fixture.fleet.set_member_refused(vm, "m-0-a", true);
+        fixture.fleet.set_member_refused(vm, "m-0-c", true);
+        fixture.write_for(8s);
+        cr_expect(fixture.fleet.promotions() == 0, "VM %zu is refused, %zu promotions", vm,
+                  fixture.fleet.promotions());
+        cr_expect(group.holds_all_acknowledged(), "VM %zu is refused", vm);
+    }
+}
