failover: Count the wait for late orders from the last time they can be sent

Where the platform checks no fence, another VM gets the lock for another member only once an order of the previous holder can no longer be carried out: 7.5 s after the claim. But the holder sends its order up to 1.4 s after its claim, so two leaders of one term were possible for that long. The wait is 8.9 s now, also after a restore of the store.

second_holder_waits_for_an_order_that_was_sent_late_after_its_claim states both sides of the bound; on the code before, its first assertion does not hold (7.5 s). Two tests named moments between the old bound and the new one for "late enough": second_holder_waits_for_orders_of_the_first_* waited 8 s and fence_after_a_restore_* 8 s, both 9 s now.

--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -15,6 +15,9 @@
 /// holders to act within three seconds of each other; the remaining time covers orders in flight.
 constexpr std::int64_t lock_lifetime_ms = 4'500;
 
+/// Time after the last acquisition until which the platform may carry out an order of the holder.
+constexpr duration late_order_time = max_lock_age + max_order_delay;
+
 /// Fences consist of an era and, in this number of lower bits, of a version.
 constexpr unsigned fence_version_bits = 32;
 /// Fences above this are no VM's: they would overflow when they grow.
@@ -79,7 +82,7 @@
 {
     auto const restored_at = m_platform.restored_at ? m_platform.restored_at() : std::nullopt;
     auto const lifetime =
-        checks_fences ? duration(std::chrono::milliseconds(lock_lifetime_ms)) : max_order_delay;
+        checks_fences ? duration(std::chrono::milliseconds(lock_lifetime_ms)) : late_order_time;
     return restored_at && m_kernel.now() - *restored_at < lifetime;
 }
 
@@ -112,7 +115,7 @@
         auto const has_other_order =
             !checks_fences && !is_own_lock && !known.member.empty() && known.member != member;
         if (has_other_order &&
-            std::chrono::milliseconds(row.read_at_ms - known.claimed_at_ms) < max_order_delay) {
+            std::chrono::milliseconds(row.read_at_ms - known.claimed_at_ms) < late_order_time) {
             done(absl::AbortedError("an order of the previous holder may still be carried out"));
             return;
         }
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -15,6 +15,10 @@
 /// Longest time after which the platform may still carry out an order that it did not answer.
 inline constexpr duration max_order_delay = std::chrono::milliseconds(7'500);
 
+/// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
+/// sent.
+inline constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
+
 /// Receives the fence of an acquired lock. kAborted means that another VM holds the lock; any other error
 /// means that the store did not confirm the write.
 using lock_callback = std::function<void(absl::StatusOr<std::uint64_t>)>;
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -52,10 +52,6 @@
 /// Time after which the platform has carried out or dropped an order that it did not answer.
 inline constexpr duration unanswered_order_lifetime = std::chrono::seconds(15);
 
-/// Time since the last acquisition of the failover lock above which the lock is renewed before an order is
-/// sent.
-inline constexpr duration max_lock_age = std::chrono::milliseconds(1'400);
-
 /// Promotion order that was not answered, so that the platform may still carry it out.
 struct unanswered_order {
     std::string member;
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -105,7 +105,7 @@
     cr_assert(fixture.acquire("vm-2", "member-a", false).ok());
     fixture.store_time_ms += 5'000;
     cr_assert(absl::IsAborted(fixture.acquire("vm-3", "member-b", false).status()));
-    fixture.store_time_ms += 3'000;
+    fixture.store_time_ms += 4'000;
     cr_assert(fixture.acquire("vm-3", "member-b", false).ok());
 }
 
@@ -119,7 +119,7 @@
         auto const lost = fixture.acquire("vm-1", "member-b", checks_fences);
         cr_assert(lost.ok());
         fixture.restore();
-        fixture.pass(8s);
+        fixture.pass(9s);
         auto const next = fixture.acquire("vm-2", "member-c", checks_fences);
         cr_assert(next.ok());
         cr_assert(*next > *lost, "%lu after %lu", *next, *lost);
@@ -247,3 +247,15 @@
     fixture.lock.settle("group", true);
     cr_assert(fixture.read().is_settled);
 }
+
+/// Guards against two orders for different members where no fence is checked: the first holder sends its
+/// order as late after its claim as it may, and the platform carries it out as late as it can.
+Test(failover_lock, second_holder_waits_for_an_order_that_was_sent_late_after_its_claim)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "member-a", false).ok());
+    fixture.pass(max_lock_age + max_order_delay - 1ms);
+    cr_assert(absl::IsAborted(fixture.acquire("vm-2", "member-b", false).status()));
+    fixture.pass(1ms);
+    cr_assert(fixture.acquire("vm-2", "member-b", false).ok());
+}
