brokers: Count ping answers of earlier builds as round trips

Callers would see: during a rolling upgrade, commits through the first VMs of a build, at leaders of their own zone, end in doubt though they succeeded. Found by reading, shown in virtual time.

Cause: VMs of earlier builds answer pings without a number, so that no answer proved contact with another zone, and successes are withheld without a proof. Class: a peer of the earlier build is taken for one that does not answer.

Now an answer without a number counts for the oldest unanswered ping to that VM. Answers come in order on a channel, so it cannot mean an earlier ping, and the round trip seems older than it is at most. When the channel is lost, both start anew.

No test covers given-up pings, and meta/mixed_builds was not run.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -140,7 +140,13 @@
 void broker_service::forget_former_vms()
 {
     auto const now = m_kernel.now();
-    std::erase_if(m_pings, [now](auto const& each) { return now - each.second >= contact_sweep_period; });
+    std::erase_if(m_pings, [this, now](auto const& each) {
+        auto const is_forgotten = now - each.second.sent_at >= contact_sweep_period;
+        if (is_forgotten) {
+            ++m_health[each.second.vm].forgotten_pings;
+        }
+        return is_forgotten;
+    });
     auto const& peers = m_membership->peers();
     std::erase_if(m_health, [&peers](auto const& each) { return !peers.contains(each.first); });
 }
@@ -360,10 +366,7 @@
         handle_relay_reply(vm, std::move(*reply));
     }
     else if (auto const* const ping = std::get_if<relay_ping>(&*decoded)) {
-        auto const sent = m_pings.extract(ping->number);
-        if (!sent.empty()) {
-            record_round_trip(vm, sent.mapped());
-        }
+        handle_ping_reply(vm, ping->number);
     }
     else if (auto const* const document = std::get_if<document_reply>(&*decoded);
              document != nullptr && m_on_document_reply) {
@@ -580,10 +583,33 @@
 void broker_service::send_ping(std::string const& vm)
 {
     auto const number = m_next_ping++;
-    m_pings[number] = m_health[vm].pinged_at = m_kernel.now();
+    m_health[vm].pinged_at = m_kernel.now();
+    m_pings[number] = {vm, m_kernel.now()};
     m_channels.send(vm, address_of(vm), encode_relay_message(relay_ping{false, number}));
 }
 
+void broker_service::handle_ping_reply(std::string const& vm, std::uint64_t number)
+{
+    auto found = m_pings.find(number);
+    if (number == 0) {
+        // VMs of earlier builds do not repeat the number. They answer in order, so no earlier ping can be
+        // meant.
+        auto& forgotten = m_health[vm].forgotten_pings;
+        if (forgotten != 0) {
+            --forgotten;
+            return;
+        }
+        found = std::find_if(m_pings.begin(), m_pings.end(),
+                             [&vm](auto const& each) { return each.second.vm == vm; });
+    }
+    if (found == m_pings.end() || found->second.vm != vm) {
+        return;
+    }
+    auto const sent_at = found->second.sent_at;
+    m_pings.erase(found);
+    record_round_trip(vm, sent_at);
+}
+
 void broker_service::probe_member_of(std::string const& zone)
 {
     std::vector<member_entry const*> members;
@@ -638,6 +664,9 @@
         // A reset or a close arrived from the VM's host.
         m_zones->record_heard(vm);
     }
+    // No reply to what was sent on the lost channel can arrive.
+    std::erase_if(m_pings, [&vm](auto const& each) { return each.second.vm == vm; });
+    m_health[vm].forgotten_pings = 0;
     fail_requests_at(vm, was_connected, was_connected);
 }
 
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -153,6 +153,7 @@
     struct vm_health {
         monotonic_time last_received_at;
         monotonic_time pinged_at;
+        std::size_t forgotten_pings = 0; ///< Pings that were given up, though their replies may arrive.
     };
 
     /// Chooses again until a broker is known or the request has waited too long.
@@ -175,6 +176,7 @@
     /// Returns whether a broker of the member could not reach it a short time ago.
     bool was_absent(std::string const& member) const;
     void send_ping(std::string const& vm);
+    void handle_ping_reply(std::string const& vm, std::uint64_t number);
     void start_contact_guard();
     /// Watches contact with other zones until `done` is called, if the request commits.
     reply_callback watch_contact(member_request const& request, std::string const& zone, reply_callback done);
@@ -212,9 +214,13 @@
     std::map<std::uint64_t, std::pair<channel_id, pinned_connection_pointer>> m_peer_connections;
     /// Cancellations of the requests that run for peers, keyed by the peer's connection and its request id.
     std::map<std::pair<channel_id, std::uint64_t>, std::shared_ptr<request_cancellation>> m_cancellations;
-    std::optional<zone_monitor> m_zones;             ///< Set when the service starts.
-    std::optional<contact_guard> m_contact;          ///< Set when the service starts.
-    std::map<std::uint64_t, monotonic_time> m_pings; ///< Send times of unanswered pings, keyed by number.
+    std::optional<zone_monitor> m_zones;    ///< Set when the service starts.
+    std::optional<contact_guard> m_contact; ///< Set when the service starts.
+    struct sent_ping {
+        std::string vm;
+        monotonic_time sent_at;
+    };
+    std::map<std::uint64_t, sent_ping> m_pings; ///< Unanswered pings, keyed by number.
     std::uint64_t m_next_ping = 1;
     bool m_has_check_timer = false;
     std::size_t m_peer_requests_running = 0;
