--- a/tests/sessions/contact_tests.cpp
+++ b/tests/sessions/contact_tests.cpp
@@ -67,6 +67,67 @@
 
 } // namespace
 
+/// Guards against lost commits in a fleet of two zones, where contact with one other zone is all there is.
+Test(contact, leader_behind_a_cut_in_a_fleet_of_two_zones_loses_no_delivered_commit)
+{
+    for (auto const start_after : {100ms, 300ms, 500ms, 700ms}) {
+        contact_fixture fixture(make_shape({"a", "a", "b", "b", "b"}));
+        fixture.load_for(1s);
+        fixture.fleet.set_zone_cut("a", true);
+        fixture.load_for(start_after);
+        fixture.fleet.add_unlisted_replica("m-0-joining-a");
+        fixture.load_for(4s);
+        fixture.fleet.set_zone_cut("a", false);
+        fixture.load_for(3s);
+        cr_expect(fixture.lost_writes() == 0,
+                  "%zu commits that callers know of are lost, replica after %.0f ms", fixture.lost_writes(),
+                  to_milliseconds(start_after));
+    }
+}
+
+/// Guards against lost commits behind a cut between two zones only: the zone with most VMs replaces the
+/// leader while VMs beside it pass successes on, as the third zone answers them.
+Test(contact, cut_between_two_zones_while_the_third_hears_both_loses_no_delivered_commit)
+{
+    std::vector<std::vector<std::string>> const divisions{{"a", "b", "b", "b", "c"},
+                                                          {"a", "a", "a", "b", "b", "b", "c", "c", "c"}};
+    for (auto const& zones : divisions) {
+        contact_fixture fixture(make_shape(zones));
+        fixture.load_for(1s);
+        fixture.fleet.set_zone_pair_cut("a", "b", true);
+        fixture.fleet.group().faults("m-0-b").is_replication_cut = true;
+        fixture.load_for(300ms);
+        fixture.fleet.add_unlisted_replica("m-0-joining-a");
+        fixture.load_for(6s);
+        fixture.fleet.set_zone_pair_cut("a", "b", false);
+        fixture.fleet.group().faults("m-0-b").is_replication_cut = false;
+        fixture.load_for(3s);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits that callers know of are lost, %zu VMs",
+                  fixture.lost_writes(), zones.size());
+    }
+}
+
+/// Guards against lost commits between the end of a cut and a promotion that the platform carries out later
+/// than a second after it.
+Test(contact, promotion_carried_out_long_after_a_cut_loses_no_delivered_commit)
+{
+    for (auto const cut_for : {1000ms, 1400ms, 1800ms}) {
+        auto shape = make_shape({"a", "a", "a", "b", "b", "b", "c", "c", "c"});
+        shape.group.promotion_time = 3s;
+        contact_fixture fixture(shape);
+        fixture.load_for(1s);
+        fixture.fleet.set_zone_cut("a", true);
+        fixture.load_for(350ms);
+        fixture.fleet.add_unlisted_replica("m-0-joining-a");
+        fixture.load_for(cut_for - 350ms);
+        fixture.fleet.set_zone_cut("a", false);
+        fixture.load_for(5s);
+        cr_expect(fixture.fleet.promotions() == 1, "%zu promotions", fixture.fleet.promotions());
+        cr_expect(fixture.lost_writes() == 0, "%zu commits that callers know of are lost, cut for %.0f ms",
+                  fixture.lost_writes(), to_milliseconds(cut_for));
+    }
+}
+
 /// Guards against successes that the first VM of a build withholds, since VMs of earlier builds answer pings
 /// without a number.
 Test(contact, vm_among_peers_that_do_not_number_pings_passes_successes_on)
