tests: Check how rosters are merged

Unit tests of member_roster::merge and add_former, which the roster's keeper uses after writes without an answer.

--- a/tests/failover/member_roster_tests.cpp
+++ b/tests/failover/member_roster_tests.cpp
@@ -90,3 +90,36 @@
     cr_assert(!evidence.is_absent(true));
     cr_assert(!evidence.is_contradicted());
 }
+
+/// Guards against a bound that one VM found before the member ran again, and another has removed.
+Test(member_roster, merged_roster_has_all_members_and_only_bounds_that_both_have)
+{
+    member_roster_fixture fixture;
+    auto other = fixture.roster;
+    fixture.roster.set_log_bound("a", log_position{3, 17});
+    other.set_log_bound("a", log_position{3, 20});
+    other.set_log_bound("b", log_position{3, 20});
+    member_entry entry;
+    entry.id = "c";
+    entry.address = {"10.0.0.3", 8000};
+    other.add_listed(entry);
+    fixture.roster.merge(other);
+    cr_assert(fixture.roster.entries().size() == 3);
+    cr_assert(fixture.roster.log_bound("a") == (log_position{3, 20}));
+    cr_assert(!fixture.roster.log_bound("b"));
+}
+
+/// Guards against two entries for one log: a member that was listed before is added beside the one that runs
+/// at its address.
+Test(member_roster, former_member_is_added_unless_its_address_is_known)
+{
+    member_roster_fixture fixture;
+    member_entry entry;
+    entry.id = "former";
+    entry.address = {"10.0.0.2", 8000};
+    fixture.roster.add_former(entry);
+    cr_assert(!fixture.roster.entries().contains("former"));
+    entry.address = {"10.0.0.3", 8000};
+    fixture.roster.add_former(entry);
+    cr_assert(fixture.roster.entries().contains("former"));
+}
