limits: Compute a zone's share from the numbers of VMs that all zones know

While VMs stop and start in turn beside an account that asks for several times its rate, more operations were admitted in 5 s than the rule allows (1,380 at a rate and burst of 206).

A zone computed the equal part of its share from the VMs that it heard itself, and the other zones from its report. A VM that shuts down goes on reporting within its zone, so its own zone counted it, while the report left it out. With one such VM in two zones of three, the equal parts add up to 1.19.

The zone now takes the smaller of both numbers.

The new test of rate_division uses the new function and was not run on the code before.

What is left is not traced: demands that differ while reports are under way, and VMs that are lenders right after their start.

--- a/libraries/limits/rate_contacts.cpp
+++ b/libraries/limits/rate_contacts.cpp
@@ -168,9 +168,10 @@
     auto const own_zone = m_zones.find(m_membership.identity().availability_zone);
     if (own_zone != m_zones.end() && now - own_zone->second.received_at <= m_report_lifetime) {
         auto const& state = own_zone->second;
-        division.set_reported_zone_demands(now - received_by_all <= part_of_lifetime(fresh_contact)
-                                               ? state.demands
-                                               : known_zone_demands(state, received_by_all));
+        division.set_reported_zone(state.vm_hashes.size(),
+                                   now - received_by_all <= part_of_lifetime(fresh_contact)
+                                       ? state.demands
+                                       : known_zone_demands(state, received_by_all));
     }
     return division;
 }
--- a/libraries/limits/rate_division.cpp
+++ b/libraries/limits/rate_division.cpp
@@ -54,10 +54,16 @@
     add_to(m_other_zones_demands, demands);
 }
 
+std::size_t rate_division::vms_here() const
+{
+    auto const in_contact = 1 + m_zone_peer_count;
+    return m_reported_zone_vms ? std::clamp<std::size_t>(*m_reported_zone_vms, 1, in_contact) : in_contact;
+}
+
 double rate_division::zone_share(name_hash account, double capacity) const
 {
-    auto const vms_here = static_cast<double>(1 + m_zone_peer_count);
-    auto const equal = vms_here / (vms_here + static_cast<double>(m_other_zones_vm_count));
+    auto const here_count = static_cast<double>(vms_here());
+    auto const equal = here_count / (here_count + static_cast<double>(m_other_zones_vm_count));
     auto const here = demand_in(m_reported_zone_demands ? *m_reported_zone_demands : m_zone_demands, account);
     auto const total = here + demand_in(m_other_zones_demands, account);
     auto const assumed = capacity / assumed_demand_seconds;
--- a/libraries/limits/rate_division.h
+++ b/libraries/limits/rate_division.h
@@ -29,8 +29,12 @@
     void add_own_demands(demands_map const& demands);
     /// Adds the demands that another VM of this zone, which is in contact, has published.
     void add_zone_peer(demands_map const& demands);
-    /// Sets the demands of this zone as they were last reported to the other zones.
-    void set_reported_zone_demands(demands_map const& demands) { m_reported_zone_demands = demands; }
+    /// Sets the demands of this zone, and its number of VMs, as they were last reported to the other zones.
+    void set_reported_zone(std::size_t vms, demands_map const& demands)
+    {
+        m_reported_zone_vms = vms;
+        m_reported_zone_demands = demands;
+    }
     /// Adds another zone that is in contact with this one, with its number of VMs.
     void add_other_zone(std::size_t vms, demands_map const& demands);
 
@@ -46,6 +50,8 @@
 
 private:
     double fleet_lender_share_of(double capacity) const;
+    /// Returns the number of VMs of this zone, which is at most the one that the other zones know.
+    std::size_t vms_here() const;
     /// Returns this zone's share of the rate that the zones in contact divide among them.
     double zone_share(name_hash account, double capacity) const;
 
@@ -54,6 +60,7 @@
     std::size_t m_other_zones_vm_count = 0; ///< Number of VMs in the other zones that are in contact.
     std::size_t m_other_zones_count = 0;
     demands_map m_zone_demands;
+    std::optional<std::size_t> m_reported_zone_vms;
     std::optional<demands_map> m_reported_zone_demands;
     demands_map m_other_zones_demands;
 };
--- a/tests/limits/rate_division_tests.cpp
+++ b/tests/limits/rate_division_tests.cpp
@@ -49,7 +49,7 @@
             division.reset(4);
             division.add_own_demands(vm == 0 ? own_zone : std::map<name_hash, double>{});
             division.add_zone_peer(vm == 0 ? std::map<name_hash, double>{} : own_zone);
-            division.set_reported_zone_demands(own_zone);
+            division.set_reported_zone(2, own_zone);
             division.add_other_zone(2, is_first_zone ? there : here);
             sum += division.share_of("t", capacity, {is_first_zone && vm == 0, vm == 1});
         }
@@ -57,6 +57,31 @@
     }
 }
 
+/// Failure: a VM of each zone shuts down. Its own zone still hears from it, and the others no longer count
+/// it.
+Test(rate_division, shares_of_zones_with_vms_that_shut_down_sum_to_one)
+{
+    for (auto const capacity : {large_capacity, 10.0}) {
+        std::vector<std::size_t> const reported{2, 2, 1};
+        double sum = 0;
+        for (std::size_t zone = 0; zone < reported.size(); ++zone) {
+            rate_division division;
+            division.reset(5);
+            for (std::size_t peer = 0; peer < reported[zone]; ++peer) {
+                division.add_zone_peer({});
+            }
+            division.set_reported_zone(reported[zone], {});
+            for (std::size_t other = 0; other < reported.size(); ++other) {
+                if (other != zone) {
+                    division.add_other_zone(reported[other], {});
+                }
+            }
+            sum += division.share_of("t", capacity, {zone == 0, true});
+        }
+        cr_assert(std::abs(sum - 1) < tolerance, "%f", sum);
+    }
+}
+
 Test(rate_division, vm_without_contact_takes_an_equal_share)
 {
     rate_division division;
