failover: Read the row of the lock also where this VM held it before

Callers lost acknowledged commits after this chain: VM one held the failover lock of a group and is cut off from the store and its peers. VM two claims the lock, orders a promotion without an answer and is lost. VM one comes back before the others miss VM two. They take it for the holder and read nothing, and it reads nothing either, since it has the lock noted as its own. The old leader and a replica return, and the late order promotes a replica that lacks their commits.

--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -53,8 +53,12 @@
         return std::nullopt;
     }
     auto const& is_settled = (*root)["is_settled"];
-    return lock_row{*holder, *member, *fence, static_cast<std::int64_t>(*claimed_at_ms),
-                    !is_settled.isBool() || is_settled.asBool()};
+    return lock_row{*holder,
+                    *member,
+                    *fence,
+                    static_cast<std::int64_t>(*claimed_at_ms),
+                    !is_settled.isBool() || is_settled.asBool(),
+                    is_settled.isBool()};
 }
 
 failover_lock::lock_row failover_lock::parse(std::string const& group, table_row const& row)
@@ -180,9 +184,10 @@
             done(std::optional<lock_claim>());
             return;
         }
-        lock_claim const found{claim->holder, claim->member, claim->fence,
-                               std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
-                               claim->is_settled};
+        lock_claim const found{
+            claim->holder,     claim->member,
+            claim->fence,      std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
+            claim->is_settled, claim->is_marked};
         Json::Value fields(Json::objectValue);
         fields["group"] = group;
         fields["holder"] = found.holder;
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -31,6 +31,8 @@
     duration age{}; ///< Time since the claim, by the store's clock.
     /// False while an order under this claim, or an earlier one, may have been sent and not been answered.
     bool is_settled = true;
+    /// Whether the row says so. A claim of an earlier build says nothing of its orders.
+    bool is_marked = true;
 };
 
 /// Receives the last claim, or std::nullopt if the row is absent or cannot be decoded.
@@ -71,6 +73,7 @@
         std::int64_t claimed_at_ms = 0; ///< Time of the last acquisition, by the store's clock.
         /// Whether no order under the claim is outstanding. VMs of builds without the mark never write false.
         bool is_settled = true;
+        bool is_marked = true; ///< Whether the row has the mark.
     };
 
     /// Claim that this VM wrote last.
--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -335,11 +335,9 @@
         return;
     }
     if (!m_dependencies.is_needed() && !has_outstanding_order()) {
-        if (m_dependencies.deposes_replaced_leaders && !m_dependencies.has_read_lock_since(m_started_at) &&
-            elapsed() < max_lock_read_time) {
-            return;
+        if (has_looked_for_orders()) {
+            end("the leader no longer has to be replaced", true);
         }
-        end("the leader no longer has to be replaced", true);
         return;
     }
     auto const chosen = find_successor();
@@ -697,9 +695,15 @@
            m_kernel.now() - last->sent_at >= max_order_delay;
 }
 
+bool group_takeover::has_looked_for_orders() const
+{
+    return !m_dependencies.deposes_replaced_leaders || m_dependencies.has_read_lock_since(m_started_at) ||
+           elapsed() >= max_lock_read_time;
+}
+
 bool group_takeover::must_fence_at_once() const
 {
-    return has_outstanding_order() && !is_handover(m_cause) &&
+    return has_outstanding_order() && has_looked_for_orders() && !is_handover(m_cause) &&
            (is_leader_answering() || m_evidence.final_position(m_kernel.now()));
 }
 
@@ -716,7 +720,7 @@
         handle_missing_evidence();
         return;
     }
-    if (++m_order_attempts > max_order_attempts) {
+    if (m_order_attempts >= max_order_attempts) {
         end("platform did not accept a promotion order within the maximum number of attempts", true);
         return;
     }
@@ -729,6 +733,8 @@
         acquire_lock();
         return;
     }
+    ++m_order_attempts;
+    m_was_order_answered = false;
     promotion_order const order{m_name, m_successor, m_dependencies.vm, m_fence};
     Json::Value fields(Json::objectValue);
     fields["member"] = m_successor;
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -195,6 +195,9 @@
     /// Returns whether the platform may still carry out an order that it did not answer. Only an answered
     /// order with a higher fence rules that out.
     bool has_outstanding_order() const;
+    /// Returns whether the store has said since the start of the takeover if another VM's order is
+    /// outstanding, or has not answered in time.
+    bool has_looked_for_orders() const;
     /// Returns whether the old leader steps down before the lock is held: while an order is outstanding, a
     /// replica that restarts must not let it acknowledge commits.
     bool must_fence_at_once() const;
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -201,7 +201,7 @@
     m_takeovers[name] = started;
     started->start();
     if (m_deposes_replaced_leaders) {
-        m_lock_watches[name].must_read = true;
+        request_lock_read(m_lock_watches[name]);
         read_lock(name);
     }
 }
@@ -216,8 +216,8 @@
         if (!watch.is_responsible) {
             watch.must_read = false;
         }
-        else if (!was_responsible && !m_held_locks.contains(group.name())) {
-            watch.must_read = true;
+        else if (!was_responsible) {
+            request_lock_read(watch);
         }
     }
     if (watch.must_read && now >= watch.next_read_at) {
@@ -225,6 +225,12 @@
     }
 }
 
+void takeover_service::request_lock_read(lock_watch& watch)
+{
+    watch.must_read = true;
+    watch.requested_at = m_kernel.now();
+}
+
 void takeover_service::read_lock(std::string const& group)
 {
     auto& watch = m_lock_watches[group];
@@ -239,7 +245,7 @@
             reading.next_read_at = m_kernel.now() + lock_read_retry_delay;
             return;
         }
-        reading.must_read = false;
+        reading.must_read = reading.requested_at > asked_at;
         reading.read_at = asked_at;
         if (*claim) {
             handle_claim(group, **claim);
@@ -251,8 +257,8 @@
 {
     auto& last = m_last_orders[group];
     if (claim.is_settled) {
-        // All orders under lower fences are void.
-        if (last && last->fence < claim.fence) {
+        // No order under this fence or a lower one can be carried out any more.
+        if (claim.is_marked && last && last->fence <= claim.fence) {
             last.reset();
         }
         return;
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -36,6 +36,17 @@
     Json::Value dump() const override;
 
 private:
+    /// What this VM knows of the orders of other VMs for one group.
+    struct lock_watch {
+        bool is_responsible = false;
+        bool must_read = false;
+        bool is_reading = false;
+        monotonic_time requested_at; ///< Time of the last request for a read.
+        monotonic_time next_check_at;
+        monotonic_time next_read_at;
+        std::optional<monotonic_time> read_at; ///< Time at which the last answered read was sent.
+    };
+
     void tick();
     void check_group(database_group& group);
     std::optional<takeover_cause> find_cause(database_group& group);
@@ -48,19 +59,10 @@
     /// Looks for an order of another VM without an answer when this VM becomes the one that has to act for
     /// the group: that VM may be gone.
     void watch_responsibility(database_group const& group);
+    void request_lock_read(lock_watch& watch);
     void read_lock(std::string const& group);
     void handle_claim(std::string const& group, lock_claim const& claim);
 
-    /// What this VM knows of the orders of other VMs for one group.
-    struct lock_watch {
-        bool is_responsible = false;
-        bool must_read = false;
-        bool is_reading = false;
-        monotonic_time next_check_at;
-        monotonic_time next_read_at;
-        std::optional<monotonic_time> read_at; ///< Time at which the last answered read was sent.
-    };
-
     kernel& m_kernel;
     failover_lock m_lock;
     backend_connection_hooks const& m_connection_hooks;
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -230,6 +230,7 @@
     fixture.value = R"({"holder":"vm-1","member":"member-a","fence":7,"claimed_at_ms":500})";
     fixture.version = 7;
     cr_assert(fixture.read().is_settled);
+    cr_assert(!fixture.read().is_marked);
 }
 
 /// Guards against a late order that no VM knows of: its claim cannot be decoded any more, and the claim that
--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -32,7 +32,8 @@
 /// carries out the order seconds later. Meanwhile the VM is lost and the old leader returns. The ordered
 /// replica receives nothing from it.
 struct order_fixture {
-    explicit order_fixture(std::uint64_t seed) : fleet(make_shape(), seed)
+    explicit order_fixture(std::uint64_t seed, session_fleet_shape const& shape = make_shape())
+        : fleet(shape, seed)
     {
         fleet.clock().run_for(4s);
         write_for(1s);
@@ -113,24 +114,30 @@
         fleet.set_order_delay(scenario.order_delay);
         group.crash(old);
         auto const limit = fleet.clock().now() + 6s;
-        while (fleet.delayed_order().empty() && fleet.clock().now() < limit) {
+        auto const sent = fleet.sent_orders();
+        while (fleet.sent_orders() == sent && fleet.clock().now() < limit) {
             for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
                 write_at(vm);
             }
-            for (int i = 0; i < 10 && fleet.delayed_order().empty(); ++i) {
+            for (int i = 0; i < 10 && fleet.sent_orders() == sent; ++i) {
                 fleet.clock().run_for(1ms);
             }
         }
-        cr_assert(!fleet.delayed_order().empty(), "no VM ordered a promotion");
+        cr_assert(fleet.sent_orders() > sent, "no VM ordered a promotion");
         auto const ordered_at = fleet.clock().now();
         auto const ordered = fleet.delayed_order();
         auto const vm = fleet.delayed_order_vm();
-        std::string const other = ordered == "m-0-b" ? "m-0-c" : "m-0-b";
+        auto const& ids = group.ids();
+        std::string const other = *std::find_if(
+            ids.begin(), ids.end(), [&](std::string const& id) { return id != old && id != ordered; });
 
         std::vector<std::pair<duration, std::function<void()>>> events;
         events.emplace_back(scenario.lost_after, [&] {
             fleet.set_order_delay(std::nullopt);
             lose(vm, scenario.fault);
+            if (on_loss) {
+                on_loss();
+            }
         });
         if (scenario.fault == vm_fault::all_killed) {
             events.emplace_back(scenario.lost_after + 500ms, [&] {
@@ -190,6 +197,7 @@
     session_fleet fleet;
     std::vector<caller_state> callers; ///< One at each VM.
     bool reads_only = false;           ///< Whether callers read only.
+    std::function<void()> on_loss;     ///< Called when the VM that ordered is lost.
 };
 
 void check_all(std::vector<order_scenario> const& scenarios)
@@ -319,3 +327,38 @@
     cr_assert(takeovers == 0, "%zu takeovers", takeovers);
     cr_assert(fleet.group().holds_all_acknowledged());
 }
+
+/// Guards against lost acknowledged commits: the VM that becomes responsible held the failover lock long ago.
+/// It was cut off from the store and its peers while another VM ordered a promotion.
+Test(order_of_a_lost_vm, vm_that_held_the_lock_before_finds_the_order_of_another)
+{
+    for (duration const back_after : {duration(1s), duration(1500ms), duration(2s), duration(2500ms)}) {
+        constexpr std::uint64_t seed = 1;
+        auto shape = order_fixture::make_shape();
+        shape.zones = {"a", "a", "b", "b", "c", "c"};
+        order_fixture fixture(seed, shape);
+        auto& fleet = fixture.fleet;
+        std::string const first = fleet.group().leader();
+        fleet.set_order_delay(5ms);
+        fleet.group().crash(first);
+        fixture.write_for(5s);
+        fleet.set_order_delay(std::nullopt);
+        cr_assert(!fleet.delayed_order().empty());
+        auto const former_holder = fleet.delayed_order_vm();
+        fleet.group().restart(first);
+        fixture.write_for(20s);
+        cr_assert(fleet.group().leader() != first);
+
+        auto const set_cut_off = [&](bool is_cut_off) {
+            fleet.set_store_cut(former_holder, is_cut_off);
+            fleet.set_peer_cut(former_holder, is_cut_off);
+        };
+        set_cut_off(true);
+        fixture.write_for(8s);
+        fixture.on_loss = [&] {
+            cr_assert(fleet.delayed_order_vm() != former_holder);
+            fleet.clock().start_timer(back_after, [&] { set_cut_off(false); });
+        };
+        fixture.check({100ms, vm_fault::killed, 1s, 1500ms, 12s}, seed);
+    }
+}
