tests: Show commits refused in a zone that has lost its only VM

What callers see: no write of a group is served while the platform lists a VM that is gone, if that VM was the only one in the leader's availability zone. The zone is silent, so broker_service::may_commit refuses commits there, although the zone's members answer. Not mended: a zone whose members answer may also be one whose cut has just ended, and commits have to wait a second then.

--- a/tests/sessions/contact_tests.cpp
+++ b/tests/sessions/contact_tests.cpp
@@ -150,3 +150,21 @@
     }
     cr_assert(delivered == sent, "%zu of %zu writes succeeded", delivered, sent);
 }
+
+/// Guards against a group without commits: the leader's zone has lost its only VM, which the platform still
+/// lists, and the other VMs take the zone for cut off although its members answer.
+Test(contact, leader_in_a_zone_that_has_lost_its_only_vm_commits)
+{
+    contact_fixture fixture(make_shape({"b", "b", "c", "c", "a"}));
+    cr_assert(fixture.fleet.group().leader() == "m-0-a");
+    constexpr std::size_t only_vm = 4;
+    fixture.fleet.kill_vm(only_vm);
+    // A commit waits for a replacement of the leader for no longer than a takeover takes.
+    fixture.fleet.clock().run_for(4s);
+    session_caller caller(fixture.fleet, 0, session_fleet::database_of(0, read_consistency::every_commit),
+                          session_fleet::key_of(0));
+    for (int i = 0; i < 10; ++i) {
+        cr_expect(caller.send_and_wait(session_caller::write("x")).is_ok(), "write %d", i);
+        fixture.fleet.clock().run_for(1s);
+    }
+}
