failover: Read the lock only once the other VMs are known

What callers saw: nothing; the store did.

Cause: a VM that has just started hears nobody and takes itself for the one that has to act for every group, so VMs times groups rows were read at a common start.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -18,6 +18,9 @@
 constexpr duration pause_after_end = std::chrono::milliseconds(1'500);
 /// Interval at which it is decided anew whether this VM has to act for a group.
 constexpr duration responsibility_period = std::chrono::milliseconds(300);
+/// Time after the start of this VM within which it hears of the other VMs. Before, each VM would take itself
+/// for the one that has to act.
+constexpr duration peer_discovery_time = std::chrono::seconds(1);
 constexpr duration lock_read_retry_delay = std::chrono::milliseconds(500);
 /// Placeholder account for probes, which belong to no client account.
 constexpr auto control_account = "-";
@@ -34,6 +37,7 @@
     m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_reports->set_holds_failover_lock(
         [this](std::string const& group) { return m_held_locks.contains(group); });
+    m_started_at = m_kernel.now();
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
 
@@ -208,8 +212,11 @@
 
 void takeover_service::watch_responsibility(database_group const& group)
 {
-    auto& watch = m_lock_watches[group.name()];
     auto const now = m_kernel.now();
+    if (now - m_started_at < peer_discovery_time) {
+        return;
+    }
+    auto& watch = m_lock_watches[group.name()];
     if (now >= watch.next_check_at) {
         watch.next_check_at = now + responsibility_period;
         auto const was_responsible = std::exchange(watch.is_responsible, should_start_takeover(group));
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -65,6 +65,7 @@
 
     kernel& m_kernel;
     failover_lock m_lock;
+    monotonic_time m_started_at;
     backend_connection_hooks const& m_connection_hooks;
     promotion_hook m_promote;
     bool m_deposes_replaced_leaders; ///< Whether a promotion ends the replaced leader's leadership at once.
--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -362,3 +362,30 @@
         fixture.check({100ms, vm_fault::killed, 1s, 1500ms, 12s}, seed);
     }
 }
+
+/// Guards against a burst of calls to the store: VMs that start together hear nobody at first, so that each
+/// of them takes itself for the one that has to act for the group.
+Test(order_of_a_lost_vm, vms_that_start_together_read_the_lock_once)
+{
+    order_fixture fixture(1);
+    auto& fleet = fixture.fleet;
+    std::string const old = fleet.group().leader();
+    fleet.group().crash(old);
+    fixture.write_for(5s);
+    fleet.group().restart(old);
+    fixture.write_for(20s);
+    cr_assert(fleet.group().leader() != old);
+    std::size_t reads = 0;
+    fleet.set_on_log([&reads](log_record const& record) {
+        reads += record.message == "read the last claim of the failover lock" ? 1 : 0;
+    });
+    for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+        fixture.kill(vm);
+    }
+    fleet.clock().run_for(500ms);
+    for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+        fleet.start_vm(vm);
+    }
+    fleet.clock().run_for(3s);
+    cr_assert(reads == 1, "%zu reads", reads);
+}
