standins: Let virtual members repeat and cut answers, and count broken rules

A share of all answers, also to handshakes, setup commands and orders, now arrives a second time unchanged, and a share is cut short by the loss of the connection.

Each run of a statement has a proof of its own.

--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -43,6 +43,7 @@
         }
         auto const name = fmt::format("group-{}", i);
         m_groups.push_back(std::make_unique<virtual_database_group>(m_clock, name, ids, m_shape.group));
+        m_groups.back()->set_ledger(&m_ledger);
         for (auto const& id : ids) {
             add_member(id, i);
         }
@@ -550,7 +551,11 @@
     : m_fleet(fleet)
 {
     session_hooks hooks;
-    hooks.answer = [answers = m_answers](session_answer answer) { answers->push_back(std::move(answer)); };
+    m_number = fleet.ledger().add_session("account-" + key.substr(key.find('-') + 1));
+    hooks.answer = [&fleet, number = m_number, answers = m_answers](session_answer answer) {
+        fleet.ledger().record_answer(number, answer);
+        answers->push_back(std::move(answer));
+    };
     hooks.close = [was_closed = m_was_closed] { *was_closed = true; };
     auto opened = fleet.vm(vm).sessions().open(database, key, std::move(hooks));
     if (auto const* const error = std::get_if<session_error>(&opened)) {
@@ -562,6 +567,7 @@
 
 void session_caller::send(session_statement statement)
 {
+    m_fleet.ledger().record_sent(m_number, statement);
     m_session->handle(std::move(statement));
 }
 
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "session_vm/session_vm.h"
+#include "statement_ledger.h"
 #include "virtual_clock.h"
 #include "virtual_database_group.h"
 
@@ -41,6 +42,8 @@
 
     virtual_clock& clock() { return m_clock; }
     virtual_database_group& group(std::size_t index = 0) { return *m_groups[index]; }
+    /// Returns the record of all statements of callers, and of the rules that were broken.
+    statement_ledger& ledger() { return m_ledger; }
     std::size_t vms() const { return m_vms.size(); }
     /// Returns a VM that is running.
     session_vm& vm(std::size_t index) { return *m_vms[index]->vm; }
@@ -218,6 +221,7 @@
 
     session_fleet_shape m_shape;
     virtual_clock m_clock;
+    statement_ledger m_ledger;
     std::vector<std::unique_ptr<virtual_database_group>> m_groups;
     std::map<std::string, virtual_database_group*> m_group_of_member;       ///< Keyed by member id.
     std::map<std::uint64_t, virtual_database_group*> m_group_of_connection; ///< Keyed by connection number.
@@ -292,6 +296,7 @@
 
 private:
     session_fleet& m_fleet;
+    statement_ledger::session_number m_number = statement_ledger::session_number::none;
     std::shared_ptr<client_session> m_session;
     std::optional<session_error> m_open_error;
     std::shared_ptr<std::vector<session_answer>> m_answers = std::make_shared<std::vector<session_answer>>();
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -159,9 +159,20 @@
 
 std::size_t virtual_database_group::count_in_log(std::string const& statement) const
 {
-    auto const& log = m_members.at(m_leader).log;
-    return static_cast<std::size_t>(std::count_if(
-        log.begin(), log.end(), [&statement](auto const& entry) { return entry.statement == statement; }));
+    auto const counts = log_counts();
+    auto const found = counts.find(statement);
+    return found == counts.end() ? 0 : found->second;
+}
+
+std::map<std::string, std::size_t> virtual_database_group::log_counts() const
+{
+    std::map<std::string, std::size_t> counts;
+    for (auto const& entry : m_members.at(m_leader).log) {
+        for (auto const& write : entry.writes) {
+            ++counts[write];
+        }
+    }
+    return counts;
 }
 
 log_position virtual_database_group::acknowledged_before(monotonic_time time) const
@@ -212,7 +223,12 @@
                             }
                             ++m_opened_connections;
                             answer.position = applied_position(member);
-                            added->events.opened(std::move(answer));
+                            added->events.opened(answer);
+                            if (answer.is_ok() && draw(member.faults.repeated_answer_share)) {
+                                ++m_repeated_answers;
+                                deliver_after(m_clock.random_interval(member.faults.mean_repetition_delay),
+                                              connection_number, std::move(answer));
+                            }
                         });
 }
 
@@ -295,16 +311,17 @@
             if (!is_commit) {
                 current->pending_writes = {command.id};
             }
-            commit(connection_number, current, command.id);
+            commit(connection_number, current, command);
             return;
         }
-        send_answer(connection_number, run_command(*current, command), takes_slot);
+        send_answer(connection_number, run_command(connection_number, *current, command), takes_slot);
     });
 }
 
 void virtual_database_group::commit(std::uint64_t connection_number, connection_pointer const& current,
-                                    std::string const& id)
+                                    member_command const& command)
 {
+    auto const proof = record_run(connection_number, *current, command);
     auto const is_empty = current->pending_writes.empty();
     auto const is_stale =
         current->state == transaction_state::open && current->is_write_transaction && current->term != m_term;
@@ -316,7 +333,7 @@
     }
     if (is_empty) {
         auto answer = make_answer(*current);
-        answer.proof = "proof-" + id;
+        answer.proof = proof;
         send_answer(connection_number, std::move(answer), true);
         return;
     }
@@ -325,18 +342,22 @@
         current->pending_writes.clear();
         return;
     }
-    log_entry const entry{{m_term, m_next_number++}, current->pending_writes.front()};
+    if (m_ledger != nullptr && command.text == "COMMIT") {
+        m_ledger->record_commit(current->transaction, command.id);
+    }
+    log_entry const entry{
+        {m_term, m_next_number++}, current->pending_writes.front(), current->pending_writes};
     current->pending_writes.clear();
     auto& leader = m_members.at(m_leader);
     leader.log.push_back(entry);
     leader.applied = leader.log.size();
-    replicate(entry, connection_number, id);
+    replicate(entry, connection_number, proof);
 }
 
 void virtual_database_group::replicate(log_entry const& entry, std::uint64_t connection_number,
-                                       std::string const& id)
+                                       std::string const& proof)
 {
-    m_waiting_commits.push_back({entry, connection_number, id});
+    m_waiting_commits.push_back({entry, connection_number, proof});
     for (auto const& replica : m_ids) {
         if (replica != m_leader) {
             m_clock.start_timer(m_options.latency,
@@ -394,12 +415,18 @@
         return;
     }
     auto answer = make_answer(*found->second);
-    answer.proof = "proof-" + commit.statement;
+    answer.proof = commit.proof;
     answer.position = commit.entry.position;
-    if (m_clock.random_share() >= faults.lost_answer_share) {
-        m_acknowledged.emplace_back(m_clock.now(), commit.entry);
-        send_answer(commit.connection_number, std::move(answer), false);
+    if (m_clock.random_share() < faults.lost_answer_share) {
+        return;
+    }
+    if (draw(faults.cut_answer_share)) {
+        lose_connection(commit.connection_number);
+        return;
     }
+    m_acknowledged.emplace_back(m_clock.now(), commit.entry);
+    deliver(commit.connection_number, leader, answer);
+    run_next_command(commit.connection_number);
 }
 
 void virtual_database_group::send_answer(std::uint64_t connection_number, member_answer answer, bool was_run)
@@ -412,14 +439,61 @@
     if (was_run && m_clock.random_share() < faults.lost_answer_share) {
         return;
     }
-    m_clock.start_timer(m_options.latency, [this, connection_number, answer = std::move(answer)]() mutable {
+    if (draw(faults.cut_answer_share)) {
+        lose_connection(connection_number);
+        return;
+    }
+    deliver(connection_number, found->second->member, answer);
+    run_next_command(connection_number);
+}
+
+void virtual_database_group::deliver(std::uint64_t connection_number, std::string const& member,
+                                     member_answer const& answer)
+{
+    deliver_after(m_options.latency, connection_number, answer);
+    auto const& faults = m_members.at(member).faults;
+    if (draw(faults.repeated_answer_share)) {
+        ++m_repeated_answers;
+        deliver_after(m_options.latency + m_clock.random_interval(faults.mean_repetition_delay),
+                      connection_number, answer);
+    }
+}
+
+void virtual_database_group::deliver_after(duration delay, std::uint64_t connection_number,
+                                           member_answer answer)
+{
+    m_clock.start_timer(delay, [this, connection_number, answer = std::move(answer)]() mutable {
         auto const receiver = m_connections.find(connection_number);
         if (receiver != m_connections.end()) {
             auto const current = receiver->second;
             current->events.answered(std::move(answer));
         }
     });
-    run_next_command(connection_number);
+}
+
+void virtual_database_group::lose_connection(std::uint64_t connection_number)
+{
+    m_clock.start_timer(m_options.latency, [this, connection_number] {
+        auto const found = m_connections.find(connection_number);
+        if (found == m_connections.end()) {
+            return;
+        }
+        auto const lost_connection = found->second;
+        close(connection_number);
+        lost_connection->events.lost(member_error::connection_lost);
+    });
+}
+
+std::string virtual_database_group::record_run(std::uint64_t connection_number, connection const& current,
+                                               member_command const& command)
+{
+    if (m_ledger == nullptr) {
+        return "proof-" + command.id;
+    }
+    auto const transaction = current.state == transaction_state::idle ? 0 : current.transaction;
+    return m_ledger->record_run(
+        {connection_number, transaction, current.client_account, current.session_values, current.prepared},
+        command);
 }
 
 member_answer virtual_database_group::make_answer(connection const& current) const
@@ -445,12 +519,16 @@
     return queried.applied == 0 ? log_position{} : queried.log[queried.applied - 1].position;
 }
 
-member_answer virtual_database_group::run_command(connection& current, member_command const& command)
+member_answer virtual_database_group::run_command(std::uint64_t connection_number, connection& current,
+                                                  member_command const& command)
 {
     auto& member = m_members.at(current.member);
     switch (command.kind) {
     case command_kind::begin:
     case command_kind::begin_read:
+        if (current.state != transaction_state::idle) {
+            return make_error_answer(current, member_error::malformed);
+        }
         if (command.kind == command_kind::begin && !is_primary(current.member)) {
             return make_error_answer(current, member_error::read_only);
         }
@@ -460,6 +538,7 @@
         current.state = transaction_state::open;
         current.is_write_transaction = command.kind == command_kind::begin;
         current.term = m_term;
+        current.transaction = m_next_transaction++;
         current.pending_writes.clear();
         return make_answer(current);
     case command_kind::rollback:
@@ -503,15 +582,18 @@
     }
     case command_kind::caller_statement:
     case command_kind::execute:
-        return run_statement(current, command);
+        return run_statement(connection_number, current, command);
     }
     return make_error_answer(current, member_error::malformed);
 }
 
-member_answer virtual_database_group::run_statement(connection& current, member_command const& command)
+member_answer virtual_database_group::run_statement(std::uint64_t connection_number, connection& current,
+                                                    member_command const& command)
 {
     auto const& member = m_members.at(current.member);
-    if (current.state == transaction_state::failed) {
+    auto const is_commit = command.text == "COMMIT";
+    if (current.state == transaction_state::failed ||
+        (is_commit && current.state == transaction_state::idle)) {
         return make_error_answer(current, member_error::malformed);
     }
     auto is_write = command.text.starts_with("WRITE");
@@ -538,8 +620,15 @@
     else {
         check_noted_read(command.id, applied_position(member));
     }
+    auto const proof = record_run(connection_number, current, command);
+    if (is_commit) {
+        current.state = transaction_state::idle;
+    }
     auto answer = make_answer(current);
-    answer.proof = "proof-" + command.id;
+    answer.proof = proof;
+    if (is_commit) {
+        return answer;
+    }
     // The row reports position, member, account and session values, so that tests can check where and how
     // the statement was executed.
     auto const position = applied_position(member);
@@ -549,6 +638,9 @@
     }
     answer.rows = {fmt::format("{}.{} {} {} {}", position.term, position.position, current.member,
                                current.client_account, session_values)};
+    if (m_ledger != nullptr) {
+        m_ledger->record_rows(proof, answer.rows);
+    }
     return answer;
 }
 
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "members/member_command.h"
+#include "statement_ledger.h"
 #include "virtual_clock.h"
 
 namespace greengagehitch::standin {
@@ -15,7 +16,8 @@
 /// One commit in the log of a database group.
 struct log_entry {
     log_position position;
-    std::string statement; ///< Id of the statement that was committed.
+    std::string statement;           ///< Id of the first write that was committed.
+    std::vector<std::string> writes; ///< Ids of all writes that were committed.
 };
 
 /// Faults that a test injects at one member.
@@ -28,6 +30,12 @@
     double lost_answer_share = 0; ///< Fraction of executed statements whose answer is lost, 0 to 1.
     /// Mean time from receiving a log entry to applying it; the time is exponentially distributed.
     duration mean_apply_lag = std::chrono::milliseconds(20);
+    /// Fraction of all answers, also to handshakes and orders, that arrive a second time unchanged, 0 to 1.
+    double repeated_answer_share = 0;
+    /// Mean time from an answer to its repetition; the time is exponentially distributed.
+    duration mean_repetition_delay = std::chrono::milliseconds(60);
+    /// Fraction of all answers to commands whose connection is lost before they have arrived whole, 0 to 1.
+    double cut_answer_share = 0;
 };
 
 /// Model of a database group in virtual time.
@@ -94,6 +102,8 @@
     std::size_t acknowledged() const { return m_acknowledged.size(); }
     /// Returns how many entries of the leader's log come from the statement with this id.
     std::size_t count_in_log(std::string const& statement) const;
+    /// Returns how many entries of the leader's log come from each statement, keyed by its id.
+    std::map<std::string, std::size_t> log_counts() const;
     /// Returns the highest position of all commits that were acknowledged before `time`.
     log_position acknowledged_before(monotonic_time time) const;
     /// Returns the position of the last entry in the leader's log.
@@ -113,6 +123,10 @@
     std::size_t refused_connections() const { return m_refused_connections; }
     /// Returns the number of statements that members have executed.
     std::size_t statements_run() const { return m_statements_run; }
+    /// Returns the number of answers that were delivered a second time.
+    std::size_t repeated_answers() const { return m_repeated_answers; }
+    /// Sets the record of what members run, which must outlive the group. May be null.
+    void set_ledger(statement_ledger* ledger) { m_ledger = ledger; }
     /// Returns the times at which statements of callers arrived at a member.
     std::vector<monotonic_time> const& arrival_times(std::string const& id) const
     {
@@ -136,6 +150,7 @@
         bool is_write_transaction = false;
         bool was_begun_at_leader = false;        ///< Whether the transaction began at the leader of `term`.
         std::uint64_t term = 0;                  ///< Term of the group when the transaction began.
+        std::uint64_t transaction = 0;           ///< Number of the open transaction in the group.
         std::vector<std::string> pending_writes; ///< Ids of the uncommitted write statements.
         std::map<std::string, std::string> session_values; ///< Keyed by name.
         std::map<std::string, prepared_shape> prepared;    ///< Keyed by name of the prepared statement.
@@ -146,7 +161,7 @@
     struct waiting_commit {
         log_entry entry;
         std::uint64_t connection_number = 0;
-        std::string statement; ///< Id of the statement that committed.
+        std::string proof;
     };
 
     struct member {
@@ -165,12 +180,24 @@
     void run_next_command(std::uint64_t connection_number);
     /// Sends an answer after the latency, then runs the next command. With `was_run`, the answer may be lost.
     void send_answer(std::uint64_t connection_number, member_answer answer, bool was_run);
-    member_answer run_command(connection& current, member_command const& command);
-    member_answer run_statement(connection& current, member_command const& command);
-    void commit(std::uint64_t connection_number, connection_pointer const& current, std::string const& id);
+    /// Delivers an answer after the latency, and a second time if the member repeats it.
+    void deliver(std::uint64_t connection_number, std::string const& member, member_answer const& answer);
+    void deliver_after(duration delay, std::uint64_t connection_number, member_answer answer);
+    /// Ends a connection as a member does that fails while it answers.
+    void lose_connection(std::uint64_t connection_number);
+    bool draw(double share) { return share > 0 && m_clock.random_share() < share; }
+    /// Records that a statement runs. Returns its proof.
+    std::string record_run(std::uint64_t connection_number, connection const& current,
+                           member_command const& command);
+    member_answer run_command(std::uint64_t connection_number, connection& current,
+                              member_command const& command);
+    member_answer run_statement(std::uint64_t connection_number, connection& current,
+                                member_command const& command);
+    void commit(std::uint64_t connection_number, connection_pointer const& current,
+                member_command const& command);
     void lose_connections(std::string const& id);
     /// Sends a log entry to all replicas. The commit is acknowledged once the first has received it.
-    void replicate(log_entry const& entry, std::uint64_t connection_number, std::string const& id);
+    void replicate(log_entry const& entry, std::uint64_t connection_number, std::string const& proof);
     bool is_receiving(std::string const& replica, std::string const& sender) const;
     /// Copies the sender's log up to `position` to a replica and acknowledges the commits that waited for it.
     void receive(std::string const& replica, std::string const& sender, log_position position);
@@ -204,6 +231,9 @@
     std::size_t m_opened_connections = 0;
     std::size_t m_refused_connections = 0;
     std::size_t m_statements_run = 0;
+    std::size_t m_repeated_answers = 0;
+    std::uint64_t m_next_transaction = 1;
+    statement_ledger* m_ledger = nullptr;
 };
 
 } // namespace greengagehitch::standin
