--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <set>
+#include <utility>
+
 #include "brokers/member_dispatcher.h"
 #include "virtual_clock.h"
 
@@ -52,6 +56,9 @@
             return id;
         };
         hooks.send = [this](backend_connection_id id, std::vector<member_command> const& commands) {
+            for (auto const& command : commands) {
+                arrived.push_back({id, command});
+            }
             if (loses_answer && loses_answer()) {
                 return;
             }
@@ -60,14 +67,21 @@
             clock.start_timer(service_time, [this, id, count = commands.size()] {
                 --in_flight;
                 for (std::size_t i = 0; i < count; ++i) {
-                    answered[id]({});
+                    member_answer answer;
+                    answer.state = state_of_transactions;
+                    answered[id](std::move(answer));
                 }
             });
         };
-        hooks.close = [](backend_connection_id) {};
+        hooks.close = [this](backend_connection_id id) { closed.insert(id); };
         return hooks;
     }
 
+    struct arrival {
+        backend_connection_id connection = backend_connection_id::none;
+        member_command command;
+    };
+
     struct outcome {
         std::size_t served = 0;
         std::size_t refused = 0;
@@ -90,6 +104,32 @@
         });
     }
 
+    /// Begins a transaction and returns its connection, or null if it was not begun.
+    pinned_connection_pointer begin(std::string const& account)
+    {
+        member_request request;
+        request.client_account = account;
+        request.commands.resize(1);
+        request.commands.front().kind = command_kind::begin;
+        request.time_limit_ms = 1'000;
+        request.queue_limit_ms = 200;
+        request.needs_slot = false;
+        request.keeps_connection = true;
+        auto const pinned = std::make_shared<pinned_connection_pointer>();
+        state_of_transactions = transaction_state::open;
+        dispatcher->run(std::move(request), [pinned](member_reply reply) { *pinned = reply.connection; });
+        clock.run_for(handshake_time + service_time + 1ms);
+        state_of_transactions = transaction_state::idle;
+        return std::exchange(*pinned, nullptr);
+    }
+
+    /// Returns how many commands with this id reached the member.
+    std::size_t count_arrived(std::string const& id) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            arrived.begin(), arrived.end(), [&id](arrival const& each) { return each.command.id == id; }));
+    }
+
     standin::virtual_clock clock{1};
     kernel core{make_kernel_hooks()};
     backend_connection_hooks connections{make_connection_hooks()};
@@ -99,6 +139,9 @@
     std::size_t most_in_flight = 0;
     std::function<bool()> loses_answer;
     bool answers_handshakes = true;
+    transaction_state state_of_transactions = transaction_state::idle; ///< State in all answers.
+    std::vector<arrival> arrived;                                      ///< Commands that reached the member.
+    std::set<backend_connection_id> closed;
     std::map<backend_connection_id, std::function<void(member_answer)>> answered;
     std::map<std::string, outcome> outcomes;
     std::shared_ptr<member_dispatcher> dispatcher;
@@ -198,3 +241,31 @@
     fixture.clock.run_for(1ms);
     cr_assert(fixture.outcomes["later"].refused == 20, "%zu refused", fixture.outcomes["later"].refused);
 }
+
+/// Guards against a statement that runs outside its transaction, or in another one: its transaction was given
+/// up while the statement waited for a slot, and its connection served others by then.
+Test(member_dispatcher, statement_whose_transaction_was_given_up_while_it_waited_is_never_sent)
+{
+    dispatcher_fixture fixture;
+    auto pinned = fixture.begin("account");
+    cr_assert(pinned != nullptr);
+    for (int i = 0; i < 6; ++i) {
+        fixture.run("other");
+    }
+    fixture.clock.run_for(handshake_time + 1ms);
+    member_request request;
+    request.client_account = "account";
+    request.commands.resize(1);
+    request.commands.front().id = "late";
+    request.time_limit_ms = 1'000;
+    request.queue_limit_ms = 500;
+    request.keeps_connection = true;
+    std::optional<member_error> error;
+    pinned->send(std::move(request),
+                 [&error](member_reply const& reply) { error = reply.answers.front().error; });
+    cr_assert(fixture.count_arrived("late") == 0, "the statement did not have to wait");
+    pinned.reset();
+    fixture.clock.run_for(1s);
+    cr_assert(fixture.count_arrived("late") == 0);
+    cr_assert(error == member_error::connection_lost);
+}
