platform: Accept only whole answers of members

A READY line without DONE or ERROR before it was taken for a success without a proof: a caller got DONE - for an answer that was cut, with the rows that had arrived (MIXED). A second answer to the handshake is passed on as such, and connections are told when only a part of an answer has arrived.

--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -132,9 +132,18 @@
     /// Set with refused when the member's host rejected the connection, which no failure of this VM explains.
     /// Not part of messages between VMs.
     bool is_refused_by_host = false;
+    /// Set if the answer cannot be told from one that the connection delivered before, which the member may
+    /// have repeated. Its error then guarantees nothing. Not part of messages between VMs.
+    bool is_doubtful = false;
+    /// Set in an answer to the handshake that arrives on an open connection. Not part of messages between
+    /// VMs.
+    bool is_handshake = false;
+    /// Time before the command was sent at which the answer may have been true last, in milliseconds.
+    std::uint32_t evidence_age_ms = 0;
 
     bool is_ok() const { return !error.has_value(); }
-    MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication, retry_after_ms)
+    MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication, retry_after_ms,
+                   evidence_age_ms)
 };
 
 /// Target of a connection, and the client account that uses it.
@@ -152,8 +161,11 @@
 /// Callbacks of a connection. They are never called from within the call that causes them, nor after close().
 struct backend_connection_events {
     std::function<void(member_answer)> opened;
-    std::function<void(member_answer)> answered; ///< Called once for each command, in order.
+    /// Called for each answer, in order. A member may answer a command more than once, and its handshake too.
+    std::function<void(member_answer)> answered;
     std::function<void(member_error)> lost;
+    /// Called when a part of an answer has arrived, but not yet the whole of it.
+    std::function<void()> began_answer;
 };
 
 /// Hooks that open, use and close connections to members in the members' wire protocol.
