members: Accept an answer only if it belongs to its command

Cause: the members' protocol has no field that links an answer to its statement, and each complete answer ended the oldest outstanding command of the connection. From a repeated answer on, each statement got the answer of the one before, and the state of the transaction was that of another command.

Why it works: a repetition equals an answer that the same connection has delivered before, so each answer is compared with its command and with all earlier ones. Proofs are unique, so repetitions of statements are dropped for certain.

Answers that were not accepted are logged and counted (greengagehitch_unmatched_answers_total, state dump). The member of the dispatcher's tests gives proofs where real members do.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -14,6 +14,18 @@
 /// Minimum interval of the log records on refusals for one member.
 constexpr duration refusal_log_interval = std::chrono::seconds(1);
 
+/// Longest time by which the position that a member reported earlier may be older than the probe that it is
+/// reported for again.
+constexpr std::uint32_t max_evidence_age_ms = 500;
+
+/// Returns whether the request only asks for the member's position, and leaves nothing at the member.
+bool is_position_probe(member_request const& request)
+{
+    auto const kind = request.commands.front().kind;
+    return (kind == command_kind::begin || kind == command_kind::begin_read) &&
+           request.commands.back().kind == command_kind::rollback;
+}
+
 } // namespace
 
 member_dispatcher::member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks,
@@ -35,6 +47,9 @@
             on_contact();
         }
     };
+    pool.on_unmatched_answer = [counts = m_unmatched_answers](answer_match match) {
+        ++counts->at(static_cast<std::size_t>(match));
+    };
     m_pool = std::make_shared<backend_connection_pool>(kernel, hooks, std::move(target), std::move(pool));
     if (m_options.has_just_started) {
         m_flight.record_member_start(m_kernel.now());
@@ -278,7 +293,8 @@
                 m_handshake_time += (m_kernel.now() - asked_at - m_handshake_time) / smoothing_divisor;
             }
             send(queued, std::get<backend_connection_pointer>(result));
-        });
+        },
+        queued->needs_unused_connection);
     auto const waited = m_kernel.now() - queued->enqueued_at;
     auto const limit = std::chrono::milliseconds(queued->request.queue_limit_ms);
     m_kernel.start_timer(
@@ -377,6 +393,9 @@
         }
     }
     answers.erase(answers.begin(), answers.begin() + static_cast<std::ptrdiff_t>(setup_count));
+    if (resolve_doubtful_answers(queued, connection, answers)) {
+        return;
+    }
     for (auto const& answer : answers) {
         if (answer.error == member_error::unknown_prepared) {
             connection->clear_prepared();
@@ -413,6 +432,38 @@
     queued->done(std::move(reply));
 }
 
+bool member_dispatcher::resolve_doubtful_answers(queued_request_pointer const& queued,
+                                                 backend_connection_pointer const& connection,
+                                                 std::vector<member_answer>& answers)
+{
+    if (!answers.back().is_doubtful) {
+        return false;
+    }
+    auto const& request = queued->request;
+    if (request.needs_slot && queued->is_repeatable()) {
+        // Nothing depends on whether a read has run, so its error counts; its position proves nothing.
+        for (auto& answer : answers) {
+            answer.position.reset();
+        }
+        return false;
+    }
+    if (is_position_probe(request) && answers.front().evidence_age_ms <= max_evidence_age_ms) {
+        return false;
+    }
+    if (!request.needs_slot && !queued->connection && !std::exchange(queued->needs_unused_connection, true)) {
+        m_pool->release(connection);
+        acquire_connection(queued);
+        return true;
+    }
+    for (auto& answer : answers) {
+        if (answer.is_doubtful) {
+            answer.error = member_error::connection_lost;
+            answer.error_text = "the member may have repeated an earlier answer";
+        }
+    }
+    return false;
+}
+
 pinned_connection_pointer
 member_dispatcher::make_pinned_connection(backend_connection_pointer const& connection)
 {
@@ -538,6 +589,10 @@
     state["waiting_for_connection"] = Json::UInt64(m_pool->waiting());
     state["connection_limit"] = Json::UInt64(connection_limit());
     state["handshake_ms"] = to_milliseconds(m_handshake_time);
+    for (auto const& match : answer_match_names) {
+        state["unmatched_answers"][std::string(match.name)] =
+            Json::UInt64(m_unmatched_answers->at(static_cast<std::size_t>(match.value)));
+    }
     state["pace"] = std::string(find_name(pace_state_names, m_flight.pace().state()));
     state["last_ramp_ms"] = to_milliseconds(m_flight.pace().last_ramp());
     state["total"] = m_counters.to_json({});
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -60,6 +60,9 @@
     std::size_t connections() const { return m_pool->connections(); }
     std::size_t connection_limit() const { return m_options.connection_limit(); }
     std::size_t waiting() const { return m_waiting.size(); }
+    /// Answers of the member that were not accepted as the answers to their commands, indexed by
+    /// answer_match.
+    answer_counts const& unmatched_answers() const { return *m_unmatched_answers; }
     Json::Value dump() const;
 
 private:
@@ -70,6 +73,8 @@
         backend_connection_pointer connection; ///< Connection of the open transaction; null if none is open.
         std::shared_ptr<bool const> is_pinned; ///< Whether that transaction still holds the connection.
         monotonic_time enqueued_at;
+        /// Whether nothing may have been sent before on the connection that the request gets.
+        bool needs_unused_connection = false;
         bool is_sent = false;      ///< True once the request was sent, or will not be.
         duration queue_wait{};     ///< Wait that the member's load suggested when the request was admitted.
         duration expected_start{}; ///< Wait that was expected then.
@@ -102,6 +107,10 @@
     void send_commands(queued_request_pointer const& queued, backend_connection_pointer const& connection);
     void handle_answers(queued_request_pointer const& queued, backend_connection_pointer const& connection,
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
+    /// Decides what is left of answers that may be repetitions. Returns true if the request is sent again.
+    bool resolve_doubtful_answers(queued_request_pointer const& queued,
+                                  backend_connection_pointer const& connection,
+                                  std::vector<member_answer>& answers);
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
     void return_connection(backend_connection_pointer const& connection);
     /// Records that a request no longer waits for its connection.
@@ -130,6 +139,8 @@
     return_pace m_returns;
     std::uint64_t m_next_id = 1;
     bool m_has_start_timer = false;
+    /// Shared with the connections, which may outlive the dispatcher.
+    std::shared_ptr<answer_counts> m_unmatched_answers = std::make_shared<answer_counts>();
     dispatcher_counters m_counters;
     dispatcher_counters m_logged_counters; ///< Counters at the last log record.
     monotonic_time m_logged_at;
--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -6,9 +6,10 @@
 namespace greengagehitch {
 
 backend_connection::backend_connection(kernel& kernel, backend_connection_hooks const& hooks,
-                                       backend_connection_target target)
+                                       backend_connection_target target,
+                                       unmatched_answer_hook on_unmatched_answer)
     : m_kernel(kernel), m_hooks(hooks), m_kernel_lifetime(kernel.lifetime()), m_target(std::move(target)),
-      m_last_used(kernel.now())
+      m_on_unmatched_answer(std::move(on_unmatched_answer)), m_last_used(kernel.now())
 {
 }
 
@@ -39,6 +40,12 @@
                                           if (auto const connection = weak.lock()) {
                                               connection->fail_all(error);
                                           }
+                                      }),
+                                      m_kernel.guard<>([weak] {
+                                          auto const connection = weak.lock();
+                                          if (connection && connection->is_idle()) {
+                                              connection->close();
+                                          }
                                       })});
     m_open_timer = m_kernel.start_timer(timeout, [weak] {
         if (auto const connection = weak.lock(); connection && !connection->m_is_open) {
@@ -61,17 +68,19 @@
         return;
     }
     auto const added = std::make_shared<batch_state>();
-    added->expected = commands.size();
+    added->commands = commands;
+    added->sent_at = m_kernel.now();
     added->on_answered = std::move(on_answered);
     added->timer = m_kernel.start_timer(timeout, [weak = weak_from_this(), pending = std::weak_ptr(added)] {
         auto const connection = weak.lock();
         auto const late = pending.lock();
-        if (connection && late && late->answers.size() < late->expected) {
+        if (connection && late && late->answers.size() < late->expected()) {
             connection->fail_all(member_error::timed_out);
         }
     });
     m_batches.push_back(added);
     m_last_used = m_kernel.now();
+    m_has_sent = true;
     m_hooks.send(m_id, commands);
 }
 
@@ -147,22 +156,112 @@
 
 void backend_connection::handle_answer(member_answer answer)
 {
-    if (m_is_closed || m_batches.empty()) {
-        close();
+    if (m_is_closed) {
+        return;
+    }
+    if (m_batches.empty()) {
+        handle_unasked_answer(answer);
         return;
     }
-    m_state = answer.state;
     auto const batch = m_batches.front();
+    auto const& command = batch->commands[batch->answers.size()];
+    auto const match = m_history.match(command, m_state, answer);
+    if (match == answer_match::repeated) {
+        // The answer to the command is still to come.
+        m_has_repeated_answer = true;
+        report_unmatched(match, answer, command.id);
+        return;
+    }
+    if (match == answer_match::mismatched) {
+        report_unmatched(match, answer, command.id);
+        fail_all(member_error::connection_lost);
+        return;
+    }
+    if (match == answer_match::doubtful) {
+        answer.is_doubtful = true;
+        auto const age = batch->sent_at - m_history.first_sent_at(answer, batch->sent_at);
+        answer.evidence_age_ms =
+            static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
+    }
+    m_history.record(answer, batch->sent_at);
+    m_state = answer.state;
     batch->answers.push_back(std::move(answer));
-    if (batch->answers.size() < batch->expected) {
+    if (batch->answers.size() == batch->expected()) {
+        finish_batch(batch);
+    }
+}
+
+void backend_connection::handle_unasked_answer(member_answer const& answer)
+{
+    auto const is_repeated = m_history.contains(answer);
+    report_unmatched(is_repeated ? answer_match::repeated : answer_match::mismatched, answer, {});
+    if (is_repeated && m_state == transaction_state::open) {
+        // Closing the connection would roll the transaction back.
+        m_has_repeated_answer = true;
         return;
     }
+    close();
+}
+
+void backend_connection::finish_batch(std::shared_ptr<batch_state> const& batch)
+{
+    auto const keep_alive = shared_from_this();
     m_batches.pop_front();
     m_kernel.cancel_timer(batch->timer);
     m_last_used = m_kernel.now();
+    auto const first_doubtful = find_unconfirmed(*batch);
+    for (std::size_t i = 0; i < batch->answers.size(); ++i) {
+        auto& answer = batch->answers[i];
+        answer.is_doubtful = i >= first_doubtful;
+        answer.evidence_age_ms = answer.is_doubtful ? answer.evidence_age_ms : 0;
+    }
+    if (first_doubtful < batch->expected()) {
+        report_unmatched(answer_match::doubtful, batch->answers[first_doubtful],
+                         batch->commands[first_doubtful].id);
+        close();
+    }
     batch->on_answered(std::move(batch->answers));
 }
 
+std::size_t backend_connection::find_unconfirmed(batch_state const& batch)
+{
+    auto first = batch.expected();
+    for (auto i = batch.expected(); i > 0; --i) {
+        auto const& answer = batch.answers[i - 1];
+        if (answer.is_ok() && !answer.is_doubtful) {
+            // A repetition before this answer would have taken its place.
+            break;
+        }
+        // The member runs a rollback before anything that is sent later, whenever its answer arrives.
+        auto const is_rollback = batch.commands[i - 1].kind == command_kind::rollback && answer.is_ok();
+        if (answer.is_doubtful && !is_rollback) {
+            first = i - 1;
+        }
+    }
+    return first;
+}
+
+void backend_connection::report_unmatched(answer_match match, member_answer const& answer,
+                                          std::string const& request) const
+{
+    if (m_on_unmatched_answer) {
+        m_on_unmatched_answer(match);
+    }
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_target.group;
+    fields["member"] = m_target.member;
+    fields["match"] = std::string(find_name(answer_match_names, match));
+    if (!request.empty()) {
+        fields["request"] = request;
+    }
+    if (answer.error) {
+        fields["error"] = std::string(find_name(member_error_names, *answer.error));
+    }
+    fields["is_outstanding"] = !m_batches.empty();
+    m_kernel.log(log_level::info, "members", "answer of a member may not belong to its command",
+                 std::move(fields));
+}
+
 void backend_connection::fail_all(member_error error, bool is_refused_by_host)
 {
     if (std::exchange(m_is_closed, true)) {
@@ -186,7 +285,7 @@
         m_kernel.cancel_timer(batch->timer);
         member_answer missing;
         missing.error = error;
-        batch->answers.resize(batch->expected, missing);
+        batch->answers.resize(batch->expected(), missing);
         batch->on_answered(std::move(batch->answers));
     }
 }
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "kernel/kernel.h"
+#include "members/answer_history.h"
 #include "members/member_command.h"
 
 namespace greengagehitch {
@@ -20,12 +21,19 @@
 
 /// Connection to one member on behalf of one client account. Several batches may be in flight; their answers
 /// arrive in order. Tracks which session values and prepared shapes the member holds for the connection.
+///
+/// A member may repeat an answer at any time. A repetition is dropped, and an answer that belongs to no
+/// command closes the connection. An answer that may be a repetition is accepted if a later one of its batch
+/// shows that it arrived for its own command; otherwise it is marked as doubtful, and the connection is
+/// closed.
 class backend_connection : public std::enable_shared_from_this<backend_connection> {
 public:
     using values_map = std::map<std::string, std::string>;
+    /// Called for each answer that was not accepted as the answer to its command.
+    using unmatched_answer_hook = std::function<void(answer_match)>;
 
     backend_connection(kernel& kernel, backend_connection_hooks const& hooks,
-                       backend_connection_target target);
+                       backend_connection_target target, unmatched_answer_hook on_unmatched_answer = {});
     ~backend_connection();
     backend_connection(backend_connection const&) = delete;
     backend_connection& operator=(backend_connection const&) = delete;
@@ -45,6 +53,14 @@
     bool is_open() const { return m_is_open; }
     bool is_closed() const { return m_is_closed; }
     bool is_idle() const { return m_batches.empty(); }
+    bool has_sent() const { return m_has_sent; }
+    /// Returns whether the connection may serve another transaction or single statement. One on which an
+    /// answer was repeated may have more repetitions under way.
+    bool may_be_reused() const
+    {
+        return m_is_open && is_idle() && m_state == transaction_state::idle && !m_has_repeated_answer &&
+               !m_history.is_full();
+    }
     transaction_state state() const { return m_state; }
 
     /// Returns the commands that set the session values of the connection to exactly `values`, and records
@@ -76,20 +92,31 @@
 
 private:
     struct batch_state {
-        std::size_t expected = 0;
+        std::vector<member_command> commands;
         std::vector<member_answer> answers;
         answers_callback on_answered;
         timer_id timer = timer_id::none;
+        monotonic_time sent_at;
+
+        std::size_t expected() const { return commands.size(); }
     };
 
     void handle_opened(member_answer const& answer);
     void handle_answer(member_answer answer);
+    /// Handles an answer that arrives while no command is outstanding.
+    void handle_unasked_answer(member_answer const& answer);
+    void finish_batch(std::shared_ptr<batch_state> const& batch);
+    /// Returns the index of the first answer of the batch that may be a repetition, as far as the later ones
+    /// show; the number of answers if there is none.
+    static std::size_t find_unconfirmed(batch_state const& batch);
+    void report_unmatched(answer_match match, member_answer const& answer, std::string const& request) const;
     void fail_all(member_error error, bool is_refused_by_host = false);
 
     kernel& m_kernel;
     backend_connection_hooks const& m_hooks;
     std::weak_ptr<bool> m_kernel_lifetime;
     backend_connection_target m_target;
+    unmatched_answer_hook m_on_unmatched_answer;
     backend_connection_id m_id = backend_connection_id::none;
     bool m_is_open = false;
     bool m_is_closed = false;
@@ -102,6 +129,9 @@
     bool m_are_values_known = true;
     bool m_is_changed_in_transaction = false;
     std::set<prepared_shape> m_prepared;
+    answer_history m_history;
+    bool m_has_sent = false;
+    bool m_has_repeated_answer = false;
 };
 
 using backend_connection_pointer = std::shared_ptr<backend_connection>;
--- a/libraries/members/backend_connection_pool.cpp
+++ b/libraries/members/backend_connection_pool.cpp
@@ -31,11 +31,12 @@
 backend_connection_request_pointer
 backend_connection_pool::acquire(std::string const& client_account,
                                  backend_connection::values_map const& values,
-                                 backend_connection_callback callback)
+                                 backend_connection_callback callback, bool must_be_unused)
 {
     auto request = std::make_shared<backend_connection_request>();
     request->m_client_account = client_account;
     request->m_values = values;
+    request->m_must_be_unused = must_be_unused;
     request->m_since = m_kernel.now();
     request->m_callback = std::move(callback);
     m_waiting.push_back(request);
@@ -47,9 +48,8 @@
 {
     VERIFY(m_leased > 0);
     --m_leased;
-    auto const can_be_reused = !m_is_shut_down && connection->is_open() && connection->is_idle() &&
-                               connection->state() == transaction_state::idle &&
-                               connections() < m_options.connection_limit();
+    auto const can_be_reused =
+        !m_is_shut_down && connection->may_be_reused() && connections() < m_options.connection_limit();
     if (can_be_reused) {
         m_idle.push_back(connection);
     }
@@ -154,7 +154,7 @@
 
 bool backend_connection_pool::try_serve(backend_connection_request& request)
 {
-    if (auto connection = take_idle(request.m_client_account, request.m_values)) {
+    if (auto connection = take_idle(request)) {
         ++m_leased;
         auto const callback = std::exchange(request.m_callback, nullptr);
         callback(std::move(connection));
@@ -178,16 +178,16 @@
     return false;
 }
 
-backend_connection_pointer backend_connection_pool::take_idle(std::string const& client_account,
-                                                              backend_connection::values_map const& values)
+backend_connection_pointer backend_connection_pool::take_idle(backend_connection_request const& request)
 {
     auto best = m_idle.end();
     for (auto each = m_idle.begin(); each != m_idle.end(); ++each) {
-        if (!(*each)->is_open() || (*each)->target().client_account != client_account) {
+        if (!(*each)->is_open() || (*each)->target().client_account != request.m_client_account ||
+            (request.m_must_be_unused && (*each)->has_sent())) {
             continue;
         }
         best = each;
-        if ((*each)->has_values(values)) {
+        if ((*each)->has_values(request.m_values)) {
             break;
         }
     }
@@ -217,7 +217,8 @@
 {
     auto target = m_target;
     target.client_account = client_account;
-    auto const connection = std::make_shared<backend_connection>(m_kernel, m_hooks, std::move(target));
+    auto const connection = std::make_shared<backend_connection>(m_kernel, m_hooks, std::move(target),
+                                                                 m_options.on_unmatched_answer);
     ++m_opening;
     ++m_opening_by_account[client_account];
     m_opening_connections.push_back(connection);
--- a/libraries/members/backend_connection_pool.h
+++ b/libraries/members/backend_connection_pool.h
@@ -25,6 +25,7 @@
 
     std::string m_client_account;
     backend_connection::values_map m_values;
+    bool m_must_be_unused = false;
     monotonic_time m_since;
     backend_connection_callback m_callback;
 };
@@ -49,16 +50,19 @@
         std::function<std::size_t()> connection_limit; ///< Current maximum number of connections for this VM.
         std::function<void(member_answer const&)> on_opened;
         std::function<void(member_error)> on_open_failed;
+        backend_connection::unmatched_answer_hook on_unmatched_answer; ///< May be empty.
     };
 
     backend_connection_pool(kernel& kernel, backend_connection_hooks const& hooks,
                             backend_connection_target target, options options);
 
     /// Requests a connection of the account, preferably one whose session values equal `values`. The callback
-    /// is called once, after this call has returned.
+    /// is called once, after this call has returned. With `must_be_unused`, nothing has been sent on the
+    /// connection, so that no answer on it can be a repetition.
     backend_connection_request_pointer acquire(std::string const& client_account,
                                                backend_connection::values_map const& values,
-                                               backend_connection_callback callback);
+                                               backend_connection_callback callback,
+                                               bool must_be_unused = false);
 
     /// Returns a connection to the pool. The pool closes the connection if it is not open, has commands in
     /// flight or an open transaction, or if the pool is at its connection limit.
@@ -85,8 +89,7 @@
 private:
     void serve();
     bool try_serve(backend_connection_request& request);
-    backend_connection_pointer take_idle(std::string const& client_account,
-                                         backend_connection::values_map const& values);
+    backend_connection_pointer take_idle(backend_connection_request const& request);
     bool evict_idle();
     void open_connection(std::string const& client_account);
     void finish_open(backend_connection_pointer const& connection, member_answer const& answer);
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -413,7 +413,7 @@
             if (!answer.error || is_answer(*answer.error)) {
                 record_response(id);
             }
-            answered(answer, sent_at);
+            answered(answer, sent_at - std::chrono::milliseconds(answer.evidence_age_ms));
         });
 }
 
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -126,7 +126,8 @@
     for (auto const& [member, dispatcher] : m_dispatchers) {
         auto const share = m_shares.find(member);
         counts.push_back({member, dispatcher->connections(), dispatcher->connection_limit(),
-                          share == m_shares.end() ? 0 : share->second.refusals()});
+                          share == m_shares.end() ? 0 : share->second.refusals(),
+                          dispatcher->unmatched_answers()});
     }
     return counts;
 }
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -61,6 +61,7 @@
         std::size_t connections = 0;
         std::size_t limit = 0;    ///< Number that this VM may hold now.
         std::size_t refusals = 0; ///< Connections that the member has refused over its limit.
+        answer_counts unmatched_answers{};
     };
     std::vector<connection_counts> connection_counts_of_members() const;
 
--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -89,6 +89,11 @@
                             each.limit);
         text += fmt::format("greengagehitch_member_connections_refused_total{{member=\"{}\"}} {}\n",
                             each.member, each.refusals);
+        for (auto const& match : answer_match_names) {
+            text += fmt::format("greengagehitch_unmatched_answers_total{{member=\"{}\",match=\"{}\"}} {}\n",
+                                each.member, match.name,
+                                each.unmatched_answers.at(static_cast<std::size_t>(match.value)));
+        }
     }
     return text;
 }
--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -64,11 +64,12 @@
             }
             ++sent;
             most_in_flight = std::max(most_in_flight, ++in_flight);
-            clock.start_timer(service_time, [this, id, count = commands.size()] {
+            clock.start_timer(service_time, [this, id, commands] {
                 --in_flight;
-                for (std::size_t i = 0; i < count; ++i) {
+                for (std::size_t i = 0; i < commands.size(); ++i) {
                     member_answer answer;
                     answer.state = state_of_transactions;
+                    answer.proof = has_proof(commands[i].kind) ? std::to_string(++proofs) : std::string();
                     answered[id](std::move(answer));
                 }
             });
@@ -134,7 +135,8 @@
     kernel core{make_kernel_hooks()};
     backend_connection_hooks connections{make_connection_hooks()};
     std::uint64_t opened = 0;
-    std::size_t sent = 0; ///< Requests that the member answers.
+    std::size_t sent = 0;   ///< Requests that the member answers.
+    std::size_t proofs = 0; ///< Statements that the member has run.
     std::size_t in_flight = 0;
     std::size_t most_in_flight = 0;
     std::function<bool()> loses_answer;
