failover: Date the status of a member by the first equal answer

The end of a connection that this VM closed for this reason is not taken for a restart of the member.

--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -8,6 +8,9 @@
 
 /// Time after which a member that does not answer is treated as unreachable.
 constexpr duration command_timeout = std::chrono::milliseconds(500);
+/// Longest time by which the status that a member reported earlier may be older than the command that it is
+/// reported for again. Members are asked several times while a status counts.
+constexpr std::uint32_t max_evidence_age_ms = 400;
 /// Placeholder account for connections that belong to no client account.
 constexpr auto control_account = "-";
 
@@ -26,7 +29,7 @@
     auto const& id = member.id;
     auto& connection = m_connections[id];
     if (connection && connection->is_open()) {
-        send_on(*connection, id, command);
+        send_on(*connection, member, command, to);
         return;
     }
     if (connection && !connection->is_closed()) {
@@ -36,7 +39,7 @@
         m_kernel, m_connection_hooks,
         backend_connection_target{member.address, m_group, to == recipient::member ? id : std::string(),
                                   control_account});
-    connection->open(command_timeout, [this, id, command, to, events = std::weak_ptr(m_events),
+    connection->open(command_timeout, [this, member, command, to, events = std::weak_ptr(m_events),
                                        opened = std::weak_ptr(connection),
                                        started_at = m_kernel.now()](member_answer const& answer) {
         auto const receiver = events.lock();
@@ -45,10 +48,10 @@
             return;
         }
         if (answer.is_ok()) {
-            send_on(*current, id, command);
+            send_on(*current, member, command, to);
         }
         else if (is_refusal(answer)) {
-            receiver->refused(id, to == recipient::address ? member_error::refused : *answer.error,
+            receiver->refused(member.id, to == recipient::address ? member_error::refused : *answer.error,
                               started_at);
         }
     });
@@ -82,19 +85,28 @@
     }
 }
 
-void member_control::send_on(backend_connection& connection, std::string const& id,
-                             member_command const& command)
+void member_control::send_on(backend_connection& connection, member_entry const& member,
+                             member_command const& command, recipient to)
 {
     connection.send({command}, command_timeout,
-                    [id, events = std::weak_ptr(m_events),
+                    [this, member, command, to, events = std::weak_ptr(m_events),
                      sent_at = m_kernel.now()](std::vector<member_answer> const& answers) {
                         auto const receiver = events.lock();
                         if (!receiver) {
                             return;
                         }
+                        auto const& id = member.id;
                         auto const& answer = answers.front();
-                        if (answer.is_ok() && answer.replication) {
-                            receiver->answered(id, *answer.replication, sent_at);
+                        if (answer.is_doubtful) {
+                            // The connection was closed by this VM, so its end says nothing about the member.
+                            m_connections.erase(id);
+                        }
+                        if (answer.is_doubtful && answer.evidence_age_ms > max_evidence_age_ms) {
+                            send(member, command, to);
+                        }
+                        else if (answer.is_ok() && answer.replication) {
+                            receiver->answered(id, *answer.replication,
+                                               sent_at - std::chrono::milliseconds(answer.evidence_age_ms));
                         }
                         else {
                             receiver->lost(id, answer.error.value_or(member_error::malformed));
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -49,7 +49,8 @@
     void resume_receiving(std::string const& excluded);
 
 private:
-    void send_on(backend_connection& connection, std::string const& id, member_command const& command);
+    void send_on(backend_connection& connection, member_entry const& member, member_command const& command,
+                 recipient to);
 
     kernel& m_kernel;
     backend_connection_hooks const& m_connection_hooks;
