--- a/tests/platform/line_protocol_tests.cpp
+++ b/tests/platform/line_protocol_tests.cpp
@@ -189,3 +189,16 @@
         cr_assert(reader.is_broken(), "%s", line);
     }
 }
+
+/// Guards against MIXED: an answer whose DONE line was cut out counted as a success without a proof.
+Test(answer_reader, ready_without_a_result_breaks_the_reader)
+{
+    for (auto const* const row : {"", "ROW half"}) {
+        answer_reader reader;
+        if (*row != '\0') {
+            reader.add_line(row);
+        }
+        cr_assert(not(reader.add_line("READY I 3.1204")));
+        cr_assert(reader.is_broken(), "after '%s'", row);
+    }
+}
