tests: Check the users' rules on statements in the soak of processes, with answers that arrive twice

Members, store and failover call of the soak can send an answer again, whole and up to 0.3 s late, or cut it short. Callers also use prepared statements, session values and sessions that end within a transaction. MIXED, UNASKED, PINNED and LOST at a promotion are checked from what callers sent and received and what members ran.

--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -1,6 +1,8 @@
 """Random faults against real processes of greengagehitch-platformd, with stand-ins for everything around them.
 
-Usage: fault_soak.py BUILD SEED [SECONDS OF FAULTS]. Exit code: 0 all checks held, 1 one was broken. KEEP=1 keeps the logs.
+Usage: fault_soak.py BUILD SEED [SECONDS OF FAULTS [REPEATED SHARE [CUT SHARE]]]. Exit code: 0 all checks held, 1 one was
+broken. KEEP=1 keeps the logs. The shares, 0 if absent, are those of the answers of members, store and failover call that
+arrive twice or end in the middle (see repeated_answers.py); 0.02 is 2 %.
 
 Planned work (SIGTERM, SIGHUP, changes of the configuration) and faults (SIGKILL, SIGSTOP, crashes of members, replicas
 that receive nothing) come in series and overlap. Callers use their sessions until the process is gone.
@@ -20,13 +22,19 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "review", "standins"))
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import fleet as fleet_stand_in  # noqa: E402
-from wire_stand_ins import Group, HttpServer, Member, Record, Store  # noqa: E402
+from repeated_answers import AnswerFaults, FaultyConnection, FaultyHttpServer  # noqa: E402
+from statement_rules import CallerSession, StatementRules  # noqa: E402
+from wire_stand_ins import Group, Member, Record, Store  # noqa: E402
 
 ZONES = ("north", "south", "east")
 DATABASES = {"stock": "bounded_staleness", "ponds": "read_your_writes", "ledger": "primary"}
-KEY = "key-1"
+TENANTS = {"key-1": "village", "key-2": "town"}
+PREPARED_NAMES = ("s1", "s2")  # The names of all callers collide.
+SHAPES = (("READ", "q1"), ("WRITE", "q1"), ("WRITE", "q2"))
+SESSION_VALUES = ("zone", "mode")
 GRACE_PERIOD = fleet_stand_in.BOUNDS["grace-period-s"]
 # A request whose connection ends this soon after it was sent was on its way to a VM that had closed the connection.
 LOSS_SLACK = fleet_stand_in.BOUNDS["loss-slack-ms"] / 1000
@@ -44,6 +52,19 @@
 
     is_deaf = False
 
+    async def serve(self, reader, writer):
+        self.next_connection += 1
+        connection = FaultyConnection(self, reader, writer, "%s#%d" % (self.identity, self.next_connection))
+        self.writers.add(writer)
+        try:
+            await connection.run()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            connection.roll_back("connection closed")
+            writer.close()
+
     def receive(self, commit):
         return not self.is_deaf and super().receive(commit)
 
@@ -74,19 +95,39 @@
 
 
 class SoakGroup(Group):
+    def __init__(self, name, record, rules, faults):
+        super().__init__(name, record)
+        self.rules, self.faults = rules, faults
+        self.run_ids = set()
+        self.writes = {}  # Results that callers received by written value.
+
     def finish_promotion(self, chosen, holder):
         if not chosen.is_running or chosen.role == "primary":
             return
+        self.check_promotion(chosen)
         super().finish_promotion(chosen, holder)
         for member in self.members:
             member.catch_up() if member is not chosen else member.rebuild()
 
+    def check_promotion(self, chosen):
+        """LOST: the promoted member has all commits that were acknowledged."""
+        logs = {member.identity: {value for commit in member.log for _, value in commit[2]} for member in self.members}
+        for value, result in self.writes.items():
+            holders = [identity for identity, log in logs.items() if value in log]
+            if result == "DONE" and holders and chosen.identity not in holders:
+                self.rules.break_rule("LOST", "%s is promoted without acknowledged write %s, which %s have" % (
+                    chosen.identity, value, holders))
+
 
 class SoakStore(Store):
     """Remembers which VM wrote last under a condition."""
 
     last_writer = None
 
+    def __init__(self, record, faults):
+        super().__init__(record)
+        self.http = FaultyHttpServer(self.handle, faults, record, "store")
+
     def transact(self, call):
         if call.get("expected"):
             for write in call.get("writes", []):
@@ -145,13 +186,14 @@
 
 
 class SoakFleet(fleet_stand_in.Fleet):
-    def __init__(self, folder, build, seed):  # pylint: disable=super-init-not-called
+    def __init__(self, folder, build, seed, faults):  # pylint: disable=super-init-not-called
         self.folder = folder
         self.record = Record(os.path.join(folder, "record.txt"))
         self.role = {"run": os.path.join(build, "platform", "greengagehitch-platformd"),
                      "template": os.path.join("platform", "settings.yaml.template")}
-        self.store = SoakStore(self.record)
-        self.orders = HttpServer(self.handle_order)
+        self.faults, self.rules = faults, StatementRules(self.record)
+        self.store = SoakStore(self.record, faults)
+        self.orders = FaultyHttpServer(self.handle_order, faults, self.record, "platform")
         self.groups, self.zones, self.tasks = {}, ZONES, []
         ports = fleet_stand_in.free_ports(4)
         # Each seed has its own addresses, so that several can run at a time.
@@ -163,7 +205,7 @@
 
     async def start(self, broken):
         await self.start_platform()
-        group = SoakGroup("bookings", self.record)
+        group = SoakGroup("bookings", self.record, self.rules, self.faults)
         self.groups["bookings"] = group
         for index, zone in enumerate(ZONES):
             await SoakMember(group, "i-%d" % (index + 1), zone, role="replica" if index else "primary",
@@ -172,7 +214,8 @@
                                                "max-connections": 34, "sync-replicas": 1})
         for database, kind in DATABASES.items():
             self.add_route(database, "bookings", kind=kind, timeout=1500, target=400)
-        self.add_tenant("village", KEY, rate=5000)
+        for key, tenant in TENANTS.items():
+            self.add_tenant(tenant, key, rate=5000)
         self.publish_configuration()
         self.tasks = [asyncio.ensure_future(self.beat(member)) for member in group.members]
         self.tasks += [asyncio.ensure_future(vm.supervise(broken)) for vm in self.vms]
@@ -205,7 +248,7 @@
     def __init__(self, name, fleet, rng, requests, writes, broken):
         self.name, self.fleet, self.rng = name, fleet, rng
         self.requests, self.writes, self.broken = requests, writes, broken
-        self.number = 0
+        self.number, self.sessions = 0, 0
         self.end = float("inf")
 
     async def run(self):
@@ -230,11 +273,14 @@
 
     async def use_session(self, vm, operations):
         self.vm, self.own = vm, []
+        self.sessions += 1
+        key = self.rng.choice(list(TENANTS))
+        self.session = CallerSession("%s/%d" % (self.name, self.sessions), TENANTS[key])
         self.item = "x%s.%d" % (self.name, self.number)
         database = self.rng.choice(list(DATABASES))
         self.reader, self.writer = await asyncio.open_connection(vm.host, vm.callers_port)
         try:
-            self.writer.write(("START %s %s\r\n" % (database, KEY)).encode())
+            self.writer.write(("START %s %s\r\n" % (database, key)).encode())
             opened = await asyncio.wait_for(self.reader.readline(), 2)
             if not opened.startswith(b"READY"):
                 return
@@ -259,41 +305,98 @@
 
     async def run_operation(self, database):
         """Returns whether the session can be used further."""
-        kind = self.rng.choice(("read", "write", "pipeline", "transaction"))
+        kind = self.rng.choice(("read", "write", "pipeline", "transaction", "transaction", "setting"))
         if kind == "transaction":
             return await self.run_transaction()
+        if kind == "setting":
+            return await self.change_session()
         count = self.rng.randint(2, 6) if kind == "pipeline" else 1
-        texts = [self.write_text() if kind == "write" or self.rng.random() < 0.5 else "READ " + self.item
+        texts = [self.write_text() if kind == "write" or self.rng.random() < 0.5 else self.read_text()
                  for _ in range(count)]
         requests = await self.request(texts)
         for each in requests:
-            if each["text"].startswith("WRITE"):
-                self.note_writes([each["text"]], each["result"])
+            if each["value"]:
+                self.note_writes([each["value"]], each["result"])
             elif each["result"] == "DONE" and database != "stock":
                 self.check_own_write(each)
         return requests[-1]["result"] not in NO_ANSWER
 
+    async def change_session(self):
+        """Sets a value, or prepares or drops a statement. A caller closes its session after an error."""
+        name = self.rng.choice(PREPARED_NAMES)
+        if self.rng.random() < 0.4:
+            name, value = self.rng.choice(SESSION_VALUES), "%s-%d" % (self.session.name, self.number)
+            if (await self.request(["SET %s %s" % (name, value)]))[0]["result"] != "DONE":
+                return False
+            self.session.values[name] = value
+        elif name in self.session.prepared:
+            if (await self.request(["DEALLOC " + name]))[0]["result"] != "DONE":
+                return False
+            del self.session.prepared[name]
+        else:
+            access, shape = self.rng.choice(SHAPES)
+            if (await self.request(["PREPARE %s %s %s" % (name, access, shape)]))[0]["result"] != "DONE":
+                return False
+            self.session.prepared[name] = (access, shape)
+        return True
+
     async def run_transaction(self):
-        last, texts = (await self.request(["BEGIN"]))[0], []
-        while last["result"] == "DONE" and len(texts) < 3:
-            await asyncio.sleep(self.rng.uniform(0, 0.1))
-            texts.append(self.write_text())
-            last = (await self.request(texts[-1:]))[0]
+        is_read_only = self.rng.random() < 0.2
+        self.session.begin()
+        last, values = (await self.request(["BEGIN READ" if is_read_only else "BEGIN"]))[0], []
+        for _ in range(self.rng.randint(1, 4)):
+            if last["result"] != "DONE":
+                break
+            await asyncio.sleep(self.rng.choice((0, self.rng.uniform(0, 0.1), self.rng.uniform(0, 0.4))))
+            if self.rng.random() < 0.05:
+                return self.leave(values)
+            reads = is_read_only or self.rng.random() < 0.3
+            last = (await self.request([self.read_text() if reads else self.write_text()]))[0]
+            values += [last["value"]] if last["value"] else []
         # No caller asks for the commit after an error, so nothing may be kept.
         result = "ABORTED"
-        if texts and last["result"] not in NO_ANSWER:
-            last = (await self.request(["COMMIT" if last["result"] == "DONE" else "ROLLBACK"]))[0]
-            result = last["result"] if last["text"] == "COMMIT" else result
-        self.note_writes(texts, result)
+        if last["result"] not in NO_ANSWER:
+            commits = last["result"] == "DONE" and self.rng.random() < 0.85
+            last = (await self.request(["COMMIT" if commits else "ROLLBACK"]))[0]
+            result = last["result"] if commits else result
+        self.session.transaction = None
+        self.note_writes(values, result)
         return last["result"] not in NO_ANSWER
 
+    def leave(self, values):
+        """Ends the session in the middle of its transaction; at times with a statement that nobody waits for."""
+        if self.rng.random() < 0.5:
+            text = self.write_text()
+            values.append(self.value_of(text))
+            request = self.note_request(text)
+            request["result"] = self.fleet.rules.ended[request["id"]] = "LEFT"
+            request["end"] = request["sent"]
+            self.writer.write(("QUERY %s %s\r\n" % (request["id"], text)).encode())
+        if self.rng.random() < 0.5:
+            self.writer.write(b"BYE\r\n")
+        self.note_writes(values, "ABORTED")
+        return False
+
+    def find_prepared(self, access):
+        names = [name for name, (own, _) in self.session.prepared.items() if own == access]
+        return self.rng.choice(names) if names and self.rng.random() < 0.7 else None
+
+    def read_text(self):
+        name = self.find_prepared("READ")
+        return "EXECUTE %s %s" % (name, self.item) if name else "READ " + self.item
+
     def write_text(self):
         self.number += 1
-        return "WRITE %s %s-%d" % (self.item, self.name, self.number)
+        name = self.find_prepared("WRITE")
+        return "%s %s %s-%d" % ("EXECUTE " + name if name else "WRITE", self.item, self.name, self.number)
 
-    def note_writes(self, texts, result):
-        for text in texts:
-            value = text.split(" ")[2]
+    def value_of(self, text):
+        """Returns the value that a statement writes, or None."""
+        value = text.split(" ")[-1]
+        return value if value.startswith(self.name + "-") else None
+
+    def note_writes(self, values, result):
+        for value in values:
             self.writes[value] = result
             self.own.append((value, result))
 
@@ -302,17 +405,21 @@
         acknowledged = [value for value, result in self.own if result == "DONE"]
         known = set(acknowledged[-1:] or ["none"])
         known |= {value for value, result in self.own if result != "DONE" and result not in PROMISES}
-        if request["rows"][0] not in known:
-            self.broken.append("STALE: %s read %s instead of %s" % (request["id"], request["rows"][0], sorted(known)))
+        found = request["rows"][0] if request["rows"] else None
+        if found not in known:
+            self.broken.append("STALE: %s read %s instead of %s" % (request["id"], found, sorted(known)))
+
+    def note_request(self, text):
+        self.number += 1
+        noted = {"id": "%s-%d" % (self.name, self.number), "text": text, "vm": self.vm, "sent": time.monotonic(),
+                 "result": "CLOSED", "rows": [], "value": self.value_of(text)}
+        self.requests.append(noted)
+        self.fleet.rules.note_sent(noted["id"], self.session, text)
+        return noted
 
     async def request(self, texts):
         """Sends statements at once and notes the result of each."""
-        sent, noted = time.monotonic(), []
-        for text in texts:
-            self.number += 1
-            noted.append({"id": "%s-%d" % (self.name, self.number), "text": text, "vm": self.vm, "sent": sent,
-                          "result": "CLOSED", "rows": []})
-        self.requests += noted
+        noted = [self.note_request(text) for text in texts]
         try:
             self.writer.write("".join("QUERY %s %s\r\n" % (each["id"], each["text"]) for each in noted).encode())
             for each in noted:
@@ -323,21 +430,24 @@
             pass
         for each in noted:
             each["end"] = time.monotonic()
+            self.fleet.rules.ended[each["id"]] = each["result"]
             if each["result"] != "DONE":
                 self.fleet.record.add("%s at %s: %s ends with %s after %.3f s" % (
-                    each["id"], self.vm.name, each["text"], each["result"], each["end"] - sent))
+                    each["id"], self.vm.name, each["text"], each["result"], each["end"] - each["sent"]))
         return noted
 
     async def read_answer(self, request):
-        result = None
+        result, proof = None, "-"
         while True:
             word, _, rest = (await self.reader.readuntil(b"\n")).decode().strip("\r\n").partition(" ")
             if word == "ROW":
                 request["rows"].append(rest)
             elif word in ("DONE", "ERROR"):
-                result = "DONE" if word == "DONE" else rest.split(" ")[0]
+                result, proof = ("DONE", rest) if word == "DONE" else (rest.split(" ")[0], "-")
             elif word == "READY":
                 request["result"] = result
+                if result == "DONE":
+                    self.fleet.rules.check_success(request, proof)
                 return
 
 
@@ -464,12 +574,14 @@
             broken.append("TWICE: write %s is in the log %d times" % (value, count))
 
 
-async def soak(folder, build, seed, seconds):
+async def soak(folder, build, seed, seconds, faults):
     """Returns the broken rules and a summary."""
-    rng, broken, requests, writes = random.Random(seed), [], [], {}
-    fleet = SoakFleet(folder, build, seed)
+    rng, requests = random.Random(seed), []
+    fleet = SoakFleet(folder, build, seed, faults)
+    broken = fleet.rules.broken
     try:
         await fleet.start(broken)
+        writes = fleet.groups["bookings"].writes
         trouble = Trouble(fleet, random.Random(rng.random()))
         callers = [SoakCaller("c%d" % index, fleet, random.Random(rng.random()), requests, writes, broken)
                    for index in range(CALLERS)]
@@ -479,6 +591,7 @@
         for caller in callers:
             caller.end = end
         await asyncio.gather(*tasks)
+        faults.stop()
         for vm in fleet.vms:
             if not await callers[0].serves(vm):
                 broken.append("RECOVER: %s serves nothing at the end" % vm.name)
@@ -491,19 +604,23 @@
     unanswered = sum(each["result"] in NO_ANSWER for each in requests)
     for each in broken:
         fleet.record.add("BROKEN " + each)
-    return broken, "%d requests, %d with success, %d without an answer, %d of them to connections just closed" % (
+    summary = "%d requests, %d with success, %d without an answer, %d of them to connections just closed" % (
         len(requests), answered, unanswered, late)
+    for counts in (faults.counts, fleet.rules.notes):
+        summary += "".join("; %d %s" % (count, name) for name, count in sorted(counts.items()))
+    return broken, summary
 
 
-def run(build, seed, seconds, folder):
-    return asyncio.run(soak(folder, os.path.abspath(build), seed, seconds))
+def run(build, seed, seconds, folder, repeated_share=0.0, cut_share=0.0):
+    faults = AnswerFaults(seed, repeated_share, cut_share)
+    return asyncio.run(soak(folder, os.path.abspath(build), seed, seconds, faults))
 
 
 def main():
     build, seed = sys.argv[1], int(sys.argv[2])
-    seconds = float(sys.argv[3]) if len(sys.argv) > 3 else 25
+    seconds, repeated_share, cut_share = [float(each) for each in sys.argv[3:6]] + [25, 0, 0][len(sys.argv[3:6]):]
     folder = tempfile.mkdtemp(prefix="fault-soak-%d-" % seed)
-    broken, summary = run(build, seed, seconds, folder)
+    broken, summary = run(build, seed, seconds, folder, repeated_share, cut_share)
     print("seed %d: %s; %d checks broken" % (seed, summary, len(broken)))
     for each in broken:
         print("  " + each)
