tests: Let members of the soak be busy and fail, and compare values as a statement was sent

A repeated BUSY makes the system send a write that runs a second time, which the soak could not show without busy members. A statement that is held up runs with the values of its time, also if its caller has been answered and has set others.

--- a/tests/processes/repeated_answers.py
+++ b/tests/processes/repeated_answers.py
@@ -11,6 +11,11 @@
 from wire_stand_ins import Connection, HttpServer
 
 
+BUSY_SHARE = 0.03  # Share of statements with a slot that a member does not run.
+FAILED_SHARE = 0.005  # Share of reads and writes that fail while they run.
+WITH_SLOT = ("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS")
+
+
 class AnswerFaults:
     """Decides for each answer of one run whether it is repeated or cut short, and counts both."""
 
@@ -18,10 +23,14 @@
         self.rng = random.Random(seed)
         self.repeated_share, self.cut_share = repeated_share, cut_share
         self.longest_delay = longest_delay  # Seconds between an answer and its repetition.
+        self.busy_share, self.failed_share = BUSY_SHARE, FAILED_SHARE
         self.counts = {}
 
     def stop(self):
-        self.repeated_share = self.cut_share = 0.0
+        self.repeated_share = self.cut_share = self.busy_share = self.failed_share = 0.0
+
+    def draw(self, share):
+        return self.rng.random() < share
 
     def count(self, fault, kind):
         name = "%s %s" % (fault, kind)
@@ -90,8 +99,21 @@
         words = text.split(" ")
         self.kind = words[2] if words[0] == "AFTER" else words[0]
         self.rules.check_arrival(self, identity, text)
+        if self.kind in WITH_SLOT and self.state != "E" and self.faults.draw(self.faults.busy_share):
+            self.note("is busy for id=%s %s" % (identity, text))
+            self.faults.count("busy", self.kind)
+            self.fail("BUSY")
+            return
         await super().query(identity, text)
 
+    async def run_statement(self, identity, text, words):
+        if words[0] != "EXECUTE" and self.faults.draw(self.faults.failed_share):
+            self.note_run(identity, text, text + " and fails")
+            self.faults.count("failed", self.kind)
+            self.fail("FAILED")
+            return
+        await super().run_statement(identity, text, words)
+
     async def begin(self, identity, words):
         await super().begin(identity, words)
         self.rules.note_begin(self, identity)
--- a/tests/processes/statement_rules.py
+++ b/tests/processes/statement_rules.py
@@ -28,6 +28,7 @@
         self.broken = []
         self.notes = {}  # Counts of what breaks no rule by itself.
         self.sent = {}  # (session, text, transaction) by id.
+        self.settings = {}  # Acknowledged values and prepared names as each statement was sent, by id.
         self.answers = {}  # (proof, rows) of members' successes by id.
         self.owners = {}  # Id by proof.
         self.places = {}  # Member connection and transaction by callers' transaction.
@@ -42,6 +43,8 @@
 
     def note_sent(self, identity, session, text):
         self.sent[identity] = (session, text, session.transaction)
+        # A statement that is held up runs with the values of its time, also if its caller has set others since.
+        self.settings[identity] = (dict(session.values), dict(session.prepared))
 
     def note_answer(self, identity, answer):
         """Notes a member's answer to a caller's id."""
@@ -66,9 +69,13 @@
 
     def check_arrival(self, connection, identity, text):
         """UNASKED: a statement arrives at a member with an id and a text of a caller, or is the system's own."""
-        if text.startswith("AFTER "):
+        is_after = text.startswith("AFTER ")
+        if is_after:
             text = text.split(" ", 2)[2]
         words = text.split(" ")
+        if is_after and (words[0] not in ("READ", "BEGIN", "EXECUTE") or (
+                words[0] == "EXECUTE" and connection.prepared.get(words[1], ("READ",))[0] != "READ")):
+            self.break_rule("UNASKED", "%s gets %s with a position in front" % (connection.name, text))
         if identity == "-":
             if words[0] not in OWN_STATEMENTS:
                 self.break_rule("UNASKED", "%s gets %s with the id -" % (connection.name, text))
@@ -97,10 +104,11 @@
         """PINNED and UNASKED: a statement runs in its caller's transaction, values and prepared names."""
         if identity not in self.sent:
             return
-        session, sent, transaction = self.sent[identity]
+        _, sent, transaction = self.sent[identity]
         where = "%s runs %s (%s)" % (connection.name, identity, sent)
         if identity in connection.member.group.run_ids:
             self.note("ids that members run more than once")
+            self.record.add("again: " + where)
         connection.member.group.run_ids.add(identity)
         if identity in self.ended:
             self.note("ids that members run after their caller was answered or had left")
@@ -110,20 +118,20 @@
                 self.break_rule("PINNED", "%s outside its transaction %s" % (where, transaction))
         else:
             self.check_transaction(connection, identity, transaction, where, text == "COMMIT")
-        if connection.values != session.values:
-            self.break_rule("PINNED", "%s with the values %s instead of %s" % (where, connection.values, session.values))
+        values, prepared = self.settings[identity]
+        if connection.values != values:
+            self.break_rule("PINNED", "%s with the values %s instead of %s" % (where, connection.values, values))
         words = text.split(" ")
         if words[0] == "EXECUTE":
-            shape, own = connection.prepared.get(words[1]), session.prepared.get(sent.split(" ")[1])
+            shape, own = connection.prepared.get(words[1]), prepared.get(sent.split(" ")[1])
             if shape != own:
                 self.break_rule("PINNED", "%s in the shape %s instead of %s" % (where, shape, own))
 
     def check_transaction(self, connection, identity, transaction, where, is_commit):
         """The system may open a transaction of its own round a single read, which nothing else may use."""
-        session, text, _ = self.sent[identity]
-        words = text.split(" ")
+        words = self.sent[identity][1].split(" ")
         is_read = words[0] == "READ" or (
-            words[0] == "EXECUTE" and session.prepared.get(words[1], ("unknown",))[0] == "READ")
+            words[0] == "EXECUTE" and self.settings[identity][1].get(words[1], ("unknown",))[0] == "READ")
         owner = transaction or (("read", identity) if is_read else "a caller's transaction")
         if connection.owner is None:
             connection.owner = owner
