--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -42,6 +42,7 @@
 ANSWER_TIMEOUT = 10  # Far above the time limits of statements, so that a missing answer shows.
 NO_ANSWER = ("CLOSED", "NONE")
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
+LONG_PAUSE = 1  # Seconds, above the shorter of the limits on idle transactions that the operator sets.
 MEMBER_WORK = 0.02  # Seconds that a statement takes at a member.
 SETTLE_TIME = fleet_stand_in.BOUNDS["recovery-s"]  # Seconds without faults at the end.
 LAST_CHECK_TIME = 3  # Each VM has to serve a statement within this time after the end.
@@ -313,6 +314,8 @@
         count = self.rng.randint(2, 6) if kind == "pipeline" else 1
         texts = [self.write_text() if kind == "write" or self.rng.random() < 0.5 else self.read_text()
                  for _ in range(count)]
+        if self.rng.random() < 0.02:
+            return self.leave([], texts)
         requests = await self.request(texts)
         for each in requests:
             if each["value"]:
@@ -348,6 +351,10 @@
             if last["result"] != "DONE":
                 break
             await asyncio.sleep(self.rng.choice((0, self.rng.uniform(0, 0.1), self.rng.uniform(0, 0.4))))
+            if self.rng.random() < 0.03:
+                await asyncio.sleep(LONG_PAUSE)
+            if self.rng.random() < 0.1 and not await self.change_session():
+                return self.leave(values)
             if self.rng.random() < 0.05:
                 return self.leave(values)
             reads = is_read_only or self.rng.random() < 0.3
@@ -363,15 +370,17 @@
         self.note_writes(values, result)
         return last["result"] not in NO_ANSWER
 
-    def leave(self, values):
-        """Ends the session in the middle of its transaction; at times with a statement that nobody waits for."""
-        if self.rng.random() < 0.5:
-            text = self.write_text()
-            values.append(self.value_of(text))
+    def leave(self, values, texts=()):
+        """Ends the session, in the middle of a transaction or with statements for whose answers nobody waits."""
+        if self.session.transaction is not None:
+            texts = [self.write_text()] if self.rng.random() < 0.5 else []
+        for text in texts:
             request = self.note_request(text)
             request["result"] = self.fleet.rules.ended[request["id"]] = "LEFT"
             request["end"] = request["sent"]
             self.writer.write(("QUERY %s %s\r\n" % (request["id"], text)).encode())
+            if request["value"]:
+                self.note_writes([request["value"]], "ABORTED" if self.session.transaction else "LEFT")
         if self.rng.random() < 0.5:
             self.writer.write(b"BYE\r\n")
         self.note_writes(values, "ABORTED")
