members: Name prepared shapes at members by one word

What callers saw: an EXECUTE of a shape that holds a blank ended with MALFORMED, and the member got a statement whose text no caller had sent (UNASKED).

Cause: the name at the member is made of the whole shape, and a name ends at its first blank, so the rest of the shape became part of the PREPARE and of the arguments of EXECUTE.

Shapes of one word keep their name, which VMs of earlier builds use too; others are named by a digest of 128 bits.

--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+#include <xxhash.h>
+
 namespace greengagehitch {
 
 backend_connection::backend_connection(kernel& kernel, backend_connection_hooks const& hooks,
@@ -135,7 +138,13 @@
 
 std::string backend_connection::name_of(prepared_shape const& shape)
 {
-    return (shape.is_write ? "w_" : "r_") + shape.shape;
+    auto const access = shape.is_write ? "w_" : "r_";
+    // VMs of earlier builds use the shape itself, which cannot be a name if it has several words.
+    if (shape.shape.find(' ') == std::string::npos) {
+        return access + shape.shape;
+    }
+    auto const digest = XXH3_128bits(shape.shape.data(), shape.shape.size());
+    return fmt::format("{}.{:016x}{:016x}", access, digest.high64, digest.low64);
 }
 
 void backend_connection::handle_opened(member_answer const& answer)
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -71,6 +71,7 @@
     /// Returns the commands that prepare the shape under `name_of(shape)`, and records the shape; returns no
     /// command if it is prepared already.
     std::vector<member_command> commands_to_prepare(prepared_shape const& shape);
+    /// Name of the shape at members, a single word.
     static std::string name_of(prepared_shape const& shape);
 
     /// Records that session values or prepared statements were changed inside a transaction. A rollback may
--- a/tests/members/backend_connection_tests.cpp
+++ b/tests/members/backend_connection_tests.cpp
@@ -275,6 +275,16 @@
     cr_assert(fixture.connection->is_closed());
 }
 
+/// Guards against UNASKED: the name of a shape with blanks ended at the first of them, so that members
+/// prepared and ran another text than the caller's.
+Test(backend_connection, shape_with_blanks_has_a_name_of_one_word)
+{
+    auto const name = backend_connection::name_of({true, "q2 of item"});
+    cr_assert(name.find(' ') == std::string::npos, "%s", name.c_str());
+    cr_assert(name != backend_connection::name_of({true, "q2  of item"}));
+    cr_assert(name != backend_connection::name_of({false, "q2 of item"}));
+}
+
 /// Guards against a statement that ends with the second answer to the handshake.
 Test(backend_connection, second_answer_to_the_handshake_ends_no_statement)
 {
