adapters: Send each HTTP request on a connection of its own

Cause: an HTTP/1.1 answer does not say which request it belongs to. http_client kept its connection, so a second copy, whether it came before the next request or while that one was under way, was taken for the answer to the next request. Besides, the session of Poco took an answer for whole that had neither a length nor a last chunk, whose last chunks were missing, or that ended within its header.

Weighed: looking for unread bytes before sending finds no copy that comes later, and nothing bounds how late it may be. Versions and times in answers of the store may be the same in two answers, and answers to orders carry nothing at all. With one request on each connection, the connection itself links the answer to it. The platform charges for calls, not for connections to it.

http_answer_reader accepts an answer only if it says itself where it ends and has arrived up to there; anything else is no answer, after which the outcome of a call is unknown, as after a timeout. Requests are no longer repeated by the session of Poco when a kept connection turns out to be closed.

--- a/libraries/adapters/http_client.cpp
+++ b/libraries/adapters/http_client.cpp
@@ -1,12 +1,13 @@
 #include "adapters/http_client.h"
 
-#include <memory>
+#include <array>
+#include <sstream>
+
+#include <sys/socket.h>
 
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
-#include <Poco/String.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/URI.h>
 
 namespace greengagehitch {
@@ -14,68 +15,32 @@
 namespace {
 
 constexpr std::size_t max_queued_calls = 256;
+constexpr std::size_t receive_buffer_size = 16UL * 1024;
 
-} // namespace
-
-bool case_insensitive_less::operator()(std::string const& left, std::string const& right) const
+std::string encode_request(http_client_request const& call, std::string const& host, std::uint16_t port)
 {
-    return Poco::icompare(left, right) < 0;
-}
-
-/// Connection of one worker thread to the server.
-class http_client::worker {
-public:
-    worker(std::string host, std::uint16_t port) : m_host(std::move(host)), m_port(port) {}
-
-    http_response run(http_client_request const& call)
-    {
-        try {
-            return send(call);
-        }
-        catch (Poco::Exception const&) {
-            m_session.reset();
-            return {};
-        }
-        catch (std::exception const&) {
-            m_session.reset();
-            return {};
-        }
+    Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(host, port);
+    request.setKeepAlive(false);
+    request.setContentLength(static_cast<std::streamsize>(call.body.size()));
+    for (auto const& [name, value] : call.headers) {
+        request.set(name, value);
     }
+    std::ostringstream text;
+    request.write(text);
+    text << call.body;
+    return text.str();
+}
 
-private:
-    http_response send(http_client_request const& call)
-    {
-        if (!m_session) {
-            m_session = std::make_unique<Poco::Net::HTTPClientSession>(m_host, m_port);
-            m_session->setKeepAlive(true);
-        }
-        m_session->setTimeout(Poco::Timespan(to_microseconds(call.timeout)));
-        Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
-        request.setContentLength(static_cast<std::streamsize>(call.body.size()));
-        for (auto const& [name, value] : call.headers) {
-            request.set(name, value);
-        }
-        m_session->sendRequest(request) << call.body;
-        Poco::Net::HTTPResponse response;
-        auto& stream = m_session->receiveResponse(response);
-        http_response answer;
-        Poco::StreamCopier::copyToString(stream, answer.body);
-        answer.status = response.getStatus();
-        for (auto const& [name, value] : response) {
-            answer.headers[name] = value;
-        }
-        if (response.hasContentLength() &&
-            answer.body.size() != static_cast<std::size_t>(response.getContentLength64())) {
-            m_session.reset();
-            return {};
-        }
-        return answer;
+void send_all(Poco::Net::StreamSocket& socket, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        auto const sent = socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()), MSG_NOSIGNAL);
+        bytes.remove_prefix(static_cast<std::size_t>(sent));
     }
+}
 
-    std::string m_host;
-    std::uint16_t m_port;
-    std::unique_ptr<Poco::Net::HTTPClientSession> m_session;
-};
+} // namespace
 
 http_client::http_client(reactor& reactor, std::string host, std::uint16_t port, std::size_t threads)
     : m_reactor(reactor), m_host(std::move(host)), m_port(port)
@@ -113,7 +78,6 @@
 
 void http_client::run_worker()
 {
-    worker connection(m_host, m_port);
     while (true) {
         queued_call next;
         {
@@ -126,13 +90,54 @@
             m_queued_calls.pop_front();
         }
         auto const sent_at = m_reactor.now();
-        auto answer = connection.run(next.call);
+        auto answer = send(next.call);
         answer.sent_at = sent_at;
         answer.answered_at = m_reactor.now();
         m_reactor.post([done = std::move(next.done), answer = std::move(answer)] { done(answer); });
     }
 }
 
+http_response http_client::send(http_client_request const& call) const
+{
+    try {
+        return try_send(call);
+    }
+    catch (Poco::Exception const&) {
+        return {};
+    }
+    catch (std::exception const&) {
+        return {};
+    }
+}
+
+http_response http_client::try_send(http_client_request const& call) const
+{
+    Poco::Timespan const timeout(to_microseconds(call.timeout));
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(m_host, m_port), timeout);
+    socket.setNoDelay(true);
+    socket.setSendTimeout(timeout);
+    socket.setReceiveTimeout(timeout);
+    send_all(socket, encode_request(call, m_host, m_port));
+    http_answer_reader reader;
+    std::array<char, receive_buffer_size> buffer{};
+    while (!reader.is_whole() && !reader.refusal()) {
+        auto const received = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+        if (received <= 0) {
+            reader.end();
+            break;
+        }
+        reader.add({buffer.data(), static_cast<std::size_t>(received)});
+    }
+    http_response answer;
+    if (reader.is_whole()) {
+        answer.status = reader.status();
+        answer.body = std::move(reader.body());
+        answer.headers = std::move(reader.headers());
+    }
+    return answer;
+}
+
 std::string escape_query(std::string const& text)
 {
     std::string escaped;
--- a/libraries/adapters/http_client.h
+++ b/libraries/adapters/http_client.h
@@ -3,13 +3,13 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
-#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "adapters/http_answer_reader.h"
 #include "reactor/reactor.h"
 
 namespace greengagehitch {
@@ -22,15 +22,10 @@
     duration timeout = std::chrono::seconds(1); ///< Timeout of each step: connecting, sending and receiving.
 };
 
-/// Orders names of HTTP headers, which are case-insensitive.
-struct case_insensitive_less {
-    bool operator()(std::string const& left, std::string const& right) const;
-};
-
 struct http_response {
-    int status = 0; ///< HTTP status code; 0 if no complete response was received.
+    int status = 0; ///< HTTP status code; 0 if no whole response was received.
     std::string body;
-    std::map<std::string, std::string, case_insensitive_less> headers;
+    http_headers headers;
     monotonic_time sent_at; ///< Time just before the request was sent.
     monotonic_time answered_at;
 };
@@ -39,8 +34,9 @@
 /// Sends a request and passes the response, or one with status 0, to the callback.
 using http_call_hook = std::function<void(http_client_request, http_response_callback)>;
 
-/// Client for one HTTP server. Blocking requests run on a few worker threads, each with a persistent
-/// connection of its own; callbacks run on the reactor's thread.
+/// Client for one HTTP server. Blocking requests run on a few worker threads; callbacks run on the reactor's
+/// thread. Each request has a connection of its own: an answer does not say which request it belongs to, so
+/// on a connection with several requests, an answer that arrives twice would be taken for the next one.
 class http_client {
 public:
     http_client(reactor& reactor, std::string host, std::uint16_t port, std::size_t threads);
@@ -60,14 +56,15 @@
     }
 
 private:
-    class worker;
-
     struct queued_call {
         http_client_request call;
         http_response_callback done;
     };
 
     void run_worker();
+    /// Sends a request on a new connection. Returns a response with status 0 if no whole one was received.
+    http_response send(http_client_request const& call) const;
+    http_response try_send(http_client_request const& call) const;
 
     reactor& m_reactor;
     std::string m_host;
