adapters: Count and log HTTP answers that are refused

What operators saw: a call without an answer, whether the server was silent or its answer was discarded since it was not whole. No metric or log line told the two apart.

http_client counts refused answers by reason (cut_short, without_length, malformed, too_large), and logs each with server, method and path. A connection that fails within an answer counts as cut_short, one that ends before its first byte as no answer. A second copy of an answer is not counted: it comes after its connection was closed, or is discarded with it.

refused_answer_is_counted_and_logged_with_its_path and call_without_an_answer_is_not_counted_as_refused are new; they do not compile on the code before, which has no reasons.

--- a/libraries/adapters/http_client.cpp
+++ b/libraries/adapters/http_client.cpp
@@ -17,10 +17,10 @@
 constexpr std::size_t max_queued_calls = 256;
 constexpr std::size_t receive_buffer_size = 16UL * 1024;
 
-std::string encode_request(http_client_request const& call, std::string const& host, std::uint16_t port)
+std::string encode_request(http_client_request const& call, endpoint const& address)
 {
     Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost(host, port);
+    request.setHost(address.host, address.port);
     request.setKeepAlive(false);
     request.setContentLength(static_cast<std::streamsize>(call.body.size()));
     for (auto const& [name, value] : call.headers) {
@@ -42,8 +42,9 @@
 
 } // namespace
 
-http_client::http_client(reactor& reactor, std::string host, std::uint16_t port, std::size_t threads)
-    : m_reactor(reactor), m_host(std::move(host)), m_port(port)
+http_client::http_client(reactor& reactor, log_sink log, std::string server, endpoint const& address,
+                         std::size_t threads)
+    : m_reactor(reactor), m_log(std::move(log)), m_server(std::move(server)), m_address(address)
 {
     for (std::size_t i = 0; i < threads; ++i) {
         m_threads.emplace_back([this] { run_worker(); });
@@ -93,49 +94,69 @@
         auto answer = send(next.call);
         answer.sent_at = sent_at;
         answer.answered_at = m_reactor.now();
-        m_reactor.post([done = std::move(next.done), answer = std::move(answer)] { done(answer); });
+        m_reactor.post(
+            [this, call = std::move(next.call), done = std::move(next.done), answer = std::move(answer)] {
+                if (answer.refusal) {
+                    record_refusal(call, *answer.refusal);
+                }
+                done(answer);
+            });
     }
 }
 
 http_response http_client::send(http_client_request const& call) const
 {
+    http_answer_reader reader;
     try {
-        return try_send(call);
-    }
-    catch (Poco::Exception const&) {
-        return {};
+        exchange(call, reader);
     }
     catch (std::exception const&) {
-        return {};
+        // The connection was not established, failed or timed out.
+        reader.end();
     }
+    http_response answer;
+    if (reader.is_whole()) {
+        answer.status = reader.status();
+        answer.body = std::move(reader.body());
+        answer.headers = std::move(reader.headers());
+    }
+    else if (reader.has_begun()) {
+        answer.refusal = reader.refusal();
+    }
+    return answer;
 }
 
-http_response http_client::try_send(http_client_request const& call) const
+void http_client::exchange(http_client_request const& call, http_answer_reader& reader) const
 {
     Poco::Timespan const timeout(to_microseconds(call.timeout));
     Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress(m_host, m_port), timeout);
+    socket.connect(Poco::Net::SocketAddress(m_address.host, m_address.port), timeout);
     socket.setNoDelay(true);
     socket.setSendTimeout(timeout);
     socket.setReceiveTimeout(timeout);
-    send_all(socket, encode_request(call, m_host, m_port));
-    http_answer_reader reader;
+    send_all(socket, encode_request(call, m_address));
     std::array<char, receive_buffer_size> buffer{};
     while (!reader.is_whole() && !reader.refusal()) {
         auto const received = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
         if (received <= 0) {
             reader.end();
-            break;
+            return;
         }
         reader.add({buffer.data(), static_cast<std::size_t>(received)});
     }
-    http_response answer;
-    if (reader.is_whole()) {
-        answer.status = reader.status();
-        answer.body = std::move(reader.body());
-        answer.headers = std::move(reader.headers());
-    }
-    return answer;
+}
+
+void http_client::record_refusal(http_client_request const& call, http_refusal reason)
+{
+    auto const index = static_cast<std::size_t>(reason);
+    ++m_refusals[index];
+    Json::Value fields(Json::objectValue);
+    fields["server"] = m_server;
+    fields["method"] = call.method;
+    fields["path"] = call.path;
+    fields["reason"] = std::string(http_refusal_names[index].name);
+    fields["refused"] = Json::UInt64(m_refusals[index]);
+    m_log({log_level::warning, "http", "answer was refused since it is not whole", std::move(fields)});
 }
 
 std::string escape_query(std::string const& text)
--- a/libraries/adapters/http_client.h
+++ b/libraries/adapters/http_client.h
@@ -1,16 +1,20 @@
 #pragma once
 
+#include <array>
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "adapters/http_answer_reader.h"
+#include "base/log_record.h"
 #include "reactor/reactor.h"
+#include "settings/daemon_settings.h"
 
 namespace greengagehitch {
 
@@ -26,7 +30,8 @@
     int status = 0; ///< HTTP status code; 0 if no whole response was received.
     std::string body;
     http_headers headers;
-    monotonic_time sent_at; ///< Time just before the request was sent.
+    std::optional<http_refusal> refusal; ///< Why an answer that arrived was refused; its status is then 0.
+    monotonic_time sent_at;              ///< Time just before the request was sent.
     monotonic_time answered_at;
 };
 
@@ -39,7 +44,9 @@
 /// on a connection with several requests, an answer that arrives twice would be taken for the next one.
 class http_client {
 public:
-    http_client(reactor& reactor, std::string host, std::uint16_t port, std::size_t threads);
+    /// `server` names the server in log lines. The reactor must not run after the client was destroyed.
+    http_client(reactor& reactor, log_sink log, std::string server, endpoint const& address,
+                std::size_t threads);
     ~http_client();
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
@@ -55,6 +62,11 @@
         };
     }
 
+    /// Name of the server in log lines and metrics.
+    std::string const& server() const { return m_server; }
+    /// Number of answers that were refused, in the order of http_refusal_names.
+    std::array<std::uint64_t, http_refusal_names.size()> const& refusals() const { return m_refusals; }
+
 private:
     struct queued_call {
         http_client_request call;
@@ -64,11 +76,14 @@
     void run_worker();
     /// Sends a request on a new connection. Returns a response with status 0 if no whole one was received.
     http_response send(http_client_request const& call) const;
-    http_response try_send(http_client_request const& call) const;
+    void exchange(http_client_request const& call, http_answer_reader& reader) const;
+    void record_refusal(http_client_request const& call, http_refusal reason);
 
     reactor& m_reactor;
-    std::string m_host;
-    std::uint16_t m_port;
+    log_sink m_log;
+    std::string m_server;
+    endpoint m_address;
+    std::array<std::uint64_t, http_refusal_names.size()> m_refusals{};
     std::mutex m_mutex;
     std::condition_variable m_has_work;
     std::deque<queued_call> m_queued_calls;
--- a/libraries/adapters/platform_client.cpp
+++ b/libraries/adapters/platform_client.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-platform_client::platform_client(reactor& reactor, std::string const& url, duration timeout)
-    : m_timeout(timeout),
-      m_http_client(reactor, Poco::URI(url).getHost(), Poco::URI(url).getPort(), worker_count)
+platform_client::platform_client(reactor& reactor, log_sink log, std::string const& url, duration timeout)
+    : m_timeout(timeout), m_http_client(reactor, std::move(log), "platform",
+                                        {Poco::URI(url).getHost(), Poco::URI(url).getPort()}, worker_count)
 {
 }
 
--- a/libraries/adapters/platform_client.h
+++ b/libraries/adapters/platform_client.h
@@ -12,7 +12,7 @@
 /// Implements the platform hooks over HTTP.
 class platform_client {
 public:
-    platform_client(reactor& reactor, std::string const& url, duration timeout);
+    platform_client(reactor& reactor, log_sink log, std::string const& url, duration timeout);
 
     platform_hooks hooks();
 
--- a/services/greengagehitchd/daemon.cpp
+++ b/services/greengagehitchd/daemon.cpp
@@ -71,7 +71,9 @@
 
 entry_vm_hooks daemon::make_hooks(std::string const& database_password)
 {
-    m_platform_client.emplace(m_reactor, m_settings.platform_url, m_settings.platform_timeout);
+    m_platform_client.emplace(
+        m_reactor, [this](log_record const& record) { m_log.write(record); }, m_settings.platform_url,
+        m_settings.platform_timeout);
     m_database_connector.emplace(m_reactor, libpq_options{m_settings.database_user, database_password,
                                                           m_settings.database_tls_mode, "greengagehitch"});
     entry_vm_hooks hooks;
--- a/tests/platform/http_answers_tests.cpp
+++ b/tests/platform/http_answers_tests.cpp
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -122,6 +123,8 @@
     tcp_acceptor m_acceptor;
 };
 
+void ignore_log(log_record const& /*record*/) {}
+
 /// Runs the event loop until `result` has a value.
 template <typename T>
 void wait_for(reactor& loop, std::optional<T> const& result)
@@ -163,7 +166,7 @@
             fmt::format(
                 R"({{"rows":[{{"key":"{}","row-version":1,"value":""}}],"row-version":1,"now-ms":1}})", key));
     });
-    http_client caller(loop, server.address().host, server.address().port, one_worker);
+    http_client caller(loop, ignore_log, "server", server.address(), one_worker);
     store_client store(caller.hook(), caller.hook(), 1s);
     for (std::string const key : {"first", "second", "third"}) {
         std::optional<absl::StatusOr<store_rows>> result;
@@ -186,7 +189,7 @@
         return writes % 2 == 1 ? make_answer(200, fmt::format(R"({{"row-version":{}}})", writes))
                                : make_answer(412, R"({"rows":[]})");
     });
-    http_client caller(loop, server.address().host, server.address().port, one_worker);
+    http_client caller(loop, ignore_log, "server", server.address(), one_worker);
     store_client store(caller.hook(), caller.hook(), 1s);
     for (std::uint64_t write = 1; write <= 4; ++write) {
         std::optional<absl::StatusOr<std::uint64_t>> result;
@@ -212,7 +215,7 @@
     repeating_server server(loop, repeats, [&server](received_request const&) {
         return make_answer(server.requests() <= accepted_orders ? 200 : 409, "{}");
     });
-    promotion_client client(loop, server.address(), 1s);
+    promotion_client client(loop, ignore_log, server.address(), 1s);
     auto const hook = client.hook();
     for (std::uint64_t order = 1; order <= 2 * accepted_orders; ++order) {
         auto const result = promote(loop, hook, order);
@@ -292,7 +295,7 @@
         reactor loop;
         repeating_server server(loop, repetition::none, [&cut](received_request const&) { return cut; });
         server.set_closes(true);
-        http_client caller(loop, server.address().host, server.address().port, one_worker);
+        http_client caller(loop, ignore_log, "server", server.address(), one_worker);
         std::optional<http_response> result;
         caller.call({"POST", "/call", "{}", {}, 1s},
                     [&result](http_response const& answer) { result = answer; });
@@ -316,7 +319,7 @@
     for (auto const& whole : whole_answers) {
         reactor loop;
         repeating_server server(loop, repetition::none, [&whole](received_request const&) { return whole; });
-        http_client caller(loop, server.address().host, server.address().port, one_worker);
+        http_client caller(loop, ignore_log, "server", server.address(), one_worker);
         std::optional<http_response> result;
         caller.call({"GET", "/call", "", {}, 1s},
                     [&result](http_response const& answer) { result = answer; });
@@ -326,3 +329,52 @@
         cr_assert(result->headers.at("store-era") == "1");
     }
 }
+
+/// Guards against answers that are discarded without a trace: operators saw calls without an answer only,
+/// whether the server was silent or its answers ended early.
+Test(http_answers, refused_answer_is_counted_and_logged_with_its_path)
+{
+    std::vector<std::pair<std::string, http_refusal>> const refused_answers{
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{}", http_refusal::cut_short},
+        {"HTTP/1.1 200 OK\r\n\r\n{}", http_refusal::without_length},
+        {"HELLO\r\n\r\n", http_refusal::malformed},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", http_refusal::too_large},
+    };
+    for (auto const& [refused, reason] : refused_answers) {
+        reactor loop;
+        repeating_server server(loop, repetition::none,
+                                [&bytes = refused](received_request const&) { return bytes; });
+        server.set_closes(true);
+        std::vector<log_record> records;
+        http_client caller(
+            loop, [&records](log_record const& record) { records.push_back(record); }, "store",
+            server.address(), one_worker);
+        std::optional<http_response> result;
+        caller.call({"POST", "/rows-tx", "{}", {}, 1s},
+                    [&result](http_response const& answer) { result = answer; });
+        wait_for(loop, result);
+        cr_assert(result->status == 0 && result->refusal == reason);
+        cr_assert(caller.refusals()[static_cast<std::size_t>(reason)] == 1);
+        cr_assert(records.size() == 1, "%zu log lines", records.size());
+        cr_assert(records.front().fields["path"] == "/rows-tx" &&
+                  records.front().fields["server"] == "store");
+        cr_assert(records.front().fields["reason"] ==
+                  std::string(http_refusal_names[static_cast<std::size_t>(reason)].name));
+    }
+}
+
+/// Guards against refusals that are counted where no answer has arrived: the server closed the connection.
+Test(http_answers, call_without_an_answer_is_not_counted_as_refused)
+{
+    reactor loop;
+    repeating_server server(loop, repetition::none, [](received_request const&) { return std::string(); });
+    server.set_closes(true);
+    http_client caller(loop, ignore_log, "server", server.address(), one_worker);
+    std::optional<http_response> result;
+    caller.call({"GET", "/call", "", {}, 1s}, [&result](http_response const& answer) { result = answer; });
+    wait_for(loop, result);
+    cr_assert(result->status == 0 && !result->refusal);
+    for (auto const count : caller.refusals()) {
+        cr_assert(count == 0);
+    }
+}
