membership: Count the heartbeats of each process from another number

What could be seen: a VM that counts as heard by a peer which does not hear it, and a configuration of the JSON-RPC services that counts as confirmed at that time.

Cause: each process counted its heartbeats from 1. A peer goes on echoing the last heartbeat of the process that has ended until it hears the next one; where it does not hear it, the echo matches once the new process has counted as far.

The numbers now start from a part of the process's random incarnation, so the number of heartbeats of two processes are far apart; the chance that two processes with 10,000 heartbeats each overlap is 1 in 100,000. The message keeps its form, so builds of both versions can serve together (not run). Numbers take five bytes instead of up to three.

Found by reading, while looking for answers that are matched by order or by a number that starts anew.

--- a/libraries/membership/membership_service.cpp
+++ b/libraries/membership/membership_service.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "membership/request_numbers.h"
 #include "wire/name_hash.h"
 
 namespace greengagehitch {
@@ -67,6 +68,7 @@
 void membership_service::start()
 {
     m_started_at = m_kernel.now();
+    m_next_sequence = first_request_number(m_identity);
     on_message<heartbeat>([](peer_state const&, heartbeat const&) {
         // handle_datagram() has already called handle_heartbeat(), which may change the peer's state.
     });
--- a/tests/membership/membership_tests.cpp
+++ b/tests/membership/membership_tests.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <vector>
+
 #include <criterion/criterion.h>
 
 #include "base/digest.h"
@@ -17,28 +20,50 @@
         kernel_hooks hooks;
         hooks.now = [this] { return now; };
         hooks.random = [] { return std::uint64_t{0}; };
-        hooks.start_timer = [](duration, std::function<void()> const&) { return timer_id::none; };
+        hooks.start_timer = [this](duration, std::function<void()> callback) {
+            timers.push_back(std::move(callback));
+            return timer_id::none;
+        };
         hooks.cancel_timer = [](timer_id) {};
         hooks.log = [](log_record const&) {};
         return hooks;
     }
 
-    void receive(std::uint64_t incarnation, bool is_leaving)
+    explicit membership_fixture(std::uint64_t incarnation = 7) : own_incarnation(incarnation) {}
+
+    /// Runs the timers that are due next, which send heartbeats once the membership was started.
+    void run_timers()
+    {
+        for (auto const& callback : std::exchange(timers, {})) {
+            callback();
+        }
+    }
+
+    void receive(std::uint64_t incarnation, bool is_leaving, std::uint64_t echoed_sequence = 0)
     {
         heartbeat message;
+        message.echoed_sequence = echoed_sequence;
         message.sender = {"vm-2", "a", incarnation, "10.0.0.2", 1, is_leaving};
         message.is_reply = true;
         membership.handle_datagram(peer_codec(secret).encode({"vm-2", incarnation, std::move(message)}));
     }
 
+    std::uint64_t own_incarnation;
+    std::vector<std::function<void()>> timers;
+    std::vector<std::uint64_t> sent_sequences; ///< Sequence numbers of the heartbeats that were sent.
     monotonic_time now{1h};
     kernel core{make_kernel_hooks()};
     platform_hooks platform;
     membership_service membership{core,
                                   platform,
-                                  {"vm-1", "a", {"10.0.0.1", 1}, 7, 1},
+                                  {"vm-1", "a", {"10.0.0.1", 1}, own_incarnation, 1},
                                   peer_codec(secret),
-                                  [](endpoint const&, std::string const&) {}};
+                                  [this](endpoint const&, std::string const& datagram) {
+                                      auto const envelope = peer_codec(secret).try_decode(datagram);
+                                      if (auto const* sent = std::get_if<heartbeat>(&envelope->message)) {
+                                          sent_sequences.push_back(sent->sequence);
+                                      }
+                                  }};
 };
 
 } // namespace
@@ -91,3 +116,27 @@
     cr_assert(!peer.is_leaving);
     cr_assert(fixture.membership.accepts_work(peer));
 }
+
+/// Guards against contact that does not exist: a peer that does not hear this VM goes on echoing the last
+/// heartbeat of the process that has ended. The new process counted from 1 as well, so the echo had the
+/// number of one of its own heartbeats.
+Test(membership, echo_of_a_heartbeat_of_an_ended_process_is_no_contact)
+{
+    constexpr std::uint64_t ended_process = 0x1234'5678'9abc'def0;
+    constexpr std::uint64_t next_process = 0xfedc'ba98'7654'3210;
+    constexpr std::uint64_t peer_process = 1;
+    membership_fixture ended(ended_process);
+    membership_fixture next(next_process);
+    for (auto* const each : {&ended, &next}) {
+        each->platform.list_vms = [](auto const&) {};
+        each->membership.start();
+        each->receive(peer_process, false);
+        each->run_timers();
+        cr_assert(!each->sent_sequences.empty(), "no heartbeat was sent");
+    }
+    next.receive(peer_process, false, ended.sent_sequences.back());
+    cr_assert(!next.membership.peers().at("vm-2").echoed_heartbeat_sent_at, "the echo counted as contact");
+    next.receive(peer_process, false, next.sent_sequences.back());
+    cr_assert(next.membership.peers().at("vm-2").echoed_heartbeat_sent_at,
+              "the echo did not count as contact");
+}
