limits: Count requests of each process from another number

A late grant lets a VM run operations with tokens that its process before it had requested, beyond the rate of the client account, and a late answer about the store confirms a configuration as newer than it is.

Cause: token requests and store status requests were counted from 1 in each process. A datagram to a VM does not say for which of its processes it is, so an answer to the process that has ended had the number of a request of the next one.

Both now start from a part of the process's random incarnation, as heartbeats do. The messages keep their form. Grants of one process remain matched by number and lender, and each answers once.

--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "membership/request_numbers.h"
 #include "wire/name_hash.h"
 
 namespace greengagehitch {
@@ -59,6 +60,7 @@
         [this](peer_state const& peer, store_status_reply const& reply) {
             handle_store_status_reply(peer, reply);
         });
+    m_last_request_number = first_request_number(m_membership->identity());
     m_started_at = m_kernel.now();
     m_published_at = m_started_at;
     m_kernel.start_periodic(tick_period, [this] { tick(); });
--- a/libraries/limits/rate_shares.cpp
+++ b/libraries/limits/rate_shares.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "membership/request_numbers.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -63,6 +65,7 @@
     m_fleet = &m_kernel.find<fleet_state>(fleet_state::service_name);
     m_membership = &m_kernel.find<membership_service>(membership_service::service_name);
     m_contacts.emplace(m_kernel, *m_membership);
+    m_next_number = first_request_number(m_membership->identity());
     m_fleet->on_configuration([this](served_configuration const& configuration) {
         for (auto& [account, bucket] : m_buckets) {
             if (!configuration.limits.contains(account)) {
