--- a/tests/platform/member_connector_tests.cpp
+++ b/tests/platform/member_connector_tests.cpp
@@ -1,7 +1,12 @@
+#include <array>
+#include <cerrno>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <criterion/criterion.h>
 
 #include "platform/member_connector.h"
@@ -132,3 +137,57 @@
     auto const refused = silent.open_at({"127.0.0.1", free_port});
     cr_assert(refused && refused->error == member_error::refused && refused->is_refused_by_host);
 }
+
+/// Guards against a statement that runs late, outside its transaction: a link held it up, and closing its
+/// connection let the bytes that were not yet delivered arrive after its caller had received an error.
+Test(member_connector, connection_that_is_given_up_delivers_nothing_more)
+{
+    reactor loop;
+    file_descriptor const listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* const generic = reinterpret_cast<sockaddr*>(&address);
+    cr_assert(::bind(listener.get(), generic, size) == 0);
+    cr_assert(::listen(listener.get(), 1) == 0);
+    cr_assert(::getsockname(listener.get(), generic, &size) == 0);
+    member_connector connector(loop);
+    auto const hooks = connector.hooks();
+    backend_connection_target target;
+    target.address = {"127.0.0.1", ntohs(address.sin_port)};
+    bool is_open = false;
+    backend_connection_events events;
+    events.opened = [&is_open](member_answer const& answer) { is_open = answer.is_ok(); };
+    events.answered = [](member_answer const&) {};
+    events.lost = [](member_error) {};
+    auto const id = hooks.open(target, std::move(events));
+    file_descriptor const member(::accept(listener.get(), nullptr, nullptr));
+    cr_assert(member.is_valid());
+    std::string_view const greeting = "READY I 3.12\r\n";
+    cr_assert(::send(member.get(), greeting.data(), greeting.size(), 0) ==
+              static_cast<ssize_t>(greeting.size()));
+    auto const end = loop.now() + answer_limit;
+    while (!is_open && loop.now() < end) {
+        loop.run_once(10ms);
+    }
+    cr_assert(is_open);
+
+    // The member reads nothing, so that most of the statements stay in the queue of the sender.
+    member_command command;
+    command.kind = command_kind::caller_statement;
+    command.id = "id";
+    command.text = "WRITE x " + std::string(500'000, 'd');
+    for (int i = 0; i < 40; ++i) {
+        hooks.send(id, {command});
+    }
+    hooks.close(id);
+    std::size_t received = 0;
+    std::array<char, 65'536> bytes{};
+    ssize_t result = 0;
+    while ((result = ::recv(member.get(), bytes.data(), bytes.size(), 0)) > 0) {
+        received += static_cast<std::size_t>(result);
+    }
+    cr_assert(result < 0 && errno == ECONNRESET, "the connection was not reset, %zu bytes received",
+              received);
+}
