--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -613,6 +613,12 @@
     if (has_lost_leadership || (is_write && !is_primary(current.member))) {
         return make_error_answer(current, member_error::read_only);
     }
+    if (is_commit && !current.pending_writes.empty()) {
+        // The member has lost the lead since the transaction wrote.
+        current.state = transaction_state::idle;
+        current.pending_writes.clear();
+        return make_error_answer(current, member_error::read_only);
+    }
     ++m_statements_run;
     if (is_write) {
         current.pending_writes.push_back(command.id);
