--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -196,6 +196,7 @@
         self.store = SoakStore(self.record, faults)
         self.orders = FaultyHttpServer(self.handle_order, faults, self.record, "platform")
         self.groups, self.zones, self.tasks = {}, ZONES, []
+        self.holders = {}  # Holder of the duty by fence number.
         ports = fleet_stand_in.free_ports(4)
         # Each seed has its own addresses, so that several can run at a time.
         self.vms = [SoakVm(self, "edge-%s-1" % zone, zone, "127.%d.%d.1" % (1 + seed % 250, 10 + index), ports)
@@ -204,6 +205,13 @@
                               "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144,
                                          "header-timeout-ms": 3000, "idle-timeout-ms": 15000, "tx-idle-ms": 3000}}
 
+    async def handle_order(self, method, target, headers, body):
+        """ONE: no two holders of the duty send the same fence number."""
+        fence, holder = headers.get("x-fencing-token"), headers.get("x-duty-holder")
+        if self.holders.setdefault(fence, holder) != holder:
+            self.rules.break_rule("ONE", "%s and %s send orders with fence %s" % (self.holders[fence], holder, fence))
+        return await super().handle_order(method, target, headers, body)
+
     async def start(self, broken):
         await self.start_platform()
         group = SoakGroup("bookings", self.record, self.rules, self.faults)
