--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -72,6 +72,16 @@
             m_refused.erase({vm, member});
         }
     }
+    /// Cuts one VM off from one member, or reconnects it. Connections and commands get no answer meanwhile.
+    void set_member_silent(std::size_t vm, std::string const& member, bool is_silent)
+    {
+        if (is_silent) {
+            m_silent.insert({vm, member});
+        }
+        else {
+            m_silent.erase({vm, member});
+        }
+    }
     /// Cuts two zones off from each other only, or reconnects them. Their members exchange no log entries.
     void set_zone_pair_cut(std::string const& first, std::string const& second, bool is_cut)
     {
@@ -193,6 +203,7 @@
     bool can_reach_member(virtual_vm const& from, std::string const& member) const
     {
         return from.can_reach_members && !m_refused.contains({from.index, member}) &&
+               !m_silent.contains({from.index, member}) &&
                can_reach_zone(from.zone, m_zone_of_member.at(member));
     }
     void send_message(std::size_t from, std::string const& to, std::string const& message);
@@ -234,8 +245,10 @@
     std::set<std::string> m_cut_zones;
     std::set<std::pair<std::string, std::string>> m_cut_pairs;
     std::set<std::pair<std::size_t, std::string>> m_refused; ///< VMs that members refuse, with the members.
-    std::set<std::size_t> m_without_ping_numbers;            ///< Indexes of VMs.
-    bool m_are_connections_refused = false; ///< Whether connections across a cut are refused.
+    std::set<std::pair<std::size_t, std::string>>
+        m_silent;                                 ///< VMs that members do not answer, with the members.
+    std::set<std::size_t> m_without_ping_numbers; ///< Indexes of VMs.
+    bool m_are_connections_refused = false;       ///< Whether connections across a cut are refused.
     std::uint64_t m_next_connection = 1;
     std::set<std::string> m_draining; ///< Ids of the draining members.
     std::set<std::string> m_unlisted; ///< Ids of the members that are not in the directory.
