brokers: Send no commit to a member that was out of reach a short time ago

Callers lost 1 to 72 acknowledged commits. A leader that had crashed, or that VMs could not reach, was back between the order to promote another member and the start of that one's term, about 300 ms later, and a replica restarted or joined meanwhile. A stop ends with the restart, so the leader acknowledged through that replica what the ordered member lacks. An order cannot be withdrawn, so no evidence of the takeover closes this time.

A VM that found a member out of reach now sends it no commit, and begins no transaction there that may write, for a second after the last such finding. The new term has begun by then. The VM with the caller and the broker both check, as for a zone that was silent.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -29,6 +29,13 @@
 /// Time after a request of a peer for which the peer is assumed to take this VM for the broker.
 constexpr duration use_time = std::chrono::milliseconds(300);
 
+/// Returns whether the request begins a transaction that may write.
+bool begins_transaction(member_request const& request)
+{
+    return request.keeps_connection && !request.commands.empty() &&
+           request.commands.front().kind == command_kind::begin;
+}
+
 } // namespace
 
 void broker_service::start()
@@ -63,12 +70,20 @@
                                 });
 }
 
-bool broker_service::may_commit(member_request const& request, std::string const& leader_zone)
+bool broker_service::may_commit(member_request const& request, std::string const& leader,
+                                std::string const& leader_zone)
 {
-    if (!request.commits_write) {
+    if (!request.commits_write && !begins_transaction(request)) {
         return true;
     }
     auto const now = m_kernel.now();
+    auto const absent_at = m_absent_at.find(leader);
+    if (absent_at != m_absent_at.end() && now - absent_at->second < contact_guard::settling_time) {
+        return false;
+    }
+    if (!request.commits_write) {
+        return true;
+    }
     auto const all_silent_until = m_zones->all_silent_until();
     auto const was_cut_off = all_silent_until && now - *all_silent_until < contact_guard::settling_time;
     if (leader_zone == m_membership->identity().availability_zone) {
@@ -227,10 +242,10 @@
         run_later(member, std::move(request), std::move(done));
         return;
     }
-    if (!may_commit(request, member.availability_zone)) {
+    if (!may_commit(request, member.id, member.availability_zone)) {
         m_kernel.start_timer(duration::zero(), [commands = request.commands.size(), done = std::move(done)] {
             done(make_failed_reply(commands, member_error::unproven_leader,
-                                   "contact with the leader's zone was lost a short time ago"));
+                                   "contact with the leader or its zone was lost a short time ago"));
         });
         return;
     }
@@ -506,10 +521,10 @@
         m_channels.reply(from, encode_relay_message(answer));
     };
     auto const zone = zone_of_member(message.member);
-    if (!may_commit(message.request, zone)) {
+    if (!may_commit(message.request, message.member, zone)) {
         reply(make_failed_reply(
             commands, message.connection_id != 0 ? member_error::not_started : member_error::unproven_leader,
-            "contact with other zones was lost a short time ago"));
+            "contact with the leader or other zones was lost a short time ago"));
         return;
     }
     reply_callback watched = watch_contact(message.request, zone, std::move(reply));
--- a/libraries/brokers/broker_service.h
+++ b/libraries/brokers/broker_service.h
@@ -107,9 +107,11 @@
     contact_guard& contact() { return *m_contact; }
 
     /// Returns false if the request commits and contact between this VM and the leader's zone, or between
-    /// this zone and the others, broke a short time ago. The leader may then have been replaced by an order
-    /// that has not yet taken effect, and acknowledge through a replica that its successor does not know.
-    bool may_commit(member_request const& request, std::string const& leader_zone);
+    /// this zone and the others, broke a short time ago; also if it commits or begins a transaction and this
+    /// VM found the leader out of reach a short time ago. The leader may then have been replaced by an order
+    /// that has not yet taken effect, and acknowledge through a replica that its successor does not know, or
+    /// that has restarted.
+    bool may_commit(member_request const& request, std::string const& leader, std::string const& leader_zone);
 
     /// True while requests or transactions of peers are running at this VM.
     bool has_peer_requests() const { return !m_peer_connections.empty() || m_peer_requests_running != 0; }
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -503,11 +503,12 @@
     auto const sent_at = m_kernel.now();
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto const member = m_connection->member;
-    if (!m_engine.brokers().may_commit(request, zone_of_member(group, member))) {
+    if (!m_engine.brokers().may_commit(request, member, zone_of_member(group, member))) {
         fail_transaction(statement);
-        refuse(statement, session_error::aborted,
-               "contact with other availability zones was lost a short time ago; the transaction is rolled "
-               "back");
+        refuse(
+            statement, session_error::aborted,
+            "contact with the leader or other availability zones was lost a short time ago; the transaction "
+            "is rolled back");
         return;
     }
     group.record_sent(member);
