brokers: Do not take doubtful answers for the absence of a member

A connection that this VM closes since its answers cannot be told apart was reported like one that the member lost, so that commits to the member were refused for a second. Found by reading while two mends were joined.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -406,7 +406,10 @@
     }
     m_flight.record_outcome(queued->request.needs_slot, answers.back().error, sent_at, m_kernel.now(),
                             m_service_times.usual(queued->priority()));
-    if (answers.back().error == member_error::connection_lost && m_options.on_connection_lost) {
+    // This VM closes a connection on which answers cannot be told apart, which says nothing about the member.
+    auto const is_lost_by_member =
+        answers.back().error == member_error::connection_lost && !answers.back().is_doubtful;
+    if (is_lost_by_member && m_options.on_connection_lost) {
         m_options.on_connection_lost();
     }
     if (answers.back().is_ok() && m_options.on_contact) {
