members: Keep promises and evidence of members that repeat nothing

Members do not refuse commands that set up a connection, so a new answer of any kind now confirms these. - A second equal error on a connection made a write IN DOUBT. A single write now gets a connection that has delivered no error. - A takeover closed its connection to a stopped replica after equal answers, so that a restart, which ends the stop, was not noticed before the order (LOST).

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -294,7 +294,7 @@
             }
             send(queued, std::get<backend_connection_pointer>(result));
         },
-        queued->needs_unused_connection);
+        queued->connection_demand_of());
     auto const waited = m_kernel.now() - queued->enqueued_at;
     auto const limit = std::chrono::milliseconds(queued->request.queue_limit_ms);
     m_kernel.start_timer(
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -83,6 +83,14 @@
         int priority() const { return connection ? member_queue::transaction_priority : request.priority; }
         /// Whether it may run again if its answer is lost.
         bool is_repeatable() const { return !connection && !request.commits_write; }
+        connection_demand connection_demand_of() const
+        {
+            if (needs_unused_connection) {
+                return connection_demand::unused;
+            }
+            // An error that may be a repetition would leave open whether the write has run.
+            return request.commits_write ? connection_demand::no_errors : connection_demand::any;
+        }
     };
     using queued_request_pointer = std::shared_ptr<queued_request>;
 
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -29,16 +29,13 @@
     auto const& id = member.id;
     auto& connection = m_connections[id];
     if (connection && connection->is_open()) {
-        send_on(*connection, member, command, to);
+        send_on(connection, member, command, to);
         return;
     }
     if (connection && !connection->is_closed()) {
         return;
     }
-    connection = std::make_shared<backend_connection>(
-        m_kernel, m_connection_hooks,
-        backend_connection_target{member.address, m_group, to == recipient::member ? id : std::string(),
-                                  control_account});
+    connection = make_connection(member, to);
     connection->open(command_timeout, [this, member, command, to, events = std::weak_ptr(m_events),
                                        opened = std::weak_ptr(connection),
                                        started_at = m_kernel.now()](member_answer const& answer) {
@@ -48,7 +45,7 @@
             return;
         }
         if (answer.is_ok()) {
-            send_on(*current, member, command, to);
+            send_on(current, member, command, to);
         }
         else if (is_refusal(answer)) {
             receiver->refused(member.id, to == recipient::address ? member_error::refused : *answer.error,
@@ -57,6 +54,34 @@
     });
 }
 
+backend_connection_pointer member_control::make_connection(member_entry const& member, recipient to)
+{
+    auto connection = std::make_shared<backend_connection>(
+        m_kernel, m_connection_hooks,
+        backend_connection_target{member.address, m_group,
+                                  to == recipient::member ? member.id : std::string(), control_account});
+    // The end of the connection shows that the member may have restarted.
+    connection->keep_open_when_doubtful();
+    return connection;
+}
+
+void member_control::ask_on_new_connection(member_entry const& member, member_command const& command,
+                                           recipient to)
+{
+    auto& replacement = m_replacements[member.id];
+    if (replacement && !replacement->is_closed()) {
+        return;
+    }
+    replacement = make_connection(member, to);
+    replacement->open(command_timeout, [this, member, command, to, events = std::weak_ptr(m_events),
+                                        opened = std::weak_ptr(replacement)](member_answer const& answer) {
+        auto const current = opened.lock();
+        if (!events.expired() && current && answer.is_ok()) {
+            send_on(current, member, command, to);
+        }
+    });
+}
+
 void member_control::check_connections()
 {
     std::vector<std::string> lost;
@@ -85,33 +110,38 @@
     }
 }
 
-void member_control::send_on(backend_connection& connection, member_entry const& member,
+void member_control::send_on(backend_connection_pointer const& connection, member_entry const& member,
                              member_command const& command, recipient to)
 {
-    connection.send({command}, command_timeout,
-                    [this, member, command, to, events = std::weak_ptr(m_events),
-                     sent_at = m_kernel.now()](std::vector<member_answer> const& answers) {
-                        auto const receiver = events.lock();
-                        if (!receiver) {
-                            return;
-                        }
-                        auto const& id = member.id;
-                        auto const& answer = answers.front();
-                        if (answer.is_doubtful) {
-                            // The connection was closed by this VM, so its end says nothing about the member.
-                            m_connections.erase(id);
-                        }
-                        if (answer.is_doubtful && answer.evidence_age_ms > max_evidence_age_ms) {
-                            send(member, command, to);
-                        }
-                        else if (answer.is_ok() && answer.replication) {
-                            receiver->answered(id, *answer.replication,
-                                               sent_at - std::chrono::milliseconds(answer.evidence_age_ms));
-                        }
-                        else {
-                            receiver->lost(id, answer.error.value_or(member_error::malformed));
-                        }
-                    });
+    connection->send(
+        {command}, command_timeout,
+        [this, member, command, to, events = std::weak_ptr(m_events), sent_on = std::weak_ptr(connection),
+         sent_at = m_kernel.now()](std::vector<member_answer> const& answers) {
+            auto const receiver = events.lock();
+            if (!receiver) {
+                return;
+            }
+            auto const& id = member.id;
+            auto const& answer = answers.front();
+            auto const found = m_replacements.find(id);
+            auto const is_replacement = found != m_replacements.end() && found->second == sent_on.lock();
+            if (!answer.is_ok() || !answer.replication) {
+                if (!is_replacement) {
+                    receiver->lost(id, answer.error.value_or(member_error::malformed));
+                }
+                return;
+            }
+            if (is_replacement) {
+                m_connections[id] = found->second;
+                m_replacements.erase(found);
+            }
+            if (answer.is_doubtful && answer.evidence_age_ms > max_evidence_age_ms) {
+                ask_on_new_connection(member, command, to);
+                return;
+            }
+            receiver->answered(id, *answer.replication,
+                               sent_at - std::chrono::milliseconds(answer.evidence_age_ms));
+        });
 }
 
 } // namespace greengagehitch
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -39,7 +39,9 @@
     enum class recipient { member, address };
 
     /// Sends a command, and opens a connection first if there is none. Nothing is sent while it is being
-    /// opened.
+    /// opened. A status that equals an earlier one of its connection counts from the command that was first
+    /// answered so; once that is too long ago, the member is asked again on a new connection, which replaces
+    /// the old one when the member has answered.
     void send(member_entry const& member, member_command const& command, recipient to);
 
     /// Reports the connections that were lost since the last call.
@@ -49,13 +51,17 @@
     void resume_receiving(std::string const& excluded);
 
 private:
-    void send_on(backend_connection& connection, member_entry const& member, member_command const& command,
-                 recipient to);
+    backend_connection_pointer make_connection(member_entry const& member, recipient to);
+    void ask_on_new_connection(member_entry const& member, member_command const& command, recipient to);
+    void send_on(backend_connection_pointer const& connection, member_entry const& member,
+                 member_command const& command, recipient to);
 
     kernel& m_kernel;
     backend_connection_hooks const& m_connection_hooks;
     std::string m_group;
     std::map<std::string, backend_connection_pointer> m_connections; ///< Keyed by member id.
+    /// Connections that will replace those of the members, keyed by member id.
+    std::map<std::string, backend_connection_pointer> m_replacements;
     /// Destroyed before the connections, which report their end when they are destroyed.
     std::shared_ptr<event_hooks> m_events;
 };
--- a/libraries/failover/takeover_evidence.cpp
+++ b/libraries/failover/takeover_evidence.cpp
@@ -42,6 +42,10 @@
 void takeover_evidence::record_status(std::string const& member, replication_status const& status,
                                       monotonic_time sent_at)
 {
+    auto const known = m_answers.find(member);
+    if (known != m_answers.end() && sent_at < known->second.received_at) {
+        return;
+    }
     m_refusals.erase(member);
     m_answers[member] = {status, sent_at};
     if (status.role == member_role::primary && status.term + 1 == m_term) {
--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -46,7 +46,8 @@
                                       }),
                                       m_kernel.guard<>([weak] {
                                           auto const connection = weak.lock();
-                                          if (connection && connection->is_idle()) {
+                                          if (connection && connection->is_idle() &&
+                                              connection->state() != transaction_state::open) {
                                               connection->close();
                                           }
                                       })});
@@ -193,6 +194,7 @@
             static_cast<std::uint32_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count());
     }
     m_history.record(answer, batch->sent_at);
+    m_has_delivered_error = m_has_delivered_error || !answer.is_ok();
     m_state = answer.state;
     batch->answers.push_back(std::move(answer));
     if (batch->answers.size() == batch->expected()) {
@@ -227,7 +229,9 @@
     if (first_doubtful < batch->expected()) {
         report_unmatched(answer_match::doubtful, batch->answers[first_doubtful],
                          batch->commands[first_doubtful].id);
-        close();
+        if (m_closes_when_doubtful) {
+            close();
+        }
     }
     batch->on_answered(std::move(batch->answers));
 }
@@ -235,6 +239,7 @@
 std::size_t backend_connection::find_unconfirmed(batch_state const& batch)
 {
     auto first = batch.expected();
+    auto is_followed_by_new_answer = false;
     for (auto i = batch.expected(); i > 0; --i) {
         auto const& answer = batch.answers[i - 1];
         if (answer.is_ok() && !answer.is_doubtful) {
@@ -243,9 +248,14 @@
         }
         // The member runs a rollback before anything that is sent later, whenever its answer arrives.
         auto const is_rollback = batch.commands[i - 1].kind == command_kind::rollback && answer.is_ok();
-        if (answer.is_doubtful && !is_rollback) {
+        auto const kind = batch.commands[i - 1].kind;
+        auto const is_setup =
+            kind == command_kind::set_value || kind == command_kind::prepare || kind == command_kind::reset;
+        auto const is_confirmed = is_setup && answer.is_ok() && is_followed_by_new_answer;
+        if (answer.is_doubtful && !is_rollback && !is_confirmed) {
             first = i - 1;
         }
+        is_followed_by_new_answer = is_followed_by_new_answer || !answer.is_doubtful;
     }
     return first;
 }
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -54,6 +54,10 @@
     bool is_closed() const { return m_is_closed; }
     bool is_idle() const { return m_batches.empty(); }
     bool has_sent() const { return m_has_sent; }
+    /// Whether the connection has delivered an error, an equal one of which would be doubtful.
+    bool has_delivered_error() const { return m_has_delivered_error; }
+    /// Leaves the connection open after a doubtful answer. A repetition then shows by an answer at rest.
+    void keep_open_when_doubtful() { m_closes_when_doubtful = false; }
     /// Returns whether the connection may serve another transaction or single statement. One on which an
     /// answer was repeated may have more repetitions under way.
     bool may_be_reused() const
@@ -108,7 +112,8 @@
     void handle_unasked_answer(member_answer const& answer);
     void finish_batch(std::shared_ptr<batch_state> const& batch);
     /// Returns the index of the first answer of the batch that may be a repetition, as far as the later ones
-    /// show; the number of answers if there is none.
+    /// show; the number of answers if there is none. Answers that set up the connection count if any new
+    /// answer follows, since members do not refuse such commands.
     static std::size_t find_unconfirmed(batch_state const& batch);
     void report_unmatched(answer_match match, member_answer const& answer, std::string const& request) const;
     void fail_all(member_error error, bool is_refused_by_host = false);
@@ -132,6 +137,8 @@
     std::set<prepared_shape> m_prepared;
     answer_history m_history;
     bool m_has_sent = false;
+    bool m_has_delivered_error = false;
+    bool m_closes_when_doubtful = true;
     bool m_has_repeated_answer = false;
 };
 
--- a/libraries/members/backend_connection_pool.cpp
+++ b/libraries/members/backend_connection_pool.cpp
@@ -20,6 +20,20 @@
 /// Maximum number of concurrent handshakes, so that slots remain for statements.
 constexpr std::size_t max_opening = 3;
 
+/// Returns whether a connection meets what a request asks of it.
+bool meets(backend_connection const& connection, connection_demand demand)
+{
+    switch (demand) {
+    case connection_demand::any:
+        return true;
+    case connection_demand::no_errors:
+        return !connection.has_delivered_error();
+    case connection_demand::unused:
+        return !connection.has_sent();
+    }
+    return true;
+}
+
 } // namespace
 
 backend_connection_pool::backend_connection_pool(kernel& kernel, backend_connection_hooks const& hooks,
@@ -31,12 +45,12 @@
 backend_connection_request_pointer
 backend_connection_pool::acquire(std::string const& client_account,
                                  backend_connection::values_map const& values,
-                                 backend_connection_callback callback, bool must_be_unused)
+                                 backend_connection_callback callback, connection_demand demand)
 {
     auto request = std::make_shared<backend_connection_request>();
     request->m_client_account = client_account;
     request->m_values = values;
-    request->m_must_be_unused = must_be_unused;
+    request->m_demand = demand;
     request->m_since = m_kernel.now();
     request->m_callback = std::move(callback);
     m_waiting.push_back(request);
@@ -183,7 +197,7 @@
     auto best = m_idle.end();
     for (auto each = m_idle.begin(); each != m_idle.end(); ++each) {
         if (!(*each)->is_open() || (*each)->target().client_account != request.m_client_account ||
-            (request.m_must_be_unused && (*each)->has_sent())) {
+            !meets(**each, request.m_demand)) {
             continue;
         }
         best = each;
--- a/libraries/members/backend_connection_pool.h
+++ b/libraries/members/backend_connection_pool.h
@@ -13,6 +13,13 @@
 using backend_connection_callback =
     std::function<void(std::variant<backend_connection_pointer, member_error>)>;
 
+/// What a request asks of the connection that it gets.
+enum class connection_demand {
+    any,
+    no_errors, ///< It has delivered no error, so that an error on it is no repetition.
+    unused,    ///< Nothing has been sent on it, so that no answer on it is a repetition.
+};
+
 /// Pending request for a connection, which can be cancelled.
 class backend_connection_request {
 public:
@@ -25,7 +32,7 @@
 
     std::string m_client_account;
     backend_connection::values_map m_values;
-    bool m_must_be_unused = false;
+    connection_demand m_demand = connection_demand::any;
     monotonic_time m_since;
     backend_connection_callback m_callback;
 };
@@ -57,12 +64,11 @@
                             backend_connection_target target, options options);
 
     /// Requests a connection of the account, preferably one whose session values equal `values`. The callback
-    /// is called once, after this call has returned. With `must_be_unused`, nothing has been sent on the
-    /// connection, so that no answer on it can be a repetition.
+    /// is called once, after this call has returned.
     backend_connection_request_pointer acquire(std::string const& client_account,
                                                backend_connection::values_map const& values,
                                                backend_connection_callback callback,
-                                               bool must_be_unused = false);
+                                               connection_demand demand = connection_demand::any);
 
     /// Returns a connection to the pool. The pool closes the connection if it is not open, has commands in
     /// flight or an open transaction, or if the pool is at its connection limit.
--- a/tests/members/backend_connection_tests.cpp
+++ b/tests/members/backend_connection_tests.cpp
@@ -275,6 +275,33 @@
     cr_assert(fixture.connection->is_closed());
 }
 
+/// Guards against writes that are in doubt without need: the error of a statement counted as doubtful, since
+/// its connection had just been set up with several equal answers.
+Test(backend_connection, new_error_after_equal_answers_of_the_set_up_is_a_promise)
+{
+    backend_connection_fixture fixture;
+    fixture.send({set_value, set_value, run_statement});
+    fixture.events.answered(make_success(transaction_state::idle));
+    fixture.events.answered(make_success(transaction_state::idle));
+    fixture.events.answered(make_error(member_error::busy));
+    cr_assert(fixture.received && !fixture.received->back().is_doubtful);
+    cr_assert(fixture.connection->is_open());
+}
+
+/// Guards against LOST: a connection to a stopped replica was closed after equal answers, so that a restart
+/// of the replica, which ends its stop, was not noticed before the order to promote another one.
+Test(backend_connection, connection_that_shows_restarts_stays_open_after_equal_answers)
+{
+    backend_connection_fixture fixture;
+    fixture.connection->keep_open_when_doubtful();
+    for (int i = 0; i < 2; ++i) {
+        fixture.send({status});
+        fixture.events.answered(make_status(member_role::replica, 7, 4));
+    }
+    cr_assert(fixture.received && fixture.received->front().is_doubtful);
+    cr_assert(fixture.connection->is_open());
+}
+
 /// Guards against UNASKED: the name of a shape with blanks ended at the first of them, so that members
 /// prepared and ran another text than the caller's.
 Test(backend_connection, shape_with_blanks_has_a_name_of_one_word)
--- a/tests/platform/line_protocol_tests.cpp
+++ b/tests/platform/line_protocol_tests.cpp
@@ -202,3 +202,13 @@
         cr_assert(reader.is_broken(), "after '%s'", row);
     }
 }
+
+/// Guards against MIXED: lines of two answers that ran into each other, since the first was cut, counted as
+/// one answer.
+Test(answer_reader, lines_that_ran_into_each_other_break_the_reader)
+{
+    answer_reader position;
+    position.add_line("DONE 7.1f");
+    cr_assert(not(position.add_line("READY I 3.12ROW z")));
+    cr_assert(position.is_broken());
+}
