tests: Show what callbacks of the platform that are called twice break

The stores in virtual time can call the callbacks of VMs a second time. The contract of platform_hooks excludes this, and http_client calls each callback once (found by reading), so that callers do not see it today; but nothing below the hooks would stop it.

--- a/standins/platform_store/virtual_store.cpp
+++ b/standins/platform_store/virtual_store.cpp
@@ -56,6 +56,9 @@
             auto answered = response;
             answered.sent_at = sent_at;
             answered.answered_at = m_clock.now();
+            if (m_repetition_delay) {
+                m_clock.start_timer(*m_repetition_delay, [done, answered] { done(answered); });
+            }
             done(answered);
         };
         m_clock.start_timer(m_latency, [this, caller, request, respond = std::move(respond)] {
--- a/standins/platform_store/virtual_store.h
+++ b/standins/platform_store/virtual_store.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -64,6 +65,8 @@
     void set_available(bool is_available) { m_is_available = is_available; }
     /// While the store is unavailable and `rejects_calls` is true, calls are rejected at once.
     void set_rejects_calls(bool rejects_calls) { m_rejects_calls = rejects_calls; }
+    /// Lets each answer reach the VM a second time after `delay`, or only once again if there is no delay.
+    void set_repetition_delay(std::optional<duration> delay) { m_repetition_delay = delay; }
     /// Makes the store unreachable for one VM, or reachable again.
     void set_cut(std::string const& caller, bool is_cut);
 
@@ -101,6 +104,7 @@
     bool m_is_available = true;
     bool m_keeps_history = true;
     bool m_rejects_calls = false;
+    std::optional<duration> m_repetition_delay;
     std::set<std::string> m_cut;
     std::vector<std::shared_ptr<waiting_poll>> m_polls;
     std::map<std::string, std::vector<std::string>> m_paths; ///< Paths that were called, keyed by caller.
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -360,7 +360,7 @@
         },
         [this, index](channel_id to, std::string const& message) { reply(index, to, message); }};
     hooks.platform.read_row = [this, self](std::string const& key, auto done) {
-        m_clock.start_timer(m_shape.latency, [this, self, key, done = std::move(done)] {
+        m_clock.start_timer(m_shape.latency, [this, self, key, done = repeated(std::move(done))] {
             if (!self->can_reach_store) {
                 done(absl::UnavailableError("cut"));
                 return;
@@ -374,7 +374,7 @@
     };
     hooks.platform.put_row = [this, self](std::string const& key, std::uint64_t expected,
                                           std::string const& value, auto done) {
-        put_row(*self, key, expected, value, std::move(done));
+        put_row(*self, key, expected, value, repeated(std::move(done)));
     };
     hooks.platform.list_vms = [this](auto done) {
         std::vector<vm_record> records;
@@ -384,10 +384,10 @@
                     {each->name, each->zone, each->address.host, each->address.port, vm_state::live});
             }
         }
-        m_clock.start_timer(m_shape.latency, [records, done = std::move(done)] { done(records); });
+        m_clock.start_timer(m_shape.latency, [records, done = repeated(std::move(done))] { done(records); });
     };
     hooks.promote = [this](promotion_order const& order, std::function<void(absl::Status)> done) {
-        execute_promotion(order, std::move(done));
+        execute_promotion(order, repeated(std::move(done)));
     };
     return hooks;
 }
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -101,6 +101,9 @@
     {
         m_store[key] = {value, m_store_version++};
     }
+    /// Lets the store and the platform's calls answer VMs a second time after `delay`, or only once again if
+    /// there is no delay.
+    void set_call_repetition_delay(std::optional<duration> delay) { m_call_repetition_delay = delay; }
     /// Returns the value of a row; empty if there is none.
     std::string const& row(std::string const& key) { return m_store[key].value; }
 
@@ -180,6 +183,17 @@
     };
 
     session_vm_hooks make_hooks(std::size_t index);
+    /// Returns a callback that is called a second time later, if the calls of VMs are to be answered twice.
+    template <typename callback>
+    callback repeated(callback done)
+    {
+        return [this, done = std::move(done)](auto const& answer) {
+            if (m_call_repetition_delay) {
+                m_clock.start_timer(*m_call_repetition_delay, [done, answer] { done(answer); });
+            }
+            done(answer);
+        };
+    }
     /// Runs a callback in a VM after the latency, or drops it if that incarnation of the VM has ended.
     void run_after_latency(std::size_t index, std::function<void(session_vm&)> callback);
     virtual_vm* find_vm(std::string const& name);
@@ -250,7 +264,8 @@
     std::map<std::string, store_entry> m_store;
     std::uint64_t m_store_version = 1;
     std::map<std::string, row_faults> m_row_faults; ///< Keyed by the key of the row.
-    std::map<std::string, std::uint64_t> m_fences;  ///< Highest fence seen, keyed by group.
+    std::optional<duration> m_call_repetition_delay;
+    std::map<std::string, std::uint64_t> m_fences; ///< Highest fence seen, keyed by group.
     /// Indexes of the client VM and the server VM, keyed by channel number.
     std::map<std::uint64_t, std::pair<std::size_t, std::size_t>> m_channels;
     /// Channel numbers, keyed by the indexes of the client VM and the server VM.
--- a/tests/platform/store_watcher_tests.cpp
+++ b/tests/platform/store_watcher_tests.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 
 #include <criterion/criterion.h>
 
@@ -81,3 +82,29 @@
     fleet.clock().run_for(3s);
     cr_assert(fleet.vms_without(3).empty());
 }
+
+/// Guards against a busy loop: each answer starts the next read, so that an answer that came twice would
+/// start two reads, each of whose answers would start two more.
+Test(store_watcher, store_that_answers_twice_is_read_as_often_as_one_that_answers_once)
+{
+    std::array<std::size_t, 2> calls{};
+    for (std::size_t run = 0; run < calls.size(); ++run) {
+        watched_fleet fleet({"a"});
+        if (run == 1) {
+            fleet.store.set_repetition_delay(50ms);
+        }
+        for (auto step = 0; step < 800; ++step) {
+            if (step % 100 == 0) {
+                auto const version = 2 + static_cast<std::uint64_t>(step) / 100;
+                fleet.store.put("op", "config", watched_fleet::configuration(version));
+            }
+            fleet.clock().run_for(10ms);
+            calls[run] = fleet.store.calls("vm-0", "/rows-");
+            // Each read starts the next, so the run would not end.
+            cr_assert(run == 0 || calls[1] <= 2 * calls[0], "%zu calls instead of %zu after %d ms", calls[1],
+                      calls[0], 10 * step);
+        }
+        cr_assert(fleet.vms_without(9).empty());
+    }
+    cr_assert(calls[1] <= calls[0], "%zu calls instead of %zu", calls[1], calls[0]);
+}
--- a/tests/sessions/repeated_answer_tests.cpp
+++ b/tests/sessions/repeated_answer_tests.cpp
@@ -174,6 +174,8 @@
     duration mean_repetition_delay = 60ms;
     double cut_answer_share = 0;
     bool has_crashes = false;
+    /// Time after which the store and the platform's calls answer VMs again; no value for once only.
+    std::optional<duration> call_repetition_delay;
     std::size_t callers = 24;
 };
 
@@ -183,6 +185,7 @@
     repeated_answer_soak(soak_faults const& faults, std::uint64_t seed)
         : m_faults(faults), m_fleet(shape(), seed)
     {
+        m_fleet.set_call_repetition_delay(faults.call_repetition_delay);
         m_fleet.clock().run_for(4s);
         for (auto const& id : m_fleet.group().ids()) {
             auto& member = m_fleet.group().faults(id);
@@ -308,3 +311,24 @@
     auto const result = run_soak(faults, 2, 25s);
     cr_assert(result.holds_all_rules(), "%s", result.to_text().c_str());
 }
+
+/// Guards against a crash, or a second promotion, if an answer of the store or of a promotion order counts
+/// twice.
+Test(repeated_answers, store_and_platform_answer_twice_while_leaders_crash_and_all_rules_hold)
+{
+    for (auto const delay : {0ms, 3ms, 250ms}) {
+        soak_faults faults;
+        faults.has_crashes = true;
+        faults.call_repetition_delay = delay;
+        repeated_answer_soak soak(faults, 1);
+        soak.run(25s);
+        auto const& ledger = soak.fleet().ledger();
+        auto const first = ledger.findings().empty() ? std::string() : ledger.findings().front();
+        cr_assert(ledger.findings().empty(), "%zu rules were broken; %s", ledger.findings().size(),
+                  first.c_str());
+        cr_assert(soak.fleet().group().holds_all_acknowledged());
+        cr_assert(soak.fleet().stale_promotion_orders() == 0);
+        // The leader crashes three times.
+        cr_assert(soak.fleet().promotions() <= 3, "%zu promotions", soak.fleet().promotions());
+    }
+}
