--- a/tests/processes/test_fault_soak.py
+++ b/tests/processes/test_fault_soak.py
@@ -12,6 +12,8 @@
 BUILD = sys.argv.pop() if len(sys.argv) > 1 else "build/release"
 SEED = 7
 SECONDS = 15
+REPEATED_SHARE = 0.1
+SECONDS_WITH_REPETITIONS = 12
 
 
 class FaultSoakTest(unittest.TestCase):
@@ -22,6 +24,13 @@
         print(summary)
         self.assertEqual(broken, [])
 
+    def test_no_rule_is_broken_while_answers_arrive_twice(self):
+        """Guards against an answer of a member, the store or the platform that is taken for the one to a later request."""
+        with tempfile.TemporaryDirectory() as folder:
+            broken, summary = fault_soak.run(BUILD, SEED, SECONDS_WITH_REPETITIONS, folder, REPEATED_SHARE)
+        print(summary)
+        self.assertEqual(broken, [])
+
 
 if __name__ == "__main__":
     unittest.main()
