--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -11,10 +11,12 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from fault_soak import GRACE_PERIOD, KEY, SoakFleet  # noqa: E402
+from fault_soak import GRACE_PERIOD, SoakFleet  # noqa: E402
+from repeated_answers import AnswerFaults  # noqa: E402
 
 BUILD = os.path.abspath(sys.argv.pop() if len(sys.argv) > 1 else "build/release")
 SEED = 1000 + os.getpid()  # Only chooses the addresses.
+KEY = "key-1"
 
 
 class Session:
@@ -49,7 +51,9 @@
     def run_with_fleet(self, case):
         async def run():
             with tempfile.TemporaryDirectory() as folder:
-                fleet, broken = SoakFleet(folder, BUILD, SEED), []
+                faults = AnswerFaults(SEED)
+                faults.stop()  # No member is busy or fails.
+                fleet, broken = SoakFleet(folder, BUILD, SEED, faults), []
                 try:
                     await fleet.start(broken)
                     await asyncio.wait_for(case(fleet, fleet.vms[1]), 40)
