--- a/standins/session_fleet/statement_ledger.cpp
+++ b/standins/session_fleet/statement_ledger.cpp
@@ -116,8 +116,7 @@
     ++sent.runs;
     check_text(sent, place, command);
     check_place(sent, place);
-    auto const proof =
-        "proof-" + command.id + (sent.runs == 1 ? std::string() : fmt::format("-{}", sent.runs));
+    auto proof = "proof-" + command.id + (sent.runs == 1 ? std::string() : fmt::format("-{}", sent.runs));
     m_proofs[command.id].insert(proof);
     return proof;
 }
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -429,7 +429,8 @@
     run_next_command(commit.connection_number);
 }
 
-void virtual_database_group::send_answer(std::uint64_t connection_number, member_answer answer, bool was_run)
+void virtual_database_group::send_answer(std::uint64_t connection_number, member_answer const& answer,
+                                         bool was_run)
 {
     auto const found = m_connections.find(connection_number);
     if (found == m_connections.end()) {
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -179,7 +179,7 @@
 
     void run_next_command(std::uint64_t connection_number);
     /// Sends an answer after the latency, then runs the next command. With `was_run`, the answer may be lost.
-    void send_answer(std::uint64_t connection_number, member_answer answer, bool was_run);
+    void send_answer(std::uint64_t connection_number, member_answer const& answer, bool was_run);
     /// Delivers an answer after the latency, and a second time if the member repeats it.
     void deliver(std::uint64_t connection_number, std::string const& member, member_answer const& answer);
     void deliver_after(duration delay, std::uint64_t connection_number, member_answer answer);
--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -118,7 +118,8 @@
         request.keeps_connection = true;
         auto const pinned = std::make_shared<pinned_connection_pointer>();
         state_of_transactions = transaction_state::open;
-        dispatcher->run(std::move(request), [pinned](member_reply reply) { *pinned = reply.connection; });
+        dispatcher->run(std::move(request),
+                        [pinned](member_reply const& reply) { *pinned = reply.connection; });
         clock.run_for(handshake_time + service_time + 1ms);
         state_of_transactions = transaction_state::idle;
         return std::exchange(*pinned, nullptr);
