--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -334,7 +334,7 @@
     if (is_empty) {
         auto answer = make_answer(*current);
         answer.proof = proof;
-        send_answer(connection_number, std::move(answer), true);
+        send_answer(connection_number, answer, true);
         return;
     }
     if (current->member != m_leader) {
