--- a/tests/processes/test_prepared_shapes.py
+++ b/tests/processes/test_prepared_shapes.py
@@ -4,7 +4,6 @@
 import os
 import sys
 import tempfile
-import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
@@ -19,14 +18,9 @@
 
 
 async def run_statement(caller, session, text):
-    """Returns the result of a statement of the session. A refusal that says that it has not run is tried again."""
+    """Returns the result of a statement of the session."""
     caller.session = session
-    end = time.monotonic() + fault_soak.LAST_CHECK_TIME
-    result = (await caller.request([text]))[0]["result"]
-    while result == "BUSY" and time.monotonic() < end:
-        await asyncio.sleep(0.05)
-        result = (await caller.request([text]))[0]["result"]
-    return result
+    return (await caller.request([text]))[0]["result"]
 
 
 async def run_prepared(build, folder):
