--- a/tests/platform/caller_listener_tests.cpp
+++ b/tests/platform/caller_listener_tests.cpp
@@ -20,7 +20,9 @@
 /// Connection of a caller to the listener of a VM, whose fleet runs in virtual time.
 struct connected_caller {
     connected_caller()
-        : fleet({}, 1), listener(std::make_unique<caller_listener>(loop, fleet.vm(stopped_vm).sessions()))
+        : fleet({}, 1), listener(std::make_unique<caller_listener>(
+                            loop, fleet.vm(stopped_vm).sessions(),
+                            [this](log_record const& record) { records.push_back(record); }))
     {
         fleet.clock().run_for(4s);
         cr_assert(listener->try_listen({"127.0.0.1", 0}).ok());
@@ -68,6 +70,7 @@
     }
 
     reactor loop;
+    std::vector<log_record> records;
     session_fleet fleet;
     std::unique_ptr<caller_listener> listener;
     std::shared_ptr<tcp_stream> stream;
@@ -136,3 +139,15 @@
     cr_assert(!caller.listener->has_connections());
     cr_assert(caller.listener->connections() == 0);
 }
+
+/// Guards against an incident whose cause no log shows: a session ended since a message was not valid.
+Test(caller_listener, invalid_message_is_logged_with_its_reason)
+{
+    connected_caller caller;
+    caller.open_session();
+    caller.stream->send("HELLO there\r\n");
+    caller.wait_for_end();
+    cr_assert(caller.listener->invalid_messages() == 1);
+    cr_assert(caller.records.size() == 1);
+    cr_assert(caller.records.front().fields["reason"] == "message is of an unknown kind");
+}
--- a/tests/platform/member_connector_tests.cpp
+++ b/tests/platform/member_connector_tests.cpp
@@ -70,7 +70,8 @@
                               events.ended = [this] { is_closed = true; };
                               accepted->start(std::move(events));
                           }};
-    member_connector connector{loop};
+    std::vector<log_record> records;
+    member_connector connector{loop, [this](log_record const& record) { records.push_back(record); }};
     backend_connection_hooks hooks = connector.hooks();
 };
 
@@ -101,6 +102,18 @@
     cr_assert(fixture.is_closed_by_caller());
 }
 
+/// Guards against an incident whose cause no log shows: a connection ended since what its member sent cannot
+/// be read, and looked like one that its member had closed.
+Test(member_connector, bytes_that_cannot_be_read_are_logged_with_their_reason)
+{
+    member_connector_fixture fixture("HELLO\r\n");
+    cr_assert(fixture.open());
+    cr_assert(fixture.connector.refusals()[0] == 1);
+    cr_assert(fixture.records.size() == 1);
+    cr_assert(fixture.records.front().fields["reason"] == "invalid_line");
+    cr_assert(fixture.records.front().fields["member"] == "member");
+}
+
 /// Guards against a connection whose answers belong to other requests: a valid line after one that is not
 /// valid opened it.
 Test(member_connector, valid_line_after_an_invalid_one_does_not_open_the_connection)
@@ -152,7 +165,7 @@
     cr_assert(::bind(listener.get(), generic, size) == 0);
     cr_assert(::listen(listener.get(), 1) == 0);
     cr_assert(::getsockname(listener.get(), generic, &size) == 0);
-    member_connector connector(loop);
+    member_connector connector(loop, [](log_record const&) {});
     auto const hooks = connector.hooks();
     backend_connection_target target;
     target.address = {"127.0.0.1", ntohs(address.sin_port)};
