--- a/tests/platform/caller_listener_tests.cpp
+++ b/tests/platform/caller_listener_tests.cpp
@@ -151,3 +151,15 @@
     cr_assert(caller.records.size() == 1);
     cr_assert(caller.records.front().fields["reason"] == "message is of an unknown kind");
 }
+
+/// Guards against UNASKED and a key that its caller did not show: what followed a line feed in a field ran as
+/// a message of its own.
+Test(caller_listener, line_feed_ends_no_message)
+{
+    connected_caller caller;
+    caller.stream->send("START " + session_fleet::database_of(0, read_consistency::own_writes) + " " +
+                        session_fleet::key_of(0) + "\nx\r\n");
+    caller.wait_for_end();
+    cr_assert(caller.received == line_protocol::encode_error(session_error::unknown_key), "%s",
+              caller.received.c_str());
+}
