platform: Refuse complete messages over the size limit

A message above 1 MiB was served if its line end had arrived with it, since only the rest of an incomplete line was measured: 1,053,576 bytes as a write and as a row.

--- a/tests/platform/caller_listener_tests.cpp
+++ b/tests/platform/caller_listener_tests.cpp
@@ -163,3 +163,14 @@
     cr_assert(caller.received == line_protocol::encode_error(session_error::unknown_key), "%s",
               caller.received.c_str());
 }
+
+/// Guards against a message over the size limit that is served, since it arrived with its line end.
+Test(caller_listener, complete_message_over_the_size_limit_is_refused)
+{
+    connected_caller caller;
+    caller.open_session();
+    caller.stream->send("QUERY 1 SET x " + std::string(line_protocol::max_message_size, 'y') + "\r\n");
+    caller.wait_for_end();
+    cr_assert(caller.received == line_protocol::encode_error(session_error::too_large), "%s",
+              caller.received.c_str());
+}
--- a/tests/platform/line_protocol_tests.cpp
+++ b/tests/platform/line_protocol_tests.cpp
@@ -64,6 +64,20 @@
     cr_assert(lines == messages);
 }
 
+/// Guards against messages over the limit that are served, since only the rest of an incomplete line was
+/// measured.
+Test(line_reader, complete_line_over_the_size_limit_is_too_long)
+{
+    std::string const longest = std::string(max_message_size - 2, 'x') + "\r\n";
+    line_reader reader;
+    reader.append(longest + longest);
+    cr_assert(read_lines(reader).size() == 2);
+    cr_assert(not(reader.is_too_long()));
+    reader.append('x' + longest);
+    cr_assert(not(reader.next()));
+    cr_assert(reader.is_too_long());
+}
+
 Test(line_reader, unterminated_line_exceeds_the_size_limit)
 {
     line_reader reader;
