platform: Refuse callers' statements with the id of the proxy's own

A caller's id "-" was passed on to members, where it marks statements that the proxy issues itself, so that neither a member nor a check of what members ran can tell the two apart. Such a statement is answered as malformed.

--- a/tests/platform/line_protocol_tests.cpp
+++ b/tests/platform/line_protocol_tests.cpp
@@ -170,6 +170,13 @@
     cr_assert(set.argument == odd);
 }
 
+/// Guards against a caller's statement that a member takes for one of the proxy, which has the id "-".
+Test(caller_message, id_of_the_proxys_own_statements_is_refused)
+{
+    cr_assert(parse_query("QUERY - WRITE x y").kind == statement_kind::unknown);
+    cr_assert(parse_query("QUERY -- WRITE x y").kind == statement_kind::write);
+}
+
 Test(answer, rows_proof_state_and_position_are_written_in_order)
 {
     session_answer answer;
