members: Keep the bounds of fields in digests of answers

An answer could be taken for a repetition of another one and be withheld from its command: digests joined fields by line feeds, which a field may hold, so that the rows "a" and "b" had the digest of the one row "a\nb". Each field is now preceded by its size.

answer_history/answers_whose_rows_differ_in_their_bounds_are_not_the_same failed before; the test of error texts passed before as well.

--- a/libraries/members/answer_history.cpp
+++ b/libraries/members/answer_history.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <xxhash.h>
 
@@ -13,21 +14,32 @@
 /// to some 200 KB.
 constexpr std::size_t max_recorded_answers = 4096;
 
-/// Separates the fields of an answer in its digest; the protocol's fields hold no control characters.
-constexpr char field_separator = '\n';
-
 std::uint64_t digest(std::string_view text)
 {
     return XXH3_64bits(text.data(), text.size());
 }
 
+/// Appends a field with its size, since a field may hold any byte.
+void append_field(std::string& text, std::string_view field)
+{
+    text += std::to_string(field.size());
+    text += ' ';
+    text += field;
+}
+
+void append_rows(std::string& text, std::vector<std::string> const& rows)
+{
+    text += std::to_string(rows.size());
+    text += ' ';
+    for (auto const& row : rows) {
+        append_field(text, row);
+    }
+}
+
 std::uint64_t digest_of_rows(member_answer const& answer)
 {
     std::string text;
-    for (auto const& row : answer.rows) {
-        text += row;
-        text += field_separator;
-    }
+    append_rows(text, answer.rows);
     return digest(text);
 }
 
@@ -35,27 +47,19 @@
 std::uint64_t digest_of_answer(member_answer const& answer)
 {
     std::string text;
-    for (auto const& row : answer.rows) {
-        text += row;
-        text += field_separator;
-    }
-    text += field_separator;
-    if (answer.error) {
-        text += find_name(member_error_names, *answer.error);
-        text += field_separator;
-        text += answer.error_text;
-    }
-    text += field_separator;
-    text += std::to_string(static_cast<int>(answer.state));
+    append_rows(text, answer.rows);
+    append_field(text, answer.error ? find_name(member_error_names, *answer.error) : std::string_view());
+    append_field(text, answer.error_text);
+    append_field(text, std::to_string(static_cast<int>(answer.state)));
     if (answer.position) {
-        text += field_separator + std::to_string(answer.position->term) + field_separator +
-                std::to_string(answer.position->position);
+        append_field(text, std::to_string(answer.position->term));
+        append_field(text, std::to_string(answer.position->position));
     }
     if (auto const& replication = answer.replication) {
         for (auto const number :
              {static_cast<std::uint64_t>(replication->role), replication->term, replication->received.term,
               replication->received.position, replication->stopped_at_term}) {
-            text += field_separator + std::to_string(number);
+            append_field(text, std::to_string(number));
         }
     }
     return digest(text);
