--- a/tests/platform/line_protocol_tests.cpp
+++ b/tests/platform/line_protocol_tests.cpp
@@ -143,7 +143,7 @@
           std::string_view("START"), std::string_view("HELLO there"), std::string_view(" START db key"),
           std::string_view("START\tdb key"), std::string_view("QUERY\n1 READ x"),
           std::string_view("\nQUERY 1 READ x"), std::string_view("BYE\n"), std::string_view("BYE\r"),
-          std::string_view("START\0db key", 13)}) {
+          std::string_view("START\0db key", 12)}) {
         auto const message = parse_caller_message(line);
         cr_assert(std::holds_alternative<invalid_message>(message));
     }
