reactor: Close connections for lack of progress, not for large output

A caller that reads without a pause received about 4 MiB of a larger answer and then the end of its connection: more than 4 MiB that did not fit into the socket's buffer at once counted as a peer that does not respond. Members' commands and messages between VMs were cut in the same way. A connection is now closed if its peer accepts nothing for a second while more than 4 MiB wait, or above 32 MiB, which bounds the memory.

--- a/libraries/reactor/tcp_stream.cpp
+++ b/libraries/reactor/tcp_stream.cpp
@@ -15,8 +15,12 @@
 namespace {
 
 constexpr std::size_t receive_buffer_size = 16UL * 1024;
-/// Unsent bytes above which the peer is considered unresponsive and its connection is closed.
-constexpr std::size_t max_unsent_bytes = 4UL * 1024 * 1024;
+/// Unsent bytes above which a peer that accepts none for a time is considered unresponsive, and its
+/// connection is closed.
+constexpr std::size_t max_stalled_bytes = 4UL * 1024 * 1024;
+constexpr duration stall_timeout = std::chrono::seconds(1);
+/// Unsent bytes above which a connection is closed even if its peer accepts some. Bounds its memory.
+constexpr std::size_t max_unsent_bytes = 32UL * 1024 * 1024;
 constexpr int listen_backlog = 1024;
 /// Longest time for which a connection that is being closed waits for its peer.
 constexpr duration closing_timeout = std::chrono::milliseconds(500);
@@ -143,12 +147,41 @@
     if (!is_open() || m_closes_after_sending) {
         return;
     }
+    if (m_sent_bytes == m_output.size()) {
+        m_accepted_at = m_reactor.now();
+    }
     m_output.append(bytes);
     if (m_is_connected) {
         flush();
     }
 }
 
+bool tcp_stream::is_stalled() const
+{
+    auto const unsent = m_output.size() - m_sent_bytes;
+    return unsent > max_unsent_bytes ||
+           (unsent > max_stalled_bytes && m_reactor.now() - m_accepted_at >= stall_timeout);
+}
+
+void tcp_stream::watch_for_stall()
+{
+    if (m_output.size() - m_sent_bytes <= max_stalled_bytes || std::exchange(m_watches_for_stall, true)) {
+        return;
+    }
+    m_reactor.start_timer(stall_timeout, [weak = weak_from_this()] {
+        auto const stream = weak.lock();
+        if (!stream || !stream->is_open()) {
+            return;
+        }
+        stream->m_watches_for_stall = false;
+        if (stream->is_stalled()) {
+            ::shutdown(stream->m_socket.get(), SHUT_RDWR);
+            return;
+        }
+        stream->watch_for_stall();
+    });
+}
+
 void tcp_stream::flush()
 {
     while (m_sent_bytes < m_output.size()) {
@@ -166,6 +199,7 @@
             return;
         }
         m_sent_bytes += static_cast<std::size_t>(size);
+        m_accepted_at = m_reactor.now();
     }
     if (m_sent_bytes == m_output.size()) {
         m_output.clear();
@@ -174,10 +208,11 @@
             end_output();
         }
     }
-    else if (m_output.size() - m_sent_bytes > max_unsent_bytes) {
+    else if (is_stalled()) {
         ::shutdown(m_socket.get(), SHUT_RDWR);
         return;
     }
+    watch_for_stall();
     if (m_watches_writes != (m_sent_bytes < m_output.size())) {
         watch();
     }
--- a/libraries/reactor/tcp_stream.h
+++ b/libraries/reactor/tcp_stream.h
@@ -57,6 +57,10 @@
     void handle_events(std::uint32_t events);
     void read();
     void flush();
+    /// Returns whether the peer accepts too little of the output.
+    bool is_stalled() const;
+    /// Closes the connection once its peer has accepted too little of a large output for a time.
+    void watch_for_stall();
     void close_and_notify();
     /// Tells the peer that no further output follows. Closing at once would reset the connection if the peer
     /// has sent bytes that were not read, and the peer would lose the output.
@@ -70,8 +74,10 @@
     bool m_was_refused = false;
     bool m_closes_after_sending = false;
     bool m_watches_writes = false;
+    bool m_watches_for_stall = false;
     std::string m_output;
     std::size_t m_sent_bytes = 0; ///< Bytes of m_output that are already sent.
+    monotonic_time m_accepted_at; ///< Time at which the peer accepted output last, or had none to accept.
     events m_events;
     std::function<void()> m_on_closed;
 };
