adapters: Split large messages between VMs into frames

One request with large session values, or one answer with several large rows, ended the channel between two VMs, and with it every pending request and transaction of all client accounts at that broker: the writer sent messages of any size, and the reader ended the channel above 4 MiB. Messages above that size are now sent in several frames, up to 32 MiB. VMs of earlier builds still end the channel at such a message; smaller ones look as before.

--- a/libraries/adapters/peer_channels.cpp
+++ b/libraries/adapters/peer_channels.cpp
@@ -8,20 +8,37 @@
 
 namespace {
 
+/// A frame starts with its size in little-endian order. The highest bit says that the message continues in
+/// the next frame.
 constexpr std::size_t length_prefix_size = 4;
-constexpr std::size_t max_message_size = 4UL * 1024 * 1024;
+constexpr std::size_t continuation_bit = 1UL << 31U;
+/// Largest size of a frame. VMs of earlier builds read messages of a single frame only.
+constexpr std::size_t max_frame_size = 4UL * 1024 * 1024;
+/// Largest size of a message, which bounds the memory of a channel.
+constexpr std::size_t max_message_size = 32UL * 1024 * 1024;
 /// Connecting is abandoned after this time, since the waiting requests would be too late.
 constexpr duration connect_timeout = std::chrono::milliseconds(300);
 constexpr int bits_in_byte = 8;
 
-std::string frame_message(std::string const& message)
+void append_length(std::string& bytes, std::size_t length)
 {
-    std::string framed;
-    framed.reserve(length_prefix_size + message.size());
     for (std::size_t i = 0; i < length_prefix_size; ++i) {
-        framed.push_back(static_cast<char>(message.size() >> (bits_in_byte * i)));
+        bytes.push_back(static_cast<char>(length >> (bits_in_byte * i)));
     }
-    return framed + message;
+}
+
+std::string frame_message(std::string_view message)
+{
+    std::string framed;
+    framed.reserve(length_prefix_size + message.size());
+    while (message.size() > max_frame_size) {
+        append_length(framed, max_frame_size | continuation_bit);
+        framed += message.substr(0, max_frame_size);
+        message.remove_prefix(max_frame_size);
+    }
+    append_length(framed, message.size());
+    framed += message;
+    return framed;
 }
 
 std::size_t read_length(std::string const& bytes)
@@ -40,6 +57,7 @@
     std::string vm;                ///< Name of the VM that an outgoing connection leads to.
     std::uint64_t incoming_id = 0; ///< Identifier of an incoming connection; 0 for an outgoing one.
     std::string input;
+    std::string message; ///< Frames of a message that continues in the next one.
     bool is_connected = false;
     bool is_authenticated = false;
     bool is_ended = false;
@@ -172,17 +190,20 @@
 {
     from->input.append(bytes);
     while (!from->is_ended && from->input.size() >= length_prefix_size) {
-        auto const length = read_length(from->input);
-        if (length > max_message_size) {
+        auto const prefix = read_length(from->input);
+        auto const length = prefix & ~continuation_bit;
+        if (length > max_frame_size || from->message.size() + length > max_message_size) {
             end(from);
             return;
         }
         if (from->input.size() < length_prefix_size + length) {
             return;
         }
-        auto const message = from->input.substr(length_prefix_size, length);
+        from->message.append(from->input, length_prefix_size, length);
         from->input.erase(0, length_prefix_size + length);
-        handle_message(*from, message);
+        if ((prefix & continuation_bit) == 0) {
+            handle_message(*from, std::exchange(from->message, {}));
+        }
     }
 }
 
