brokers: Withhold successes behind a refused session value

A statement is sent in one batch behind the session's values. If the member refused a value, it ran the statement without it, and the caller received the success all the same (PINNED). The connection was closed, but the answer passed on. The outcome of such a statement now counts as unknown, so reads are tried again.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -385,17 +385,20 @@
                                        backend_connection_pointer const& connection, std::size_t setup_count,
                                        monotonic_time sent_at, std::vector<member_answer> answers)
 {
-    for (std::size_t i = 0; i < setup_count; ++i) {
-        if (!answers[i].is_ok()) {
-            // A setup command failed, so the values and prepared statements of the connection are unknown.
-            connection->close();
-            break;
-        }
+    auto const setup_end = answers.begin() + static_cast<std::ptrdiff_t>(setup_count);
+    auto const is_set_up =
+        std::all_of(answers.begin(), setup_end, [](auto const& answer) { return answer.is_ok(); });
+    if (!is_set_up) {
+        // The values and prepared statements of the connection are unknown.
+        connection->close();
     }
-    answers.erase(answers.begin(), answers.begin() + static_cast<std::ptrdiff_t>(setup_count));
+    answers.erase(answers.begin(), setup_end);
     if (resolve_doubtful_answers(queued, connection, answers)) {
         return;
     }
+    if (!is_set_up) {
+        withhold_successes(answers, "the member ran the statement without the values of its session");
+    }
     for (auto const& answer : answers) {
         if (answer.error == member_error::unknown_prepared) {
             connection->clear_prepared();
@@ -467,6 +470,19 @@
     return false;
 }
 
+void member_dispatcher::withhold_successes(std::vector<member_answer>& answers, std::string const& reason)
+{
+    for (auto& answer : answers) {
+        if (answer.is_ok()) {
+            answer = {};
+            answer.error = member_error::connection_lost;
+            answer.error_text = reason;
+            // The member is not to blame, and the outcome is unknown.
+            answer.is_doubtful = true;
+        }
+    }
+}
+
 pinned_connection_pointer
 member_dispatcher::make_pinned_connection(backend_connection_pointer const& connection)
 {
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -119,6 +119,8 @@
     bool resolve_doubtful_answers(queued_request_pointer const& queued,
                                   backend_connection_pointer const& connection,
                                   std::vector<member_answer>& answers);
+    /// Replaces the successes among `answers` by errors that leave the outcome open.
+    static void withhold_successes(std::vector<member_answer>& answers, std::string const& reason);
     pinned_connection_pointer make_pinned_connection(backend_connection_pointer const& connection);
     void return_connection(backend_connection_pointer const& connection);
     /// Records that a request no longer waits for its connection.
--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -69,6 +69,9 @@
                 for (std::size_t i = 0; i < commands.size(); ++i) {
                     member_answer answer;
                     answer.state = state_of_transactions;
+                    if (refuses_values && commands[i].kind == command_kind::set_value) {
+                        answer.error = member_error::malformed;
+                    }
                     answer.proof = has_proof(commands[i].kind) ? std::to_string(++proofs) : std::string();
                     answered[id](std::move(answer));
                 }
@@ -142,6 +145,7 @@
     std::size_t most_in_flight = 0;
     std::function<bool()> loses_answer;
     bool answers_handshakes = true;
+    bool refuses_values = false; ///< Whether the member answers SET with an error.
     transaction_state state_of_transactions = transaction_state::idle; ///< State in all answers.
     std::vector<arrival> arrived;                                      ///< Commands that reached the member.
     std::set<backend_connection_id> closed;
@@ -272,3 +276,23 @@
     cr_assert(fixture.count_arrived("late") == 0);
     cr_assert(error == member_error::connection_lost);
 }
+
+/// Guards against PINNED: the value of a session was refused by the member, which ran the statement behind it
+/// without the value, and the caller received a success.
+Test(member_dispatcher, statement_that_ran_without_its_session_values_is_no_success)
+{
+    dispatcher_fixture fixture;
+    fixture.refuses_values = true;
+    member_request request;
+    request.client_account = "a";
+    request.values = {{"mode", ""}};
+    request.commands.resize(1);
+    request.time_limit_ms = 1'000;
+    request.queue_limit_ms = 200;
+    std::optional<member_reply> received;
+    fixture.dispatcher->run(std::move(request),
+                            [&received](member_reply reply) { received = std::move(reply); });
+    fixture.clock.run_for(500ms);
+    cr_assert(received.has_value());
+    cr_assert(not(received->answers.back().is_ok()));
+}
