request: Refuse statements behind comments with an ambiguous end

The guard of SQL statements searched the first word behind comments, and took a line comment to end at a line feed only and a block comment at the first end mark. Databases may end a line comment at a carriage return and may nest block comments, so that a statement which the guard took for a part of a comment ran. A comment on whose end they may differ is now refused at the start of a statement.

statement_guard/statement_behind_a_comment_with_an_ambiguous_end_is_refused failed before for "--\rset role other/*\nselect 1*/", and nested block comments were on the list of known faults.

--- a/libraries/request/statement_guard.cpp
+++ b/libraries/request/statement_guard.cpp
@@ -23,16 +23,29 @@
 constexpr std::array<std::string_view, 5> forbidden_words{"set_config", "database_group", "greengagehitch",
                                                           "u&\"", "pg_terminate_backend"};
 
+/// Returns the text behind blanks and comments. Where databases differ on the end of a comment, the text from
+/// the comment on is returned, which is no allowed statement: some end a line comment at a carriage return,
+/// and some nest block comments.
 std::string_view skip_space_and_comments(std::string_view sql)
 {
     while (true) {
         sql.remove_prefix(std::min(sql.find_first_not_of(" \t\r\n\f\v"), sql.size()));
         if (sql.starts_with("--")) {
-            auto const end = sql.find('\n');
-            sql = end == std::string_view::npos ? std::string_view() : sql.substr(end + 1);
+            auto const size = std::min(sql.find('\n'), sql.size());
+            auto const comment = sql.substr(0, size);
+            auto const carriage_return = comment.find('\r');
+            if (carriage_return != std::string_view::npos &&
+                (carriage_return + 1 != comment.size() || size == sql.size())) {
+                return sql;
+            }
+            sql.remove_prefix(std::min(size + 1, sql.size()));
         }
         else if (sql.starts_with("/*")) {
             auto const end = sql.find("*/", 2);
+            if (sql.substr(2, end == std::string_view::npos ? end : end - 1).find("/*") !=
+                std::string_view::npos) {
+                return sql;
+            }
             sql = end == std::string_view::npos ? std::string_view() : sql.substr(end + 2);
         }
         else {
--- a/tests/request/statement_guard_tests.cpp
+++ b/tests/request/statement_guard_tests.cpp
@@ -38,3 +38,18 @@
     cr_assert(first != fingerprint_of("a", {{"select $1", {"x", "y"}}}));
     cr_assert(first != fingerprint_of("a", {{"select $1", {greengagehitch::parameter()}}}));
 }
+
+/// Guards against a statement that a database runs although it is refused: databases differ on whether a
+/// carriage return ends a line comment and whether block comments nest, so one of them takes for a statement
+/// what another one takes for a part of the comment.
+Test(statement_guard, statement_behind_a_comment_with_an_ambiguous_end_is_refused)
+{
+    for (auto const* const sql :
+         {"--\rset role other/*\nselect 1*/", "--\rcommit/*\nselect 1*/", "--\r/*\ncommit/**/select 1",
+          "-- a\rselect 1\nselect 2", "-- a\r", "/* /* */ select */ commit", "/*/*/ select 1"}) {
+        cr_expect(find_forbidden({sql, {}}).has_value(), "%s", sql);
+    }
+    for (auto const* const sql : {"-- a\r\nselect 1", "-- a\n-- b\nselect 1", "/* a\r\n */select 1"}) {
+        cr_expect(not(find_forbidden({sql, {}}).has_value()), "%s", sql);
+    }
+}
