tests: Compare whole statements of members and count MIXED and UNASKED

Each summary of a soak prints both counts, zero included, so that a run shows that they were looked for. Both comparisons are exact; the new one says what may differ.

--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -627,7 +627,7 @@
         fleet.record.add("BROKEN " + each)
     summary = "%d requests, %d with success, %d without an answer, %d of them to connections just closed" % (
         len(requests), answered, unanswered, late)
-    for counts in (faults.counts, fleet.rules.notes):
+    for counts in (faults.counts, fleet.rules.counts()):
         summary += "".join("; %d %s" % (count, name) for name, count in sorted(counts.items()))
     return broken, summary
 
--- a/tests/processes/statement_rules.py
+++ b/tests/processes/statement_rules.py
@@ -1,10 +1,28 @@
 """The users' rules on statements, checked with what callers sent and received and with what members ran and answered."""
 
+COUNTED_RULES = ("MIXED", "UNASKED")  # Counted in each summary, also when no statement broke them.
 WITH_PROOF = ("READ", "WRITE", "EXECUTE", "COMMIT")
+WITH_PREPARED_NAME = ("EXECUTE", "PREPARE", "DEALLOC")
 # Statements that the system may issue itself, with the id "-".
 OWN_STATEMENTS = ("STATUS", "PAUSE", "RESUME", "DEMOTE", "RESET", "SET", "PREPARE", "DEALLOC", "BEGIN", "ROLLBACK")
 
 
+def without_prepared_name(text):
+    """Returns the parts of a statement's text before and after the prepared name, which the system may rename."""
+    verb, blank, rest = text.partition(" ")
+    if verb not in WITH_PREPARED_NAME:
+        return text, None
+    name, end, rest = rest.partition(" ")
+    return verb + blank, bool(name), end + rest
+
+
+def without_position(text):
+    """Returns whether a position is in front of a statement's text, and the text without it."""
+    if not text.startswith("AFTER "):
+        return False, text
+    return True, text.partition(" ")[2].partition(" ")[2]
+
+
 class CallerSession:
     """What one caller's session has been promised."""
 
@@ -34,6 +52,11 @@
         self.places = {}  # Member connection and transaction by callers' transaction.
         self.ended = {}  # What callers received, by id.
 
+    def counts(self):
+        """Counts of breaks of the rules on messages, then of what breaks no rule by itself."""
+        rules = {name: sum(each.startswith(name + ": ") for each in self.broken) for name in COUNTED_RULES}
+        return {**rules, **self.notes}
+
     def break_rule(self, rule, text):
         self.broken.append("%s: %s" % (rule, text))
         self.record.add("BROKEN %s: %s" % (rule, text))
@@ -69,9 +92,7 @@
 
     def check_arrival(self, connection, identity, text):
         """UNASKED: a statement arrives at a member with an id and a text of a caller, or is the system's own."""
-        is_after = text.startswith("AFTER ")
-        if is_after:
-            text = text.split(" ", 2)[2]
+        is_after, text = without_position(text)
         words = text.split(" ")
         if is_after and (words[0] not in ("READ", "BEGIN", "EXECUTE") or (
                 words[0] == "EXECUTE" and connection.prepared.get(words[1], ("READ",))[0] != "READ")):
@@ -84,11 +105,7 @@
             self.break_rule("UNASKED", "%s gets id %s (%s), which no caller sent" % (connection.name, identity, text))
             return
         session, sent, _ = self.sent[identity]
-        own = sent.split(" ")
-        # Prepared names may be renamed.
-        if words[0] in ("EXECUTE", "PREPARE", "DEALLOC") and len(words) > 1 and len(own) > 1:
-            words[1] = own[1]
-        if words != own:
+        if without_prepared_name(text) != without_prepared_name(sent):
             self.break_rule("UNASKED", "%s gets id %s with the text %s instead of %s" % (
                 connection.name, identity, text, sent))
         if session.tenant != connection.tenant:
