tests: Run processes with line ends and texts of messages in fields

The soak now reads and writes messages that end at CR LF only, byte for byte, and a share of its fields hold LF, CR, tab, NUL, bytes above 127, several blanks and texts of messages; some requests arrive byte by byte or with CR and LF in two packets. Members return such rows, proofs and error texts. A message that has no place in an answer is MIXED, and one to a member that is none is UNASKED. STALE is checked for reads of own items; about a fifth of the reads now goes to items that members hold from the start.

test_line_ends runs without other trouble and asks that every statement is served. One that is refused with a promise is sent again, as the protocol asks, and has to be served within 3 s; all others are served at once.

--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -25,9 +25,12 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import fleet as fleet_stand_in  # noqa: E402
+from odd_fields import ODD_NAMES, ODD_SHAPES, OddFields  # noqa: E402
 from repeated_answers import AnswerFaults, FaultyConnection, FaultyHttpServer  # noqa: E402
-from statement_rules import CallerSession, StatementRules  # noqa: E402
-from wire_stand_ins import Group, Member, Record, Store  # noqa: E402
+from second_tries import check_served  # noqa: E402
+from statement_rules import PROMISES, CallerSession, StatementRules  # noqa: E402
+from strict_wire import READ_LIMIT, EscapingRecord, MessageStream, escape  # noqa: E402
+from wire_stand_ins import Group, Member, Store  # noqa: E402
 
 ZONES = ("north", "south", "east")
 DATABASES = {"stock": "bounded_staleness", "ponds": "read_your_writes", "ledger": "primary"}
@@ -39,12 +42,13 @@
 # A request whose connection ends this soon after it was sent was on its way to a VM that had closed the connection.
 LOSS_SLACK = fleet_stand_in.BOUNDS["loss-slack-ms"] / 1000
 CALLERS = 12
+CALLERS_WITHOUT_TROUBLE = 4  # Below a member's capacity, so that no statement has to be refused.
 ANSWER_TIMEOUT = 10  # Far above the time limits of statements, so that a missing answer shows.
 NO_ANSWER = ("CLOSED", "NONE")
-PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
 LONG_PAUSE = 1  # Seconds, above the shorter of the limits on idle transactions that the operator sets.
 MEMBER_WORK = 0.02  # Seconds that a statement takes at a member.
 SETTLE_TIME = fleet_stand_in.BOUNDS["recovery-s"]  # Seconds without faults at the end.
+ODD_SHARE = 0.4  # Share of fields that hold line ends and the like (see odd_fields.py).
 LAST_CHECK_TIME = 3  # Each VM has to serve a statement within this time after the end.
 
 
@@ -53,6 +57,18 @@
 
     is_deaf = False
 
+    async def start(self, host):
+        self.host, self.port = host, 0
+        await self.listen()
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.rebuild()
+
+    async def listen(self):
+        self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=READ_LIMIT)
+
+    def proof(self):
+        return self.group.fields.text(super().proof())
+
     async def serve(self, reader, writer):
         self.next_connection += 1
         connection = FaultyConnection(self, reader, writer, "%s#%d" % (self.identity, self.next_connection))
@@ -78,7 +94,8 @@
         self.rebuild()
 
     def rebuild(self):
-        self.data = {item: data for commit in self.log for item, data in commit[2]}
+        self.data = {item: item for item in self.group.preset_rows}
+        self.data.update((item, data) for commit in self.log for item, data in commit[2])
         self.applied = len(self.log)
 
     def crash(self):
@@ -88,7 +105,7 @@
             writer.transport.abort()
 
     async def restart(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port)
+        await self.listen()
         self.is_running = True
         self.stopped_at = 0
         self.born = int(time.time() * 1000)
@@ -96,9 +113,10 @@
 
 
 class SoakGroup(Group):
-    def __init__(self, name, record, rules, faults):
+    def __init__(self, name, record, rules, faults, fields):
         super().__init__(name, record)
-        self.rules, self.faults = rules, faults
+        self.rules, self.faults, self.fields = rules, faults, fields
+        self.preset_rows = fields.preset_rows()
         self.run_ids = set()
         self.writes = {}  # Results that callers received by written value.
 
@@ -187,12 +205,13 @@
 
 
 class SoakFleet(fleet_stand_in.Fleet):
-    def __init__(self, folder, build, seed, faults):  # pylint: disable=super-init-not-called
+    def __init__(self, folder, build, seed, faults, odd_share=0):  # pylint: disable=super-init-not-called
         self.folder = folder
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = EscapingRecord(os.path.join(folder, "record.txt"))
         self.role = {"run": os.path.join(build, "platform", "greengagehitch-platformd"),
                      "template": os.path.join("platform", "settings.yaml.template")}
         self.faults, self.rules = faults, StatementRules(self.record)
+        self.fields = OddFields(random.Random(seed), odd_share)
         self.store = SoakStore(self.record, faults)
         self.orders = FaultyHttpServer(self.handle_order, faults, self.record, "platform")
         self.groups, self.zones, self.tasks = {}, ZONES, []
@@ -214,7 +233,7 @@
 
     async def start(self, broken):
         await self.start_platform()
-        group = SoakGroup("bookings", self.record, self.rules, self.faults)
+        group = SoakGroup("bookings", self.record, self.rules, self.faults, self.fields)
         self.groups["bookings"] = group
         for index, zone in enumerate(ZONES):
             await SoakMember(group, "i-%d" % (index + 1), zone, role="replica" if index else "primary",
@@ -258,6 +277,8 @@
         self.name, self.fleet, self.rng = name, fleet, rng
         self.requests, self.writes, self.broken = requests, writes, broken
         self.number, self.sessions = 0, 0
+        self.fields = OddFields(rng, fleet.fields.share)
+        self.data = {}  # Data by text of a write.
         self.end = float("inf")
 
     async def run(self):
@@ -285,13 +306,10 @@
         self.sessions += 1
         key = self.rng.choice(list(TENANTS))
         self.session = CallerSession("%s/%d" % (self.name, self.sessions), TENANTS[key])
-        self.item = "x%s.%d" % (self.name, self.number)
+        self.item, self.reads = self.fields.word("x%s.%d" % (self.name, self.number)), set()
         database = self.rng.choice(list(DATABASES))
-        self.reader, self.writer = await asyncio.open_connection(vm.host, vm.callers_port)
         try:
-            self.writer.write(("START %s %s\r\n" % (database, key)).encode())
-            opened = await asyncio.wait_for(self.reader.readline(), 2)
-            if not opened.startswith(b"READY"):
+            if not await self.open(database, key):
                 return
             rests, looks = self.rng.random() < 0.3, self.rng.random() < 0.7
             for _ in range(operations):
@@ -300,14 +318,19 @@
                 await asyncio.sleep(self.rng.uniform(0, 0.5) if rests else 0)
                 if looks and await self.receives_message():
                     return  # As the protocol asks, of which some callers take no notice.
-            self.writer.write(b"BYE\r\n")
+            self.stream.send("BYE")
         finally:
-            self.writer.close()
+            self.stream.close()
+
+    async def open(self, database, key):
+        self.stream = await MessageStream.open(self.vm.host, self.vm.callers_port)
+        self.stream.send("START %s %s" % (database, key))
+        return (await asyncio.wait_for(self.stream.read(), 2)).startswith("READY")
 
     async def receives_message(self):
         """Returns whether a message or the end of the connection arrives, though no answer is outstanding."""
         try:
-            await asyncio.wait_for(self.reader.readline(), 0.001)
+            await asyncio.wait_for(self.stream.read(), 0.001)
             return True
         except asyncio.TimeoutError:
             return False
@@ -328,15 +351,16 @@
         for each in requests:
             if each["value"]:
                 self.note_writes([each["value"]], each["result"])
-            elif each["result"] == "DONE" and database != "stock":
+            elif each["result"] == "DONE" and database != "stock" and each["text"] in self.reads:
                 self.check_own_write(each)
         return requests[-1]["result"] not in NO_ANSWER
 
     async def change_session(self):
         """Sets a value, or prepares or drops a statement. A caller closes its session after an error."""
-        name = self.rng.choice(PREPARED_NAMES)
+        name = self.fields.choice(PREPARED_NAMES, ODD_NAMES)
         if self.rng.random() < 0.4:
-            name, value = self.rng.choice(SESSION_VALUES), "%s-%d" % (self.session.name, self.number)
+            name = self.fields.choice(SESSION_VALUES, ODD_NAMES)
+            value = self.fields.text("%s-%d" % (self.session.name, self.number))
             if (await self.request(["SET %s %s" % (name, value)]))[0]["result"] != "DONE":
                 return False
             self.session.values[name] = value
@@ -345,7 +369,7 @@
                 return False
             del self.session.prepared[name]
         else:
-            access, shape = self.rng.choice(SHAPES)
+            access, shape = self.fields.choice(SHAPES, ODD_SHAPES)
             if (await self.request(["PREPARE %s %s %s" % (name, access, shape)]))[0]["result"] != "DONE":
                 return False
             self.session.prepared[name] = (access, shape)
@@ -386,11 +410,11 @@
             request = self.note_request(text)
             request["result"] = self.fleet.rules.ended[request["id"]] = "LEFT"
             request["end"] = request["sent"]
-            self.writer.write(("QUERY %s %s\r\n" % (request["id"], text)).encode())
+            self.stream.send("QUERY %s %s" % (request["id"], text))
             if request["value"]:
                 self.note_writes([request["value"]], "ABORTED" if self.session.transaction else "LEFT")
         if self.rng.random() < 0.5:
-            self.writer.write(b"BYE\r\n")
+            self.stream.send("BYE")
         self.note_writes(values, "ABORTED")
         return False
 
@@ -400,17 +424,20 @@
 
     def read_text(self):
         name = self.find_prepared("READ")
-        return "EXECUTE %s %s" % (name, self.item) if name else "READ " + self.item
+        preset = self.fields.choose_preset()
+        text = ("EXECUTE %s %s" % (name, preset or self.item) if name else "READ " + (preset or self.item))
+        text += self.fields.trailer()
+        if not preset:
+            self.reads.add(text)
+        return text
 
     def write_text(self):
         self.number += 1
         name = self.find_prepared("WRITE")
-        return "%s %s %s-%d" % ("EXECUTE " + name if name else "WRITE", self.item, self.name, self.number)
-
-    def value_of(self, text):
-        """Returns the value that a statement writes, or None."""
-        value = text.split(" ")[-1]
-        return value if value.startswith(self.name + "-") else None
+        data = self.fields.text("%s-%d" % (self.name, self.number))
+        text = "%s %s %s" % ("EXECUTE " + name if name else "WRITE", self.item, data)
+        self.data[text] = data
+        return text
 
     def note_writes(self, values, result):
         for value in values:
@@ -429,7 +456,7 @@
     def note_request(self, text):
         self.number += 1
         noted = {"id": "%s-%d" % (self.name, self.number), "text": text, "vm": self.vm, "sent": time.monotonic(),
-                 "result": "CLOSED", "rows": [], "value": self.value_of(text)}
+                 "result": "CLOSED", "rows": [], "value": self.data.get(text), "whole": float("inf")}
         self.requests.append(noted)
         self.fleet.rules.note_sent(noted["id"], self.session, text)
         return noted
@@ -438,7 +465,7 @@
         """Sends statements at once and notes the result of each."""
         noted = [self.note_request(text) for text in texts]
         try:
-            self.writer.write("".join("QUERY %s %s\r\n" % (each["id"], each["text"]) for each in noted).encode())
+            await self.fields.send(self.stream, noted)
             for each in noted:
                 await asyncio.wait_for(self.read_answer(each), ANSWER_TIMEOUT)
         except asyncio.TimeoutError:
@@ -456,7 +483,10 @@
     async def read_answer(self, request):
         result, proof = None, "-"
         while True:
-            word, _, rest = (await self.reader.readuntil(b"\n")).decode().strip("\r\n").partition(" ")
+            message = await self.stream.read()
+            word, _, rest = message.partition(" ")
+            self.fleet.rules.check_message(request, message, word in (
+                ("READY",) if result else ("ROW", "DONE", "ERROR")))
             if word == "ROW":
                 request["rows"].append(rest)
             elif word in ("DONE", "ERROR"):
@@ -565,7 +595,7 @@
     for each in requests:
         if each["result"] not in NO_ANSWER or each["vm"].was_disturbed(each["sent"], each.get("end", each["sent"]) + 0.1):
             continue
-        time_taken = each["end"] - each["sent"]
+        time_taken = each["end"] - each["whole"]
         if each["id"] in run_ids or time_taken > LOSS_SLACK:
             broken.append("LOST: %s (%s) at %s ended with %s after %.3f s, %s to a member" % (
                 each["id"], each["text"], each["vm"].name, each["result"], time_taken,
@@ -591,24 +621,27 @@
             broken.append("TWICE: write %s is in the log %d times" % (value, count))
 
 
-async def soak(folder, build, seed, seconds, faults):
+async def soak(folder, build, seed, seconds, faults, has_trouble):
     """Returns the broken rules and a summary."""
     rng, requests = random.Random(seed), []
-    fleet = SoakFleet(folder, build, seed, faults)
+    fleet = SoakFleet(folder, build, seed, faults, ODD_SHARE)
     broken = fleet.rules.broken
     try:
         await fleet.start(broken)
         writes = fleet.groups["bookings"].writes
         trouble = Trouble(fleet, random.Random(rng.random()))
         callers = [SoakCaller("c%d" % index, fleet, random.Random(rng.random()), requests, writes, broken)
-                   for index in range(CALLERS)]
+                   for index in range(CALLERS if has_trouble else CALLERS_WITHOUT_TROUBLE)]
         tasks = [asyncio.ensure_future(each.run()) for each in callers]
-        await trouble.run(time.monotonic() + seconds)
-        end = time.monotonic() + SETTLE_TIME
+        await (trouble.run(time.monotonic() + seconds) if has_trouble else asyncio.sleep(seconds))
+        end = time.monotonic() + (SETTLE_TIME if has_trouble else 0)
         for caller in callers:
             caller.end = end
         await asyncio.gather(*tasks)
         faults.stop()
+        if not has_trouble:
+            for caller in callers:
+                await check_served(caller)
         for vm in fleet.vms:
             if not await callers[0].serves(vm):
                 broken.append("RECOVER: %s serves nothing at the end" % vm.name)
@@ -632,9 +665,11 @@
     return broken, summary
 
 
-def run(build, seed, seconds, folder, repeated_share=0.0, cut_share=0.0):
+def run(build, seed, seconds, folder, repeated_share=0.0, cut_share=0.0, has_trouble=True):
     faults = AnswerFaults(seed, repeated_share, cut_share)
-    return asyncio.run(soak(folder, os.path.abspath(build), seed, seconds, faults))
+    if not has_trouble:
+        faults.busy_share = faults.failed_share = 0.0
+    return asyncio.run(soak(folder, os.path.abspath(build), seed, seconds, faults, has_trouble))
 
 
 def main():
@@ -644,7 +679,7 @@
     broken, summary = run(build, seed, seconds, folder, repeated_share, cut_share)
     print("seed %d: %s; %d checks broken" % (seed, summary, len(broken)))
     for each in broken:
-        print("  " + each)
+        print("  " + escape(each))
     if broken or os.environ.get("KEEP"):
         print("  logs are in " + folder)
     else:
--- a/tests/processes/repeated_answers.py
+++ b/tests/processes/repeated_answers.py
@@ -8,7 +8,8 @@
 import json
 import random
 
-from wire_stand_ins import Connection, HttpServer
+from strict_wire import StrictConnection, decode, encode
+from wire_stand_ins import HttpServer
 
 
 BUSY_SHARE = 0.03  # Share of statements with a slot that a member does not run.
@@ -52,7 +53,7 @@
         if writer.is_closing() or getattr(writer, "is_silent", False):
             return
         self.count("repeated", kind)
-        note("repeats after %.3f s: %s" % (delay, answer.decode().replace("\r\n", " | ")))
+        note("repeats after %.3f s: %s" % (delay, decode(answer).replace("\r\n", " | ")))
         writer.write(answer)
 
     def cut(self, writer, answer, kind, note):
@@ -62,12 +63,12 @@
         is_closed = self.rng.random() < 0.5
         self.count("cut and closed" if is_closed else "cut", kind)
         note("cuts off at byte %d%s: %s" % (end, " and closes" if is_closed else "",
-                                           answer.decode().replace("\r\n", " | ")))
+                                           decode(answer).replace("\r\n", " | ")))
         if is_closed:
             writer.close()
 
 
-class FaultyConnection(Connection):
+class FaultyConnection(StrictConnection):
     """Connection to a member that sends each answer through the faults and reports to the rules what it runs."""
 
     def __init__(self, member, reader, writer, name):
@@ -87,12 +88,18 @@
         super().ready()
         self.flush()
 
+    def fail(self, code, text=""):
+        super().fail(code, text or self.member.group.fields.text(self.member.identity))
+
+    def done(self, proof="-", rows=()):
+        super().done(proof, self.member.group.preset_rows.get(rows[0], rows) if rows else rows)
+
     def flush(self):
         answer, self.parts = "".join(self.parts), []
         if self.identity != "-":
             self.rules.note_answer(self.identity, answer)
         if not self.is_silent:
-            self.is_silent = not self.faults.send(self.writer, answer.encode(), "member " + self.kind, self.note)
+            self.is_silent = not self.faults.send(self.writer, encode(answer), "member " + self.kind, self.note)
 
     async def query(self, identity, text):
         self.identity, self.text = identity, text
--- a/tests/processes/statement_rules.py
+++ b/tests/processes/statement_rules.py
@@ -1,6 +1,8 @@
 """The users' rules on statements, checked with what callers sent and received and with what members ran and answered."""
 
 COUNTED_RULES = ("MIXED", "UNASKED")  # Counted in each summary, also when no statement broke them.
+# Errors by which nothing of the statement is kept, so that its caller may send it again.
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
 WITH_PROOF = ("READ", "WRITE", "EXECUTE", "COMMIT")
 WITH_PREPARED_NAME = ("EXECUTE", "PREPARE", "DEALLOC")
 # Statements that the system may issue itself, with the id "-".
@@ -37,6 +39,18 @@
         self.transactions += 1
         self.transaction = (self.name, self.transactions)
 
+    def apply(self, text):
+        """Notes the acknowledged values and prepared names."""
+        verb, _, rest = text.partition(" ")
+        name, _, rest = rest.partition(" ")
+        if verb == "SET":
+            self.values[name] = rest
+        elif verb == "PREPARE":
+            access, _, shape = rest.partition(" ")
+            self.prepared[name] = (access, shape)
+        elif verb == "DEALLOC":
+            self.prepared.pop(name, None)
+
 
 class StatementRules:
     """Knows each statement of a caller and what members answered to it."""
@@ -69,6 +83,16 @@
         # A statement that is held up runs with the values of its time, also if its caller has set others since.
         self.settings[identity] = (dict(session.values), dict(session.prepared))
 
+    def find_attempt(self, identity):
+        """Returns the session of a statement, the texts that its transaction had sent up to it, and the values and
+        prepared names before the first of them."""
+        session, _, transaction = self.sent[identity]
+        ids = [identity]
+        if transaction is not None:
+            ids = [each for each, (_, _, own) in self.sent.items() if own == transaction]
+            ids = ids[:ids.index(identity) + 1]
+        return (session, [self.sent[each][1] for each in ids], *self.settings[ids[0]])
+
     def note_answer(self, identity, answer):
         """Notes a member's answer to a caller's id."""
         lines = answer.split("\r\n")
@@ -80,6 +104,17 @@
             elif line.startswith("ERROR NOSTMT"):
                 self.note("members do not know a prepared name")
 
+    def check_served(self, request):
+        """Where nothing else goes wrong, every statement whose caller waits for the answer is served."""
+        if request["result"] not in ("DONE", "LEFT"):
+            self.break_rule("UNSERVED", "%s (%s) got %s" % (request["id"], request["text"], request["result"]))
+
+    def check_message(self, request, message, is_expected):
+        """MIXED: between a request and the end of its answer, a caller gets the messages of that answer only."""
+        if not is_expected:
+            self.break_rule("MIXED", "%s (%s) got the message %s, which has no place in its answer" % (
+                request["id"], request["text"], message))
+
     def check_success(self, request, proof):
         """MIXED: a caller's success carries the proof and the rows that a member gave to this statement."""
         verb = request["text"].split(" ")[0]
--- a/tests/processes/test_prepared_shapes.py
+++ b/tests/processes/test_prepared_shapes.py
@@ -11,6 +11,7 @@
 import fault_soak  # noqa: E402
 from repeated_answers import AnswerFaults  # noqa: E402
 from statement_rules import CallerSession  # noqa: E402
+from strict_wire import MessageStream  # noqa: E402
 
 BUILD = sys.argv.pop() if len(sys.argv) > 1 else "build/release"
 ADDRESSES = 201  # Selects the loopback addresses, which differ from those of the soak.
@@ -33,15 +34,15 @@
         caller = fault_soak.SoakCaller("c", fleet, None, [], {}, fleet.rules.broken)
         for access, shape in SHAPES:
             caller.vm = fleet.vms[0]
-            caller.reader, caller.writer = await asyncio.open_connection(caller.vm.host, caller.vm.callers_port)
-            caller.writer.write(b"START ledger key-1\r\n")
-            await caller.reader.readline()
+            caller.stream = await MessageStream.open(caller.vm.host, caller.vm.callers_port)
+            caller.stream.send("START ledger key-1")
+            await caller.stream.read()
             session = CallerSession("c/" + shape, "village")
             result = await run_statement(caller, session, "PREPARE s1 %s %s" % (access, shape))
             session.prepared["s1"] = (access, shape)
             data = " data" if access == "WRITE" else ""
             results += [result, await run_statement(caller, session, "EXECUTE s1 item" + data)]
-            caller.writer.close()
+            caller.stream.close()
     finally:
         fleet.end()
     return results, fleet.rules.broken
