--- a/tests/processes/statement_rules.py
+++ b/tests/processes/statement_rules.py
@@ -1,10 +1,30 @@
 """The users' rules on statements, checked with what callers sent and received and with what members ran and answered."""
 
+COUNTED_RULES = ("MIXED", "UNASKED")  # Counted in each summary, also when no statement broke them.
+# Errors by which nothing of the statement is kept, so that its caller may send it again.
+PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY")
 WITH_PROOF = ("READ", "WRITE", "EXECUTE", "COMMIT")
+WITH_PREPARED_NAME = ("EXECUTE", "PREPARE", "DEALLOC")
 # Statements that the system may issue itself, with the id "-".
 OWN_STATEMENTS = ("STATUS", "PAUSE", "RESUME", "DEMOTE", "RESET", "SET", "PREPARE", "DEALLOC", "BEGIN", "ROLLBACK")
 
 
+def without_prepared_name(text):
+    """Returns the parts of a statement's text before and after the prepared name, which the system may rename."""
+    verb, blank, rest = text.partition(" ")
+    if verb not in WITH_PREPARED_NAME:
+        return text, None
+    name, end, rest = rest.partition(" ")
+    return verb + blank, bool(name), end + rest
+
+
+def without_position(text):
+    """Returns whether a position is in front of a statement's text, and the text without it."""
+    if not text.startswith("AFTER "):
+        return False, text
+    return True, text.partition(" ")[2].partition(" ")[2]
+
+
 class CallerSession:
     """What one caller's session has been promised."""
 
@@ -19,6 +39,18 @@
         self.transactions += 1
         self.transaction = (self.name, self.transactions)
 
+    def apply(self, text):
+        """Notes the acknowledged values and prepared names."""
+        verb, _, rest = text.partition(" ")
+        name, _, rest = rest.partition(" ")
+        if verb == "SET":
+            self.values[name] = rest
+        elif verb == "PREPARE":
+            access, _, shape = rest.partition(" ")
+            self.prepared[name] = (access, shape)
+        elif verb == "DEALLOC":
+            self.prepared.pop(name, None)
+
 
 class StatementRules:
     """Knows each statement of a caller and what members answered to it."""
@@ -34,6 +66,11 @@
         self.places = {}  # Member connection and transaction by callers' transaction.
         self.ended = {}  # What callers received, by id.
 
+    def counts(self):
+        """Counts of breaks of the rules on messages, then of what breaks no rule by itself."""
+        rules = {name: sum(each.startswith(name + ": ") for each in self.broken) for name in COUNTED_RULES}
+        return {**rules, **self.notes}
+
     def break_rule(self, rule, text):
         self.broken.append("%s: %s" % (rule, text))
         self.record.add("BROKEN %s: %s" % (rule, text))
@@ -46,6 +83,16 @@
         # A statement that is held up runs with the values of its time, also if its caller has set others since.
         self.settings[identity] = (dict(session.values), dict(session.prepared))
 
+    def find_attempt(self, identity):
+        """Returns the session of a statement, the texts that its transaction had sent up to it, and the values and
+        prepared names before the first of them."""
+        session, _, transaction = self.sent[identity]
+        ids = [identity]
+        if transaction is not None:
+            ids = [each for each, (_, _, own) in self.sent.items() if own == transaction]
+            ids = ids[:ids.index(identity) + 1]
+        return (session, [self.sent[each][1] for each in ids], *self.settings[ids[0]])
+
     def note_answer(self, identity, answer):
         """Notes a member's answer to a caller's id."""
         lines = answer.split("\r\n")
@@ -57,6 +104,17 @@
             elif line.startswith("ERROR NOSTMT"):
                 self.note("members do not know a prepared name")
 
+    def check_served(self, request):
+        """Where nothing else goes wrong, every statement whose caller waits for the answer is served."""
+        if request["result"] not in ("DONE", "LEFT"):
+            self.break_rule("UNSERVED", "%s (%s) got %s" % (request["id"], request["text"], request["result"]))
+
+    def check_message(self, request, message, is_expected):
+        """MIXED: between a request and the end of its answer, a caller gets the messages of that answer only."""
+        if not is_expected:
+            self.break_rule("MIXED", "%s (%s) got the message %s, which has no place in its answer" % (
+                request["id"], request["text"], message))
+
     def check_success(self, request, proof):
         """MIXED: a caller's success carries the proof and the rows that a member gave to this statement."""
         verb = request["text"].split(" ")[0]
@@ -69,9 +127,7 @@
 
     def check_arrival(self, connection, identity, text):
         """UNASKED: a statement arrives at a member with an id and a text of a caller, or is the system's own."""
-        is_after = text.startswith("AFTER ")
-        if is_after:
-            text = text.split(" ", 2)[2]
+        is_after, text = without_position(text)
         words = text.split(" ")
         if is_after and (words[0] not in ("READ", "BEGIN", "EXECUTE") or (
                 words[0] == "EXECUTE" and connection.prepared.get(words[1], ("READ",))[0] != "READ")):
@@ -84,11 +140,7 @@
             self.break_rule("UNASKED", "%s gets id %s (%s), which no caller sent" % (connection.name, identity, text))
             return
         session, sent, _ = self.sent[identity]
-        own = sent.split(" ")
-        # Prepared names may be renamed.
-        if words[0] in ("EXECUTE", "PREPARE", "DEALLOC") and len(words) > 1 and len(own) > 1:
-            words[1] = own[1]
-        if words != own:
+        if without_prepared_name(text) != without_prepared_name(sent):
             self.break_rule("UNASKED", "%s gets id %s with the text %s instead of %s" % (
                 connection.name, identity, text, sent))
         if session.tenant != connection.tenant:
