members: Log doubtful answers once a second, by what became of them

Such answers are counted as before (greengagehitch_unmatched_answers_total). What is logged is what became of them, in one line a second for each member with the numbers of those that were accepted, sent again or whose outcome counts as unknown; a statement that ends so for its caller has its own line from the session, with the reason. A takeover that asks a member again on another connection says so. Repeated and mismatched answers, which are dropped or end the connection, keep a line each.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -32,7 +32,8 @@
                                      backend_connection_target target, options options)
     : m_kernel(kernel), m_options(std::move(options)), m_member(target.member),
       m_flight(m_options.slots, m_options.paces_recovery,
-               [this](recovery_pace const& pace) { log_pace(pace); })
+               [this](recovery_pace const& pace) { log_pace(pace); }),
+      m_doubtful_answers(std::make_shared<doubtful_answer_log>(kernel, target.group, target.member))
 {
     backend_connection_pool::options pool;
     pool.connection_limit = m_options.connection_limit;
@@ -448,16 +449,20 @@
         for (auto& answer : answers) {
             answer.position.reset();
         }
+        m_doubtful_answers->record(doubtful_answer_use::accepted);
         return false;
     }
     if (is_position_probe(request) && answers.front().evidence_age_ms <= max_evidence_age_ms) {
+        m_doubtful_answers->record(doubtful_answer_use::accepted);
         return false;
     }
     if (!request.needs_slot && !queued->connection && !std::exchange(queued->needs_unused_connection, true)) {
+        m_doubtful_answers->record(doubtful_answer_use::sent_again);
         m_pool->release(connection);
         acquire_connection(queued);
         return true;
     }
+    m_doubtful_answers->record(doubtful_answer_use::outcome_unknown);
     for (auto& answer : answers) {
         if (answer.is_doubtful) {
             answer.error = member_error::connection_lost;
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "brokers/dispatcher_counters.h"
+#include "brokers/doubtful_answer_log.h"
 #include "brokers/flight_control.h"
 #include "brokers/member_queue.h"
 #include "brokers/member_request.h"
@@ -149,6 +150,7 @@
     bool m_has_start_timer = false;
     /// Shared with the connections, which may outlive the dispatcher.
     std::shared_ptr<answer_counts> m_unmatched_answers = std::make_shared<answer_counts>();
+    std::shared_ptr<doubtful_answer_log> m_doubtful_answers;
     dispatcher_counters m_counters;
     dispatcher_counters m_logged_counters; ///< Counters at the last log record.
     monotonic_time m_logged_at;
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -72,6 +72,12 @@
     if (replacement && !replacement->is_closed()) {
         return;
     }
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_group;
+    fields["member"] = member.id;
+    m_kernel.log(log_level::info, "takeover",
+                 "status of the member may be a repetition; asking again on a new connection",
+                 std::move(fields));
     replacement = make_connection(member, to);
     replacement->open(command_timeout, [this, member, command, to, events = std::weak_ptr(m_events),
                                         opened = std::weak_ptr(replacement)](member_answer const& answer) {
--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -179,11 +179,11 @@
     if (match == answer_match::repeated) {
         // The answer to the command is still to come.
         m_has_repeated_answer = true;
-        report_unmatched(match, answer, command.id);
+        report_dropped(match, answer, command.id);
         return;
     }
     if (match == answer_match::mismatched) {
-        report_unmatched(match, answer, command.id);
+        report_dropped(match, answer, command.id);
         fail_all(member_error::connection_lost);
         return;
     }
@@ -205,7 +205,7 @@
 void backend_connection::handle_unasked_answer(member_answer const& answer)
 {
     auto const is_repeated = m_history.contains(answer);
-    report_unmatched(is_repeated ? answer_match::repeated : answer_match::mismatched, answer, {});
+    report_dropped(is_repeated ? answer_match::repeated : answer_match::mismatched, answer, {});
     if (is_repeated && m_state == transaction_state::open) {
         // Closing the connection would roll the transaction back.
         m_has_repeated_answer = true;
@@ -227,8 +227,8 @@
         answer.evidence_age_ms = answer.is_doubtful ? answer.evidence_age_ms : 0;
     }
     if (first_doubtful < batch->expected()) {
-        report_unmatched(answer_match::doubtful, batch->answers[first_doubtful],
-                         batch->commands[first_doubtful].id);
+        // Callers of this class log what they do about it.
+        count_unmatched(answer_match::doubtful);
         if (m_closes_when_doubtful) {
             close();
         }
@@ -260,12 +260,17 @@
     return first;
 }
 
-void backend_connection::report_unmatched(answer_match match, member_answer const& answer,
-                                          std::string const& request) const
+void backend_connection::count_unmatched(answer_match match) const
 {
     if (m_on_unmatched_answer) {
         m_on_unmatched_answer(match);
     }
+}
+
+void backend_connection::report_dropped(answer_match match, member_answer const& answer,
+                                        std::string const& request) const
+{
+    count_unmatched(match);
     Json::Value fields(Json::objectValue);
     fields["group"] = m_target.group;
     fields["member"] = m_target.member;
@@ -277,7 +282,7 @@
         fields["error"] = std::string(find_name(member_error_names, *answer.error));
     }
     fields["is_outstanding"] = !m_batches.empty();
-    m_kernel.log(log_level::info, "members", "answer of a member may not belong to its command",
+    m_kernel.log(log_level::info, "members", "answer of a member does not belong to its command",
                  std::move(fields));
 }
 
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -115,7 +115,9 @@
     /// show; the number of answers if there is none. Answers that set up the connection count if any new
     /// answer follows, since members do not refuse such commands.
     static std::size_t find_unconfirmed(batch_state const& batch);
-    void report_unmatched(answer_match match, member_answer const& answer, std::string const& request) const;
+    /// Counts and logs an answer that was dropped.
+    void report_dropped(answer_match match, member_answer const& answer, std::string const& request) const;
+    void count_unmatched(answer_match match) const;
     void fail_all(member_error error, bool is_refused_by_host = false);
 
     kernel& m_kernel;
--- a/tests/brokers/member_dispatcher_tests.cpp
+++ b/tests/brokers/member_dispatcher_tests.cpp
@@ -39,7 +39,7 @@
             return clock.start_timer(delay, std::move(callback));
         };
         hooks.cancel_timer = [this](timer_id timer) { clock.cancel_timer(timer); };
-        hooks.log = [](log_record const&) {};
+        hooks.log = [this](log_record const& record) { logged.push_back(record); };
         return hooks;
     }
 
@@ -69,7 +69,9 @@
                 for (std::size_t i = 0; i < commands.size(); ++i) {
                     member_answer answer;
                     answer.state = state_of_transactions;
-                    answer.proof = has_proof(commands[i].kind) ? std::to_string(++proofs) : std::string();
+                    answer.proof =
+                        has_proof(commands[i].kind) && !error ? std::to_string(++proofs) : std::string();
+                    answer.error = error;
                     answered[id](std::move(answer));
                 }
             });
@@ -117,7 +119,7 @@
         request.needs_slot = false;
         request.keeps_connection = true;
         auto const pinned = std::make_shared<pinned_connection_pointer>();
-        state_of_transactions = transaction_state::open;
+        state_of_transactions = error ? transaction_state::idle : transaction_state::open;
         dispatcher->run(std::move(request),
                         [pinned](member_reply const& reply) { *pinned = reply.connection; });
         clock.run_for(handshake_time + service_time + 1ms);
@@ -143,7 +145,9 @@
     std::function<bool()> loses_answer;
     bool answers_handshakes = true;
     transaction_state state_of_transactions = transaction_state::idle; ///< State in all answers.
-    std::vector<arrival> arrived;                                      ///< Commands that reached the member.
+    std::optional<member_error> error;                                 ///< Error in all answers.
+    std::vector<log_record> logged;
+    std::vector<arrival> arrived; ///< Commands that reached the member.
     std::set<backend_connection_id> closed;
     std::map<backend_connection_id, std::function<void(member_answer)>> answered;
     std::map<std::string, outcome> outcomes;
@@ -272,3 +276,34 @@
     cr_assert(fixture.count_arrived("late") == 0);
     cr_assert(error == member_error::connection_lost);
 }
+
+/// Guards against a log that has no room for other lines: each error that equalled an earlier one of its
+/// connection had a line of its own, and healthy members give the same error to many callers.
+Test(member_dispatcher, equal_errors_of_a_healthy_member_are_logged_once_a_second)
+{
+    constexpr std::size_t seconds = 5;
+    constexpr std::size_t begins_per_second = 20;
+    dispatcher_fixture fixture;
+    fixture.error = member_error::read_only;
+    for (std::size_t i = 0; i < seconds * begins_per_second; ++i) {
+        cr_assert(fixture.begin("account") == nullptr);
+        fixture.clock.run_for(duration(1s) / begins_per_second - handshake_time - service_time - 1ms);
+    }
+    fixture.clock.run_for(1s);
+    auto const doubtful =
+        fixture.dispatcher->unmatched_answers().at(static_cast<std::size_t>(answer_match::doubtful));
+    cr_assert(doubtful > 2 * seconds, "%zu doubtful answers", doubtful);
+    std::size_t lines = 0;
+    std::size_t counted = 0;
+    for (auto const& record : fixture.logged) {
+        if (record.service != "members") {
+            continue;
+        }
+        ++lines;
+        for (auto const* const use : {"accepted", "sent_again", "outcome_unknown"}) {
+            counted += record.fields[use].asUInt64();
+        }
+    }
+    cr_assert(lines <= seconds + 1, "%zu lines for %zu answers", lines, doubtful);
+    cr_assert(counted == doubtful, "%zu of %zu answers are in the lines", counted, doubtful);
+}
