--- a/libraries/session_vm/session_vm.cpp
+++ b/libraries/session_vm/session_vm.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "base/digest.h"
+#include "base/single_use.h"
+#include "platform/single_answer_hooks.h"
 
 namespace greengagehitch {
 
@@ -14,11 +16,35 @@
 /// Time within which two reports from a VM of another zone should have been received.
 constexpr duration peer_reachability_timeout = std::chrono::milliseconds(2'600);
 
+/// Returns a function that counts and logs the answers of the platform that arrive a second time. It may
+/// outlive the kernel.
+std::function<void(std::string_view)> make_repetition_log(kernel& kernel)
+{
+    return [&kernel, lifetime = kernel.lifetime(),
+            repeated = std::make_shared<std::uint64_t>(0)](std::string_view hook) {
+        ++*repeated;
+        if (lifetime.expired()) {
+            return;
+        }
+        Json::Value fields(Json::objectValue);
+        fields["call"] = std::string(hook);
+        fields["repeated"] = Json::UInt64(*repeated);
+        kernel.log(log_level::warning, "platform",
+                   "answer to a call of the platform came twice and was ignored", std::move(fields));
+    };
+}
+
 } // namespace
 
 session_vm::session_vm(session_vm_settings const& settings, session_vm_hooks hooks)
     : m_hooks(std::move(hooks)), m_name(settings.name), m_kernel(m_hooks.kernel)
 {
+    auto const on_repeated = make_repetition_log(m_kernel);
+    m_hooks.platform = make_single_answer_hooks(std::move(m_hooks.platform), on_repeated);
+    m_hooks.promote = [promote = std::move(m_hooks.promote),
+                       on_repeated](promotion_order const& order, std::function<void(absl::Status)> done) {
+        promote(order, single_use(std::move(done), [on_repeated] { on_repeated("promote"); }));
+    };
     vm_identity identity{settings.name, settings.availability_zone, settings.peer_endpoint, m_kernel.random(),
                          settings.processor_share};
     m_kernel.add(std::make_unique<membership_service>(
