tests: Show a cut repetition that begins a row of the next answer

A member that gives an answer a second time and cuts it within a row, and then answers the next statement on the same connection, makes the proxy read one row of both parts: after the row "abcd", the bytes "ROW ab" and "ROW x" reach the caller as the row "abROW x", with a valid proof (MIXED). The protocol says that an answer may be cut off before it ends, and says of the store only that a connection delivers nothing further then. The case was known from reading; the new test shows it through the reader and the matching of answers, and fails.

--- a/tests/platform/member_connector_tests.cpp
+++ b/tests/platform/member_connector_tests.cpp
@@ -11,6 +11,8 @@
 
 #include <criterion/criterion.h>
 
+#include "kernel/kernel.h"
+#include "members/backend_connection.h"
 #include "platform/member_connector.h"
 
 using namespace std::chrono_literals;
@@ -263,3 +265,46 @@
                                   "stolen\r\r\n",
               "%s", fixture.received.c_str());
 }
+
+/// Guards against MIXED: a repeated answer that was cut within a line, and the answer to the next statement
+/// after it, were read as one row of that answer, with its proof.
+Test(member_connector, part_of_a_repeated_row_does_not_begin_a_row_of_the_next_answer)
+{
+    member_connector_fixture fixture("READY I 3.12\r\n");
+    kernel_hooks core_hooks;
+    core_hooks.now = [&fixture] { return fixture.loop.now(); };
+    core_hooks.random = [] { return std::uint64_t{0}; };
+    core_hooks.start_timer = [&fixture](duration delay, std::function<void()> callback) {
+        return fixture.loop.start_timer(delay, std::move(callback));
+    };
+    core_hooks.cancel_timer = [&fixture](timer_id timer) { fixture.loop.cancel_timer(timer); };
+    core_hooks.log = [](log_record const&) {};
+    kernel core(std::move(core_hooks));
+    backend_connection_target target{{"127.0.0.1", fixture.acceptor.port()}, "group", "member", "account"};
+    auto const connection = std::make_shared<backend_connection>(core, fixture.hooks, std::move(target));
+    connection->open(answer_limit, [](member_answer const&) {});
+    auto const end = fixture.loop.now() + 2 * answer_limit;
+    while (!connection->is_open() && fixture.loop.now() < end) {
+        fixture.loop.run_once(10ms);
+    }
+    auto const run = [&](std::string const& bytes) {
+        std::optional<member_answer> result;
+        fixture.greeting = bytes;
+        member_command read;
+        read.id = "5c0e";
+        read.text = "READ k";
+        connection->send({read}, answer_limit,
+                         [&result](std::vector<member_answer> answers) { result = answers.front(); });
+        while (!result && fixture.loop.now() < end) {
+            fixture.loop.run_once(10ms);
+        }
+        return result;
+    };
+    auto const first = run("ROW abcd\r\nDONE 7.1\r\nREADY I 3.12\r\n");
+    cr_assert(first && first->is_ok());
+    auto const second = run("ROW ab"
+                            "ROW x\r\nDONE 7.2\r\nREADY I 3.13\r\n");
+    cr_assert(second);
+    cr_assert(!second->is_ok() || second->rows == std::vector<std::string>{"x"}, "the caller got the row %s",
+              second->rows.front().c_str());
+}
