platform: Refuse tenants and services that cannot be named to members

The first message to a member consists of the words group, account and member. A tenant's name with a line end began a request that no caller had sent, and one with a blank shifted the words, so that its callers got BUSY without a log line.

An account or class that fails the check stays in the configuration with the reason. Its callers get FAILED with that reason at START, and so do statements of open sessions; an open transaction keeps what it began with. Each version logs up to ten of them, with their number. Everything else of the version applies.

--- a/libraries/fleet/fleet_state.cpp
+++ b/libraries/fleet/fleet_state.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Names that are logged for each configuration version, and the longest part of a name in a log line.
+constexpr std::size_t max_logged_names = 10;
+constexpr std::size_t max_logged_name_size = 200;
+
 std::uint32_t digest_of(member_directory const& members)
 {
     std::string text;
@@ -51,12 +55,41 @@
     fields["keys"] = Json::UInt64(configuration.account_of_key.size());
     m_kernel.log(log_level::info, service_name, "configuration version became active", std::move(fields));
     m_configuration = std::make_shared<served_configuration const>(std::move(configuration));
+    log_refusals();
     for (auto const& observer : m_configuration_observers) {
         observer(*m_configuration);
     }
     return true;
 }
 
+void fleet_state::log_refusals() const
+{
+    std::map<std::string, std::string> refused_classes;
+    for (auto const& [database, work] : m_configuration->classes) {
+        if (!work.refusal.empty()) {
+            refused_classes.emplace(database, work.refusal);
+        }
+    }
+    auto const log_each = [this](std::string_view message, char const* name_field,
+                                 std::map<std::string, std::string> const& refused) {
+        std::size_t logged = 0;
+        for (auto const& [name, reason] : refused) {
+            if (logged++ == max_logged_names) {
+                return;
+            }
+            Json::Value fields(Json::objectValue);
+            fields[name_field] = name.substr(0, max_logged_name_size);
+            fields["reason"] = reason;
+            fields["refused"] = Json::UInt64(refused.size());
+            fields["version"] = Json::UInt64(m_configuration->version);
+            m_kernel.log(log_level::warning, service_name, message, std::move(fields));
+        }
+    };
+    log_each("statements of a client account are refused", "client_account",
+             m_configuration->refused_accounts);
+    log_each("statements of a class of work are refused", "database", refused_classes);
+}
+
 void fleet_state::confirm_configuration(monotonic_time known_at)
 {
     m_confirmed_at = std::max(m_confirmed_at.value_or(known_at), known_at);
--- a/libraries/fleet/fleet_state.h
+++ b/libraries/fleet/fleet_state.h
@@ -97,6 +97,8 @@
     }
 
 private:
+    /// Logs which client accounts and classes of the active configuration cannot be served.
+    void log_refusals() const;
     void notify_evacuations(std::map<std::string, zone_evacuation> const& previous,
                             std::string const& source) const;
 
--- a/libraries/fleet/served_configuration.h
+++ b/libraries/fleet/served_configuration.h
@@ -35,6 +35,8 @@
     duration latency_target{};    ///< Latency target of a whole request.
     int priority = 0;             ///< Lower values are served first; 0 is the highest priority.
     bool is_open_to_all = false;  ///< True when callers need no API key to use the class.
+    /// Reason why statements of the class cannot be sent to members; empty if they can.
+    std::string refusal;
 };
 
 /// Limits of a client account, which apply to the whole fleet.
@@ -58,7 +60,17 @@
     std::map<std::string, std::string> account_of_key; ///< Client account names, keyed by API key.
     std::map<std::string, account_limit> limits;       ///< Keyed by client account; others are unlimited.
     std::map<std::string, group_limits> groups;        ///< Keyed by database group.
+    /// Reasons why statements of client accounts cannot be sent to members; other accounts have no entry.
+    std::map<std::string, std::string> refused_accounts;
     duration transaction_idle_limit = std::chrono::seconds(3); ///< Longest idle time of an open transaction.
+
+    /// Returns the reason why statements of the account cannot be sent to members of the class, or an empty
+    /// text if they can.
+    std::string find_refusal(served_class const& work, std::string const& client_account) const
+    {
+        auto const refused = refused_accounts.find(client_account);
+        return refused == refused_accounts.end() ? work.refusal : refused->second;
+    }
 };
 
 } // namespace greengagehitch
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -303,23 +303,27 @@
     }
     auto const& keys = m_engine.fleet().configuration()->account_of_key;
     auto const found = keys.find(m_key);
-    if (work->is_open_to_all) {
-        m_account = found == keys.end() ? std::string("-") : found->second;
-        return m_account;
-    }
-    if (!m_engine.may_trust_keys()) {
+    if (!work->is_open_to_all && !m_engine.may_trust_keys()) {
         refuse(statement, session_error::busy,
                "this VM cannot receive key withdrawals at present, so it accepts no keys",
                spread_retry_delay(key_refusal_delay,
                                   [this](std::uint64_t bound) { return m_kernel.random_below(bound); }));
         return std::nullopt;
     }
-    if (found == keys.end()) {
+    if (!work->is_open_to_all && found == keys.end()) {
         refuse(statement, session_error::unknown_key, "key is unknown or was withdrawn");
         return std::nullopt;
     }
-    m_account = found->second;
-    return found->second;
+    m_account = found == keys.end() ? std::string("-") : found->second;
+    // An open transaction keeps the class and account that it began with.
+    auto refusal = m_state == transaction_state::idle
+                       ? m_engine.fleet().configuration()->find_refusal(*work, m_account)
+                       : std::string();
+    if (!refusal.empty()) {
+        refuse(statement, session_error::failed, std::move(refusal));
+        return std::nullopt;
+    }
+    return m_account;
 }
 
 void client_session::admit(std::string const& client_account, session_statement const& statement,
--- a/libraries/sessions/session_answer.h
+++ b/libraries/sessions/session_answer.h
@@ -66,6 +66,12 @@
     enum_name<session_end>{session_end::closed_by_vm, "closed_by_vm"},
 };
 
+/// Reason why a session is not opened.
+struct session_refusal {
+    session_error error = session_error::busy;
+    std::string text; ///< Details for the caller; may be empty.
+};
+
 /// Answer to one statement of a session.
 struct session_answer {
     std::optional<session_error> error;
--- a/libraries/sessions/session_engine.cpp
+++ b/libraries/sessions/session_engine.cpp
@@ -55,19 +55,26 @@
     return state;
 }
 
-std::variant<std::shared_ptr<client_session>, session_error>
+std::variant<std::shared_ptr<client_session>, session_refusal>
 session_engine::open(std::string database, std::string key, session_hooks hooks)
 {
     auto const& configuration = m_fleet->configuration();
     if (!configuration || takes_no_work()) {
-        return session_error::busy;
+        return session_refusal{session_error::busy, {}};
     }
     auto const found = configuration->classes.find(database);
     if (found == configuration->classes.end()) {
-        return may_trust_keys() ? session_error::unknown_database : session_error::busy;
+        return session_refusal{may_trust_keys() ? session_error::unknown_database : session_error::busy, {}};
     }
-    if (!found->second.is_open_to_all && !configuration->account_of_key.contains(key)) {
-        return may_trust_keys() ? session_error::unknown_key : session_error::busy;
+    auto const account = configuration->account_of_key.find(key);
+    auto const has_account = account != configuration->account_of_key.end();
+    if (!found->second.is_open_to_all && !has_account) {
+        return session_refusal{may_trust_keys() ? session_error::unknown_key : session_error::busy, {}};
+    }
+    auto refusal =
+        configuration->find_refusal(found->second, has_account ? account->second : std::string("-"));
+    if (!refusal.empty()) {
+        return session_refusal{session_error::failed, std::move(refusal)};
     }
     ++m_counters.opened;
     auto session =
--- a/libraries/sessions/session_engine.h
+++ b/libraries/sessions/session_engine.h
@@ -57,8 +57,8 @@
     Json::Value dump() const override;
 
     /// Opens a session, or returns the error. The front end owns the session until the caller disconnects.
-    std::variant<std::shared_ptr<client_session>, session_error> open(std::string database, std::string key,
-                                                                      session_hooks hooks);
+    std::variant<std::shared_ptr<client_session>, session_refusal> open(std::string database, std::string key,
+                                                                        session_hooks hooks);
 
     /// Closes idle sessions and waits a limited time for open transactions and requests of peers to end.
     /// After `transaction_drain_limit`, sessions take no further work and close once they are idle. All
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -558,8 +558,8 @@
     };
     hooks.close = [was_closed = m_was_closed] { *was_closed = true; };
     auto opened = fleet.vm(vm).sessions().open(database, key, std::move(hooks));
-    if (auto const* const error = std::get_if<session_error>(&opened)) {
-        m_open_error = *error;
+    if (auto const* const refusal = std::get_if<session_refusal>(&opened)) {
+        m_open_error = refusal->error;
         return;
     }
     m_session = std::get<std::shared_ptr<client_session>>(std::move(opened));
--- a/tests/platform/caller_listener_tests.cpp
+++ b/tests/platform/caller_listener_tests.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include "platform/caller_listener.h"
+#include "platform/document_decoder.h"
 #include "session_fleet.h"
 
 using namespace std::chrono_literals;
@@ -43,6 +44,48 @@
         }
     }
 
+    /// Connects again with this START message, and returns the answer.
+    std::string start(std::string const& fields)
+    {
+        received.clear();
+        has_ended = false;
+        stream->close();
+        stream = tcp_stream::try_connect(loop, {"127.0.0.1", listener->port()});
+        cr_assert(stream != nullptr);
+        tcp_stream::events events;
+        events.bytes = [this](std::string_view bytes) { received += bytes; };
+        events.ended = [this] { has_ended = true; };
+        stream->start(std::move(events));
+        stream->send("START " + fields + "\r\n");
+        wait_for("\r\n");
+        return received;
+    }
+
+    /// Sends a query and returns the first line of its answer.
+    std::string query(std::string const& text)
+    {
+        received.clear();
+        stream->send("QUERY 1 " + text + "\r\n");
+        for (int i = 0; i < 100 && received.empty() && !has_ended; ++i) {
+            fleet.clock().run_for(10ms);
+            loop.run_once(5ms);
+        }
+        return received.substr(0, received.find("\r\n"));
+    }
+
+    /// Makes a document the configuration of the fleet, as a version above the active one.
+    void configure(std::string const& document)
+    {
+        auto const decoded = document_decoder::try_decode_configuration(document);
+        cr_assert(decoded.ok(), "%s", std::string(decoded.status().message()).c_str());
+        fleet.change_configuration([&decoded](served_configuration& configuration) {
+            auto const version = configuration.version;
+            configuration = *decoded;
+            configuration.version = version;
+        });
+        fleet.clock().run_for(1s);
+    }
+
     /// Runs the loop until the connection has ended, or 3 s have passed.
     void wait_for_end()
     {
@@ -174,3 +217,43 @@
     cr_assert(caller.received == line_protocol::encode_error(session_error::too_large), "%s",
               caller.received.c_str());
 }
+
+/// Guards against UNASKED and against sessions that are refused with BUSY for ever: the name of a tenant is a
+/// word of the first message to a member. A line end in it began a request that no caller had sent, and a
+/// blank shifted the words that follow. Other tenants are served meanwhile.
+Test(caller_listener, callers_whose_tenant_or_service_cannot_be_named_to_members_are_refused)
+{
+    std::string const services =
+        R"({"version":7,"routes":[)"
+        R"({"name":"r","database":"d","type":"primary","service":"group-0","timeout-ms":1000},)"
+        R"({"name":"s","database":"e","type":"primary","service":"group 0","timeout-ms":1000},)"
+        R"({"name":"p","database":"open","type":"primary","service":"group-0","timeout-ms":1000,)"
+        R"("public":true}],"services":[{"name":"group-0","max-connections":34,"sync-replicas":1}],"tenants":[)";
+    std::string const good =
+        R"({"name":"good","api-keys":["good"]},{"name":"odd\n\r\t\u0000\u007f\u00e9","api-keys":["odd"]})";
+    connected_caller caller;
+    caller.configure(services + good + R"(,{"name":"line","api-keys":["line"]}]})");
+    cr_assert(caller.start("d line") == "READY I -\r\n");
+    caller.configure(services + good +
+                     R"(,{"name":"village\r\nQUERY 71 WRITE evil 1","api-keys":["line"]},)"
+                     R"({"name":"a b","api-keys":["blank"]},{"name":"","api-keys":["empty"]},{"name":")" +
+                     std::string(line_protocol::max_message_size, 'x') + R"(","api-keys":["long"]}]})");
+    // The session was opened before.
+    for (auto const* const text : {"READ x", "WRITE x 1", "BEGIN", "BEGIN READ"}) {
+        auto const answer = caller.query(text);
+        cr_assert(answer ==
+                      "ERROR FAILED the name of the tenant cannot be sent to members: it contains a line end",
+                  "%s: %s", text, answer.c_str());
+    }
+    for (auto const* const fields : {"d line", "d blank", "d empty", "d long", "e good", "open blank"}) {
+        auto const answer = caller.start(fields);
+        cr_assert(answer.starts_with("ERROR FAILED the name of the "), "%s: %s", fields, answer.c_str());
+    }
+    for (auto const* const fields : {"d good", "d odd", "open none"}) {
+        auto const answer = caller.start(fields);
+        cr_assert(answer == "READY I -\r\n", "%s: %s", fields, answer.c_str());
+        cr_assert(caller.query("READ x").starts_with("ROW "), "%s: %s", fields, caller.received.c_str());
+    }
+    auto const unknown = caller.start("d none");
+    cr_assert(unknown.starts_with("ERROR NOAUTH "), "%s", unknown.c_str());
+}
--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -48,6 +48,26 @@
     }
 }
 
+/// Guards against members that one kind of machine uses and the other does not, since bytes above 127 are
+/// negative on one of them, and against members that cannot be named to themselves.
+Test(member_entry, name_holds_any_byte_that_a_word_of_a_message_may_hold)
+{
+    for (std::string const& name : {std::string("\xc3\xa9"), std::string("a\nb"), std::string("a\rb"),
+                                    std::string("a\tb\x7f"), std::string("a\0b", 3), std::string(200, 'x')}) {
+        cr_assert(try_decode_member(name, member_document, {1, 8}).ok(), "%s", name.c_str());
+    }
+    for (std::string const& name :
+         {std::string(), std::string("a b"), std::string("a\r\nb"), std::string(201, 'x')}) {
+        cr_assert(not(try_decode_member(name, member_document, {1, 8}).ok()), "%s", name.c_str());
+    }
+    cr_assert(try_decode_member(
+                  "i-1", replace_text(member_document, R"("service":"g")", R"("service":"\u00e9\t")"), {1, 8})
+                  .ok());
+    cr_assert(not(try_decode_member(
+                      "i-1", replace_text(member_document, R"("service":"g")", R"("service":"g h")"), {1, 8})
+                      .ok()));
+}
+
 Test(configuration, classes_keys_and_limits_are_decoded)
 {
     auto const decoded = try_decode_configuration(
@@ -118,3 +138,23 @@
     cr_assert(text.find("boot.yaml:3") != std::string::npos, "%s", text.c_str());
     cr_assert(text.find("availability_zone") != std::string::npos, "%s", text.c_str());
 }
+
+/// Guards against requests that nobody sent and against messages whose words are shifted: tenants and
+/// services whose names cannot be words of a message are refused, and the rest of the configuration applies.
+Test(configuration, names_that_cannot_be_sent_are_refused_and_the_others_are_served)
+{
+    auto const decoded = try_decode_configuration(
+        R"({"version":7,"routes":[)"
+        R"({"name":"r","database":"d","type":"primary","service":"g","timeout-ms":1},)"
+        R"({"name":"r","database":"e","type":"primary","service":"g\r\nh","timeout-ms":1}],"tenants":[)"
+        R"({"name":"a","api-keys":["1"]},{"name":"a b","api-keys":["2"]},{"name":"","api-keys":["3"]},)"
+        R"({"name":"a\nb\r","api-keys":["4"]}]})");
+    cr_assert(decoded.ok());
+    cr_assert(decoded->account_of_key.size() == 4);
+    cr_assert(decoded->refused_accounts.size() == 2);
+    cr_assert(decoded->refused_accounts.contains("a b") && decoded->refused_accounts.contains(""));
+    cr_assert(decoded->find_refusal(decoded->classes.at("d"), "a\nb\r").empty());
+    cr_assert(decoded->classes.at("e").refusal ==
+              "the name of the service cannot be sent to its members: it contains a line end");
+    cr_assert(not(decoded->find_refusal(decoded->classes.at("e"), "a").empty()));
+}
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -392,6 +392,40 @@
     cr_assert(accounts[1] == "-", "%s", accounts[1].c_str());
 }
 
+/// Guards against tenants that get errors while no log line says why: each refused account and class is
+/// logged once for each version, with the number of all of them.
+Test(client_session, accounts_and_classes_that_are_refused_are_logged_once_for_each_version)
+{
+    fleet_with_callers fixture;
+    std::vector<std::string> lines;
+    fixture.fleet.set_on_log([&lines](log_record const& record) {
+        if (record.message == "statements of a client account are refused" ||
+            record.message == "statements of a class of work are refused") {
+            lines.push_back(record.fields["client_account"].asString() +
+                            record.fields["database"].asString() + "/" + record.fields["reason"].asString() +
+                            "/" + record.fields["refused"].asString());
+        }
+    });
+    auto const database = session_fleet::database_of(0, read_consistency::own_writes);
+    fixture.fleet.change_configuration([&database](auto& configuration) {
+        configuration.refused_accounts = {{session_fleet::account_name(0), "first"}, {"b", "second"}};
+        configuration.classes[database].refusal = "third";
+    });
+    fixture.fleet.clock().run_for(1s);
+    auto const vms = fixture.fleet.vms();
+    cr_assert(lines.size() == 3 * vms, "%zu", lines.size());
+    for (auto const& line :
+         {session_fleet::account_name(0) + "/first/2", std::string("b/second/2"), database + "/third/1"}) {
+        cr_assert(std::count(lines.begin(), lines.end(), line) == static_cast<std::ptrdiff_t>(vms), "%s",
+                  line.c_str());
+    }
+    for (std::size_t vm = 0; vm < 2; ++vm) {
+        auto const refused = fixture.caller(vm, read_consistency::every_commit);
+        cr_assert(refused.open_error() == session_error::failed);
+    }
+    cr_assert(lines.size() == 3 * vms);
+}
+
 /// Guards against a process that ends when one session sends thousands of statements behind one that waits:
 /// statements that are answered at once were run by nested calls, until the stack overflowed.
 Test(client_session, thousands_of_queued_statements_are_answered_in_order)
