--- a/tests/platform/member_connector_tests.cpp
+++ b/tests/platform/member_connector_tests.cpp
@@ -37,10 +37,10 @@
         backend_connection_events events;
         events.opened = [&result](member_answer answer) { result = std::move(answer); };
         events.answered = [this](member_answer answer) { answers.push_back(std::move(answer)); };
-        events.lost = [](member_error) {};
+        events.lost = [this](member_error error) { lost = error; };
         backend_connection_target target;
         target.group = "group";
-        target.client_account = "account";
+        target.client_account = client_account;
         target.member = "member";
         target.address = address;
         opened = hooks.open(target, std::move(events));
@@ -88,6 +88,8 @@
     std::string greeting; ///< Sent once, when the first bytes arrive.
     std::string received;
     std::vector<member_answer> answers;
+    std::string client_account = "account";
+    std::optional<member_error> lost;
     backend_connection_id opened = backend_connection_id::none;
     std::shared_ptr<tcp_stream> accepted;
     bool is_closed = false;
@@ -200,6 +202,8 @@
     auto const hooks = connector.hooks();
     backend_connection_target target;
     target.address = {"127.0.0.1", ntohs(address.sin_port)};
+    target.group = "group";
+    target.client_account = "account";
     bool is_open = false;
     backend_connection_events events;
     events.opened = [&is_open](member_answer const& answer) { is_open = answer.is_ok(); };
@@ -263,3 +267,45 @@
                                   "stolen\r\r\n",
               "%s", fixture.received.c_str());
 }
+
+/// Guards against UNASKED: a line end in a word of the first message began a request that no caller had sent.
+Test(member_connector, connection_whose_account_cannot_be_a_word_is_not_opened)
+{
+    for (std::string const& account :
+         {std::string("a\r\nQUERY 71 WRITE evil 1"), std::string("a b"), std::string()}) {
+        member_connector_fixture fixture("READY I 3.12\r\n");
+        fixture.client_account = account;
+        auto const answer = fixture.open();
+        cr_assert(answer && answer->error == member_error::refused);
+        cr_assert(fixture.received.empty(), "%s", fixture.received.c_str());
+        cr_assert(fixture.records.size() == 1);
+        cr_assert(fixture.records[0].message ==
+                  "connection to a member was ended, since a message to the member cannot be sent");
+    }
+}
+
+/// Guards against UNASKED and against messages over the size limit: a command whose encoding is not one
+/// message must not reach the member, and its caller must not wait.
+Test(member_connector, command_that_is_not_one_message_is_not_sent)
+{
+    for (std::string const& text : {std::string("READ x\r\nQUERY 2 WRITE y 1"),
+                                    "READ " + std::string(line_protocol::max_message_size, 'x')}) {
+        member_connector_fixture fixture("READY I 3.12\r\n");
+        cr_assert(fixture.open());
+        auto const received = fixture.received;
+        member_command command;
+        command.id = "1";
+        command.text = text;
+        fixture.hooks.send(fixture.opened, {command});
+        auto const end = fixture.loop.now() + answer_limit;
+        while (!fixture.lost && fixture.loop.now() < end) {
+            fixture.loop.run_once(10ms);
+        }
+        cr_assert(fixture.lost == member_error::failed);
+        cr_assert(fixture.received == received, "%zu", fixture.received.size());
+        cr_assert(fixture.records.size() == 1);
+        cr_assert(fixture.records[0].fields["reason"].asString() ==
+                  (text.size() < line_protocol::max_message_size ? "a field contains a line end"
+                                                                 : "the message is too long"));
+    }
+}
