--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -158,3 +158,29 @@
               "the name of the service cannot be sent to its members: it contains a line end");
     cr_assert(not(decoded->find_refusal(decoded->classes.at("e"), "a").empty()));
 }
+
+/// Guards against headers that a name cuts: the name of a VM is sent as the holder of its duties, and a line
+/// end in it began another header or the body.
+Test(platform_settings, name_that_cannot_be_the_value_of_a_header_is_refused)
+{
+    auto const parse = [](std::string const& name, std::string const& zone) {
+        return try_parse_platform_settings(
+            "vm: {name: \"" + name + "\", availability_zone: \"" + zone +
+                "\", processor_share: 1}\n"
+                "listen: {callers: '127.0.0.1:1', probes: '127.0.0.1:2', peers: '127.0.0.1:3'}\n"
+                "platform: {store: '127.0.0.1:4', orders: '127.0.0.1:5'}\n"
+                "limits:\n  key_withdrawal: 5s\n  shutdown: 6s\n  rate_window: 5s\n"
+                "  rate_tolerance_share: 0.1\n  rate_tolerance_operations: 20\n",
+            "boot.yaml");
+    };
+    cr_assert(parse("vm 1\xc3\xa9", "zone a").ok());
+    for (std::string const& odd :
+         {std::string("a\\r\\nX-Fencing-Token: 9"), std::string("a\\n"), std::string("a\\0"),
+          std::string("a\\x7f"), std::string(" a"), std::string("a "), std::string(201, 'x')}) {
+        auto const with_name = parse(odd, "z");
+        cr_assert(not(with_name.ok()), "%s", odd.c_str());
+        auto const reason = std::string(with_name.status().message());
+        cr_assert(reason.find("name: expected") != std::string::npos, "%s", reason.c_str());
+        cr_assert(not(parse("a", odd).ok()), "%s", odd.c_str());
+    }
+}
