adapters: Send no HTTP request whose head a field would cut

A control character in a path or header ended it, so that what followed was another header or the body. Such a request fails at once with status 0, as one without an answer does, and is logged.

The test of the head fails without the check. That paths escape all bytes was right before and is now tested.

--- a/libraries/adapters/http_client.cpp
+++ b/libraries/adapters/http_client.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -17,6 +18,25 @@
 constexpr std::size_t max_queued_calls = 256;
 constexpr std::size_t receive_buffer_size = 16UL * 1024;
 
+/// Returns whether the text holds a control character, which may end a field of the head of a request.
+bool has_control_character(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(), [](char character) {
+        auto const byte = static_cast<unsigned char>(character);
+        return byte < ' ' || byte == 127;
+    });
+}
+
+/// Returns whether all fields of the head of the request can be sent as it is.
+bool is_sendable(http_client_request const& call)
+{
+    return !has_control_character(call.method) && !has_control_character(call.path) &&
+           call.path.find(' ') == std::string::npos &&
+           std::none_of(call.headers.begin(), call.headers.end(), [](auto const& header) {
+               return has_control_character(header.first) || has_control_character(header.second);
+           });
+}
+
 std::string encode_request(http_client_request const& call, endpoint const& address)
 {
     Poco::Net::HTTPRequest request(call.method, call.path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -65,6 +85,16 @@
 
 void http_client::call(http_client_request call, http_response_callback done)
 {
+    if (!is_sendable(call)) {
+        Json::Value fields(Json::objectValue);
+        fields["server"] = m_server;
+        fields["method"] = call.method;
+        fields["path"] = call.path;
+        m_log({log_level::error, "http", "request was not sent, since its path or a header cannot be sent",
+               std::move(fields)});
+        m_reactor.post([done = std::move(done)] { done({}); });
+        return;
+    }
     std::unique_lock lock(m_mutex);
     if (m_queued_calls.size() >= max_queued_calls) {
         lock.unlock();
--- a/tests/platform/http_answers_tests.cpp
+++ b/tests/platform/http_answers_tests.cpp
@@ -378,3 +378,57 @@
         cr_assert(count == 0);
     }
 }
+
+/// Guards against orders with another fence or body: a line end in the value of a header ended it, and what
+/// followed was another header. Such a request fails at once and is logged.
+Test(http_requests, request_whose_head_holds_a_control_character_is_not_sent)
+{
+    reactor loop;
+    repeating_server server(loop, repetition::none,
+                            [](received_request const&) { return make_answer(200, "{}"); });
+    std::vector<log_record> records;
+    http_client caller(
+        loop, [&records](log_record const& record) { records.push_back(record); }, "orders", server.address(),
+        one_worker);
+    for (auto const& [path, holder] : std::vector<std::pair<std::string, std::string>>{
+             {"/failover", "vm\r\nX-Fencing-Token: 9"},
+             {"/failover", std::string("v\0m", 3)},
+             {"/failover HTTP/1.1\r\nX-Fencing-Token: 9", "vm"}}) {
+        std::optional<int> status;
+        caller.call({"POST", path, "{}", {{"X-Duty-Holder", holder}}, 1s},
+                    [&status](http_response const& answer) { status = answer.status; });
+        wait_for(loop, status);
+        cr_assert(*status == 0);
+    }
+    cr_assert(server.requests() == 0);
+    cr_assert(records.size() == 3);
+    std::optional<int> status;
+    caller.call({"POST", "/failover", "{}", {{"X-Duty-Holder", "vm \xc3\xa9"}}, 1s},
+                [&status](http_response const& answer) { status = answer.status; });
+    wait_for(loop, status);
+    cr_assert(*status == 200);
+}
+
+/// Guards against reads of other rows than those asked for: keys hold any bytes, and are part of a path.
+Test(http_requests, text_with_any_bytes_is_escaped_in_paths)
+{
+    std::string all;
+    for (int byte = 0; byte < 256; ++byte) {
+        all += static_cast<char>(byte);
+    }
+    for (auto const& escaped : {escape_query(all), escape_path(all)}) {
+        std::string decoded;
+        for (std::size_t i = 0; i < escaped.size(); ++i) {
+            cr_assert(escaped[i] > ' ' && escaped[i] < 127, "byte %d at %zu", escaped[i], i);
+            if (escaped[i] == '%') {
+                decoded += static_cast<char>(std::stoi(escaped.substr(i + 1, 2), nullptr, 16));
+                i += 2;
+            }
+            else {
+                cr_assert(std::string_view("?#&+").find(escaped[i]) == std::string_view::npos);
+                decoded += escaped[i];
+            }
+        }
+        cr_assert(decoded == all);
+    }
+}
