adapters: Write log lines in valid UTF-8

Ids, names, keys and error texts hold any bytes, and log lines passed them on, so that a reader of UTF-8 refused the line. Bytes outside valid sequences are replaced by U+FFFD in the finished line, whose structure is ASCII.

The test of the log fails without the replacement.

--- a/libraries/adapters/json_line_log.cpp
+++ b/libraries/adapters/json_line_log.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "base/json.h"
+#include "base/utf8.h"
 
 namespace greengagehitch {
 
@@ -72,7 +73,8 @@
     if (state.omitted_lines != 0) {
         line["left_out"] = Json::UInt64(state.omitted_lines);
     }
-    auto text = to_json_line(line);
+    // Fields hold what callers, members and the store sent.
+    auto text = replace_invalid_utf8(to_json_line(line));
     if (text.size() > max_line_size) {
         ++state.omitted_lines;
         return;
