metrics: Escape the values of labels

Names of zones, groups and members were written into labels as they are: a quote, backslash or line feed ended the value or the line. They are escaped as the text format says, and made valid UTF-8.

The new test fails without the escape of the line feed.

--- a/libraries/session_vm/vm_metrics.cpp
+++ b/libraries/session_vm/vm_metrics.cpp
@@ -4,12 +4,30 @@
 
 #include <fmt/format.h>
 
+#include "base/utf8.h"
 #include "session_vm/session_vm.h"
 
 namespace greengagehitch {
 
 namespace {
 
+/// Returns a text as the value of a label in the text format of metrics, which is UTF-8.
+std::string escape_label(std::string_view text)
+{
+    std::string escaped;
+    for (auto const character : replace_invalid_utf8(text)) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return escaped;
+}
+
 std::string render_counters(session_engine& sessions)
 {
     auto const& counters = sessions.counters();
@@ -52,7 +70,8 @@
                             std::chrono::duration<double>(*age).count());
     }
     for (auto const& [zone, evacuation] : vm.fleet().evacuations().zones()) {
-        text += fmt::format("greengagehitch_zone_evacuated{{availability_zone=\"{}\"}} 1\n", zone);
+        text +=
+            fmt::format("greengagehitch_zone_evacuated{{availability_zone=\"{}\"}} 1\n", escape_label(zone));
     }
     std::size_t leaders_to_move = 0;
     for (auto const& [name, group] : vm.sessions().groups().groups()) {
@@ -70,10 +89,11 @@
         text += fmt::format("greengagehitch_waiting_requests{{reason=\"{}\"}} {}\n", reason.name, waiting);
     }
     for (auto const& [name, group] : vm.sessions().groups().groups()) {
-        text += fmt::format("greengagehitch_leader_term{{group=\"{}\"}} {}\n", name, group->confirmed_term());
+        text += fmt::format("greengagehitch_leader_term{{group=\"{}\"}} {}\n", escape_label(name),
+                            group->confirmed_term());
         if (auto const age = group->confirmation_age()) {
-            text += fmt::format("greengagehitch_evidence_age_seconds{{group=\"{}\"}} {}\n", name,
-                                std::chrono::duration<double>(*age).count());
+            text += fmt::format("greengagehitch_evidence_age_seconds{{group=\"{}\"}} {}\n",
+                                escape_label(name), std::chrono::duration<double>(*age).count());
         }
     }
     return text;
@@ -83,15 +103,16 @@
 {
     auto text = fmt::format("greengagehitch_hand_overs_total {}\n", vm.brokers().hand_overs());
     for (auto const& each : vm.sessions().groups().connection_counts_of_members()) {
-        text += fmt::format("greengagehitch_member_connections{{member=\"{}\"}} {}\n", each.member,
-                            each.connections);
-        text += fmt::format("greengagehitch_member_connection_limit{{member=\"{}\"}} {}\n", each.member,
-                            each.limit);
-        text += fmt::format("greengagehitch_member_connections_refused_total{{member=\"{}\"}} {}\n",
-                            each.member, each.refusals);
+        auto const member = escape_label(each.member);
+        text +=
+            fmt::format("greengagehitch_member_connections{{member=\"{}\"}} {}\n", member, each.connections);
+        text +=
+            fmt::format("greengagehitch_member_connection_limit{{member=\"{}\"}} {}\n", member, each.limit);
+        text += fmt::format("greengagehitch_member_connections_refused_total{{member=\"{}\"}} {}\n", member,
+                            each.refusals);
         for (auto const& match : answer_match_names) {
             text += fmt::format("greengagehitch_unmatched_answers_total{{member=\"{}\",match=\"{}\"}} {}\n",
-                                each.member, match.name,
+                                member, match.name,
                                 each.unmatched_answers.at(static_cast<std::size_t>(match.value)));
         }
     }
--- a/tests/sessions/client_session_tests.cpp
+++ b/tests/sessions/client_session_tests.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_split.h>
 
 #include "session_fleet.h"
+#include "session_vm/vm_metrics.h"
 
 using namespace std::chrono_literals;
 using namespace greengagehitch;
@@ -445,3 +446,15 @@
     cr_assert(caller.answers().back().is_ok());
     cr_assert(row_field(caller.answers().back(), 3) == "name=19999;");
 }
+
+/// Guards against metrics that cannot be read: a quote, backslash or line feed in the value of a label ends
+/// it or its line, and the text must be UTF-8.
+Test(metrics, label_with_any_bytes_is_escaped)
+{
+    session_fleet fleet({}, 1);
+    fleet.vm(0).fleet().apply_evacuation("a\"b\\c\nd\xff", {1, 1}, false);
+    auto const text = render_metrics(fleet.vm(0));
+    std::string const expected =
+        "greengagehitch_zone_evacuated{availability_zone=\"a\\\"b\\\\c\\nd\xef\xbf\xbd\"} 1\n";
+    cr_assert(text.find(expected) != std::string::npos, "%s", text.c_str());
+}
