members: Give no shape the name of another one's digest

A shape with blanks is prepared under ".<digest>", and a shape without blanks under itself, so that a shape that begins with a dot could have the name of another one. Such shapes get a digest as well, and so do shapes of more than 128 bytes, since the statement that prepares them held the shape twice.

The new test fails without the check for the dot.

--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -8,6 +8,13 @@
 
 namespace greengagehitch {
 
+namespace {
+
+/// Longest shape that is its own name at members, in bytes.
+constexpr std::size_t max_plain_name_size = 128;
+
+} // namespace
+
 backend_connection::backend_connection(kernel& kernel, backend_connection_hooks const& hooks,
                                        backend_connection_target target,
                                        unmatched_answer_hook on_unmatched_answer)
@@ -140,8 +147,10 @@
 std::string backend_connection::name_of(prepared_shape const& shape)
 {
     auto const access = shape.is_write ? "w_" : "r_";
-    // VMs of earlier builds use the shape itself, which cannot be a name if it has several words.
-    if (shape.shape.find(' ') == std::string::npos) {
+    // VMs of earlier builds use the shape itself. It cannot be a name if it has several words, if it may be
+    // the digest of another shape, or if a message of a caller that executes it may then be too long.
+    if (shape.shape.find(' ') == std::string::npos && !shape.shape.starts_with('.') &&
+        shape.shape.size() <= max_plain_name_size) {
         return access + shape.shape;
     }
     auto const digest = XXH3_128bits(shape.shape.data(), shape.shape.size());
--- a/tests/members/backend_connection_tests.cpp
+++ b/tests/members/backend_connection_tests.cpp
@@ -312,6 +312,20 @@
     cr_assert(name != backend_connection::name_of({false, "q2 of item"}));
 }
 
+/// Guards against PINNED: a shape that begins with a dot could have the name of another shape's digest, so
+/// that an execution ran the other shape. The shape itself is too long a name for messages close to their
+/// limit.
+Test(backend_connection, shape_that_looks_like_a_digest_or_is_long_is_not_its_own_name)
+{
+    auto const name = backend_connection::name_of({true, "q2 of item"});
+    auto const digest = name.substr(name.find('.'));
+    cr_assert(backend_connection::name_of({true, digest}) != name);
+    std::string const longest(1'000'000, 'x');
+    cr_assert(backend_connection::name_of({true, longest}).size() < 200);
+    cr_assert(backend_connection::name_of({true, longest}) !=
+              backend_connection::name_of({true, longest + 'x'}));
+}
+
 /// Guards against a statement that ends with the second answer to the handshake.
 Test(backend_connection, second_answer_to_the_handshake_ends_no_statement)
 {
