--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -48,6 +48,26 @@
     }
 }
 
+/// Guards against members that one kind of machine uses and the other does not, since bytes above 127 are
+/// negative on one of them, and against members that cannot be named to themselves.
+Test(member_entry, name_holds_any_byte_that_a_word_of_a_message_may_hold)
+{
+    for (std::string const& name : {std::string("\xc3\xa9"), std::string("a\nb"), std::string("a\rb"),
+                                    std::string("a\tb\x7f"), std::string("a\0b", 3), std::string(200, 'x')}) {
+        cr_assert(try_decode_member(name, member_document, {1, 8}).ok(), "%s", name.c_str());
+    }
+    for (std::string const& name :
+         {std::string(), std::string("a b"), std::string("a\r\nb"), std::string(201, 'x')}) {
+        cr_assert(not(try_decode_member(name, member_document, {1, 8}).ok()), "%s", name.c_str());
+    }
+    cr_assert(try_decode_member(
+                  "i-1", replace_text(member_document, R"("service":"g")", R"("service":"\u00e9\t")"), {1, 8})
+                  .ok());
+    cr_assert(not(try_decode_member(
+                      "i-1", replace_text(member_document, R"("service":"g")", R"("service":"g h")"), {1, 8})
+                      .ok()));
+}
+
 Test(configuration, classes_keys_and_limits_are_decoded)
 {
     auto const decoded = try_decode_configuration(
@@ -118,3 +138,49 @@
     cr_assert(text.find("boot.yaml:3") != std::string::npos, "%s", text.c_str());
     cr_assert(text.find("availability_zone") != std::string::npos, "%s", text.c_str());
 }
+
+/// Guards against requests that nobody sent and against messages whose words are shifted: tenants and
+/// services whose names cannot be words of a message are refused, and the rest of the configuration applies.
+Test(configuration, names_that_cannot_be_sent_are_refused_and_the_others_are_served)
+{
+    auto const decoded = try_decode_configuration(
+        R"({"version":7,"routes":[)"
+        R"({"name":"r","database":"d","type":"primary","service":"g","timeout-ms":1},)"
+        R"({"name":"r","database":"e","type":"primary","service":"g\r\nh","timeout-ms":1}],"tenants":[)"
+        R"({"name":"a","api-keys":["1"]},{"name":"a b","api-keys":["2"]},{"name":"","api-keys":["3"]},)"
+        R"({"name":"a\nb\r","api-keys":["4"]}]})");
+    cr_assert(decoded.ok());
+    cr_assert(decoded->account_of_key.size() == 4);
+    cr_assert(decoded->refused_accounts.size() == 2);
+    cr_assert(decoded->refused_accounts.contains("a b") && decoded->refused_accounts.contains(""));
+    cr_assert(decoded->find_refusal(decoded->classes.at("d"), "a\nb\r").empty());
+    cr_assert(decoded->classes.at("e").refusal ==
+              "the name of the service cannot be sent to its members: it contains a line end");
+    cr_assert(not(decoded->find_refusal(decoded->classes.at("e"), "a").empty()));
+}
+
+/// Guards against headers that a name cuts: the name of a VM is sent as the holder of its duties, and a line
+/// end in it began another header or the body.
+Test(platform_settings, name_that_cannot_be_the_value_of_a_header_is_refused)
+{
+    auto const parse = [](std::string const& name, std::string const& zone) {
+        return try_parse_platform_settings(
+            "vm: {name: \"" + name + "\", availability_zone: \"" + zone +
+                "\", processor_share: 1}\n"
+                "listen: {callers: '127.0.0.1:1', probes: '127.0.0.1:2', peers: '127.0.0.1:3'}\n"
+                "platform: {store: '127.0.0.1:4', orders: '127.0.0.1:5'}\n"
+                "limits:\n  key_withdrawal: 5s\n  shutdown: 6s\n  rate_window: 5s\n"
+                "  rate_tolerance_share: 0.1\n  rate_tolerance_operations: 20\n",
+            "boot.yaml");
+    };
+    cr_assert(parse("vm 1\xc3\xa9", "zone a").ok());
+    for (std::string const& odd :
+         {std::string("a\\r\\nX-Fencing-Token: 9"), std::string("a\\n"), std::string("a\\0"),
+          std::string("a\\x7f"), std::string(" a"), std::string("a "), std::string(201, 'x')}) {
+        auto const with_name = parse(odd, "z");
+        cr_assert(not(with_name.ok()), "%s", odd.c_str());
+        auto const reason = std::string(with_name.status().message());
+        cr_assert(reason.find("name: expected") != std::string::npos, "%s", reason.c_str());
+        cr_assert(not(parse("a", odd).ok()), "%s", odd.c_str());
+    }
+}
