failover: Log which members drain when a successor is chosen

A draining member was made leader, and the log did not tell whether the VM that chose it knew of the draining.

The lines "starting a takeover", "chose the member to promote", "chose another member" and "member was confirmed as the leader" now have draining_ms, with each draining member and the time since this VM learned of it; the two lines about the choice also have the members that hold the position. A line says when a VM learns that a member drains.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -71,6 +71,7 @@
     Json::Value fields(Json::objectValue);
     fields["cause"] = std::string(find_name(takeover_cause_names, m_cause));
     fields["state"] = group().dump();
+    fields["draining_ms"] = group().dump_draining();
     log("starting a takeover to replace the leader of the group", std::move(fields));
     send_commands();
     read_roster();
@@ -359,6 +360,8 @@
     fields["term"] = Json::UInt64(answer->received.term);
     fields["position"] = Json::UInt64(answer->received.position);
     fields["heard"] = Json::UInt64(m_evidence.answers(now));
+    fields["holders"] = dump_holders(answer->received);
+    fields["draining_ms"] = group().dump_draining();
     fields["after_ms"] = to_milliseconds(elapsed());
     log("chose the member to promote as successor", std::move(fields));
     acquire_lock();
@@ -419,6 +422,17 @@
     return m_evidence.find_holder(position, drawbacks, m_kernel.now());
 }
 
+Json::Value group_takeover::dump_holders(log_position position) const
+{
+    Json::Value holders(Json::arrayValue);
+    for (auto const& [id, entry] : m_targets) {
+        if (m_evidence.holds(id, position, m_kernel.now())) {
+            holders.append(id);
+        }
+    }
+    return holders;
+}
+
 bool group_takeover::holds_all_commits(std::string const& member) const
 {
     auto const now = m_kernel.now();
@@ -625,6 +639,8 @@
     Json::Value fields(Json::objectValue);
     fields["member"] = m_successor;
     fields["position"] = Json::UInt64(bound->position);
+    fields["holders"] = dump_holders(*bound);
+    fields["draining_ms"] = group().dump_draining();
     log("chose another member, since the successor lacks commits of the leader that stepped down",
         std::move(fields));
     acquire_lock();
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -157,6 +157,8 @@
     void start_ordering();
     std::optional<std::string> find_successor();
     std::optional<std::string> find_holder(log_position position) const;
+    /// Returns the ids of the members that report `position`.
+    Json::Value dump_holders(log_position position) const;
     /// Highest position that the old leader may have acknowledged; std::nullopt unless it has stepped down.
     std::optional<log_position> acknowledged_bound() const;
     /// Returns whether the member holds all commits that were or may be acknowledged.
--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -88,6 +88,13 @@
             member.claim_change.reset();
         }
         member.entry = entry;
+        if (!entry.is_draining) {
+            member.draining_since.reset();
+        }
+        else if (!member.draining_since) {
+            member.draining_since = m_kernel.now();
+            log_membership("member drains", entry);
+        }
         if (!entry.absent_since) {
             member.last_possible_position.reset();
         }
@@ -247,6 +254,7 @@
         fields["group"] = m_name;
         fields["leader"] = id;
         fields["term"] = Json::UInt64(position.term);
+        fields["draining_ms"] = dump_draining();
         m_kernel.log(log_level::info, "groups", "member was confirmed as the leader of its group",
                      std::move(fields));
     }
@@ -719,6 +727,17 @@
     return newest ? std::optional(m_kernel.now() - newest->sent_at) : std::nullopt;
 }
 
+Json::Value database_group::dump_draining() const
+{
+    Json::Value draining(Json::objectValue);
+    for (auto const& [id, member] : m_members) {
+        if (member.draining_since) {
+            draining[id] = to_milliseconds(m_kernel.now() - *member.draining_since);
+        }
+    }
+    return draining;
+}
+
 Json::Value database_group::dump() const
 {
     Json::Value state(Json::objectValue);
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -41,6 +41,8 @@
     /// True if the member was not running when this VM last tried to reach it, so that it will have to warm
     /// up.
     bool is_absent = false;
+    /// Time at which this VM learned that the member drains; empty if it does not.
+    std::optional<monotonic_time> draining_since;
     /// Position of the leader's log in its first answer after the member's entry had lapsed. The member's log
     /// holds no later commit unless the entry returns.
     std::optional<log_position> last_possible_position;
@@ -133,6 +135,9 @@
     /// evacuated. False for unknown members.
     bool may_send_to(std::string const& member) const;
 
+    /// Returns the members that drain, each with the time in milliseconds since this VM learned of it.
+    Json::Value dump_draining() const;
+
     /// Returns whether the member started a short time ago, or may have, and serves slowly.
     bool is_warming_up(group_member const& member) const;
     /// Records that a member is not running. It warms up from the next contact on, unless an entry of its
