sessions: Send no new work to a leader past its drain limit

A member that drains may be or become the only leader: its replicas leave as well, or the platform answers no order. VMs went on sending it statements, also after the 7 s within which a leaving database must get the last new one, and statements that waited for a leader went to it the moment it was confirmed again.

Each VM counts from the moment it learned of the draining. After 5 s of the 7 s it refuses single statements and the first ones of transactions at once, with a time to come back; 2 s are left for the way of the entry to the VM and for the member's queue. A VM that has just started can't know for how long a listed member drains, so it sends none. Transactions that began before go on.

handover/leader_past_its_drain_limit_gets_no_new_work_and_callers_are_refused_at_once failed before: the statements succeeded. handover/transaction_that_began_before_the_drain_limit_commits_after_it passed before.

--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "members/member_drain.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -54,6 +56,8 @@
 
 void database_group::set_members(std::vector<member_entry> const& entries)
 {
+    // Nobody tells a VM that has just started for how long a member has been draining.
+    auto const draining_since = m_members.empty() ? m_kernel.now() - member_drain_limit : m_kernel.now();
     std::set<std::string> present;
     for (auto const& entry : entries) {
         present.insert(entry.id);
@@ -92,7 +96,7 @@
             member.draining_since.reset();
         }
         else if (!member.draining_since) {
-            member.draining_since = m_kernel.now();
+            member.draining_since = draining_since;
             log_membership("member drains", entry);
         }
         if (!entry.absent_since) {
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "members/member_drain.h"
+
 namespace greengagehitch {
 
 namespace {
@@ -20,8 +22,9 @@
 constexpr duration busy_retry_delay = std::chrono::milliseconds(20);
 /// Earliest retry reported to a caller when the leader is not proven to lead.
 constexpr duration unproven_refusal_delay = std::chrono::milliseconds(300);
-/// Earliest retry reported to a caller when the leader's zone is evacuated; a takeover takes about as long.
-constexpr duration evacuated_refusal_delay = std::chrono::milliseconds(500);
+/// Earliest retry reported to a caller when the leader's zone is evacuated, or the leader leaves; a takeover
+/// takes about as long.
+constexpr duration replacement_refusal_delay = std::chrono::milliseconds(500);
 /// The latency target divided by these is the longest time that a statement may wait in the queue for the
 /// leader or for another member.
 constexpr int leader_queue_divisor = 2;
@@ -193,13 +196,19 @@
     }
     if (needs_leader()) {
         if (auto* const leader = m_group.reachable_leader()) {
-            if (m_group.may_send_to(leader->entry.id)) {
+            auto const takes_work = takes_new_work(*leader, m_kernel.now());
+            if (takes_work && m_group.may_send_to(leader->entry.id)) {
                 send_attempt(leader->entry.id);
             }
+            else if (m_in_flight == 0 && !takes_work) {
+                refuse(session_error::busy,
+                       "the leader leaves and gets no new work, and no other member leads the group yet",
+                       spread(replacement_refusal_delay));
+            }
             else if (m_in_flight == 0) {
                 refuse(session_error::busy,
                        "the leader's availability zone is evacuated, and no other member leads the group yet",
-                       spread(evacuated_refusal_delay));
+                       spread(replacement_refusal_delay));
             }
             return;
         }
--- a/tests/sessions/handover_tests.cpp
+++ b/tests/sessions/handover_tests.cpp
@@ -156,3 +156,62 @@
     cr_assert(fixture.write_until([&] { return fixture.is_replaced(); }, drain_limit));
     cr_assert(group.holds_all_acknowledged());
 }
+
+/// Guards against new work at a leader whose drain limit has passed while nobody can replace it: statements
+/// that had waited for a leader were sent to it. Its other members drain as well, so no takeover begins.
+Test(handover, leader_past_its_drain_limit_gets_no_new_work_and_callers_are_refused_at_once)
+{
+    handover_fixture fixture;
+    auto& clock = fixture.fleet.clock();
+    for (auto const& id : fixture.group().ids()) {
+        fixture.fleet.drain_member(id);
+    }
+    auto const drained_at = clock.now();
+    auto const before = fixture.group().acknowledged();
+    cr_assert(fixture.write_until([&] { return fixture.group().acknowledged() > before; }, 1s),
+              "the leader serves until its limit");
+    clock.run_for(drained_at + drain_limit - clock.now());
+    cr_assert(fixture.group().leader() == fixture.old_leader);
+    for (std::size_t vm = 0; vm < fixture.fleet.vms(); ++vm) {
+        session_caller caller(fixture.fleet, vm,
+                              session_fleet::database_of(0, read_consistency::every_commit),
+                              session_fleet::key_of(0));
+        auto const write = session_caller::write("x");
+        std::vector<session_statement> const first{session_caller::read("x"), write};
+        for (auto const& statement : first) {
+            auto const sent_at = clock.now();
+            auto const answer = caller.send_and_wait(statement);
+            cr_assert(answer.error == session_error::busy, "VM %zu", vm);
+            cr_assert(answer.retry_after > 0ms);
+            cr_assert(clock.now() - sent_at <= 10ms);
+        }
+        caller.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN"));
+        auto const answer = caller.send_and_wait(session_caller::write("x"));
+        cr_assert(answer.error == session_error::busy, "VM %zu, first statement of a transaction", vm);
+        cr_assert(fixture.group().count_in_log(write.id) == 0);
+    }
+}
+
+/// Guards against transactions that are ended needlessly: one that began before the drain limit goes on.
+Test(handover, transaction_that_began_before_the_drain_limit_commits_after_it)
+{
+    handover_fixture fixture;
+    auto& clock = fixture.fleet.clock();
+    for (auto const& id : fixture.group().ids()) {
+        fixture.fleet.drain_member(id);
+    }
+    auto const drained_at = clock.now();
+    clock.run_for(4s);
+    session_caller caller(fixture.fleet, 0, session_fleet::database_of(0, read_consistency::every_commit),
+                          session_fleet::key_of(0));
+    caller.send_and_wait(session_caller::make_statement(statement_kind::begin, "BEGIN"));
+    auto const write = session_caller::write("x");
+    cr_assert(caller.send_and_wait(write).is_ok());
+    while (clock.now() < drained_at + drain_limit) {
+        cr_assert(caller.send_and_wait(session_caller::read("x")).is_ok());
+        clock.run_for(300ms);
+    }
+    auto const commit = session_caller::make_statement(statement_kind::commit, "COMMIT");
+    cr_assert(caller.send_and_wait(commit).is_ok());
+    cr_assert(fixture.group().count_in_log(write.id) == 1);
+}
