--- a/tests/sessions/handover_tests.cpp
+++ b/tests/sessions/handover_tests.cpp
@@ -215,3 +215,35 @@
     cr_assert(caller.send_and_wait(commit).is_ok());
     cr_assert(fixture.group().count_in_log(write.id) == 1);
 }
+
+/// Guards against work at a draining leader until it ends: the successor of a crashed leader announced that
+/// it leaves once it was ordered, and its replacement waited for the pause between two takeovers.
+Test(handover, successor_that_drains_before_it_leads_is_replaced_without_a_pause)
+{
+    handover_fixture fixture;
+    fixture.fleet.delay_next_order(1s);
+    fixture.group().crash(fixture.old_leader);
+    cr_assert(fixture.write_until([&] { return fixture.fleet.sent_orders() > 0; }, drain_limit));
+    auto const successor = fixture.fleet.delayed_order();
+    fixture.fleet.drain_member(successor);
+    cr_assert(fixture.write_until([&] { return fixture.group().leader() == successor; }, drain_limit));
+    cr_assert(fixture.write_until([&] { return fixture.group().leader() != successor; }, 1500ms));
+    fixture.write_until([] { return false; }, 1s);
+    cr_assert(fixture.group().holds_all_acknowledged());
+}
+
+/// Guards against a leader that has to be replaced at once: of two replicas that hold the same commits, the
+/// one that does not drain succeeds a crashed leader.
+Test(handover, replica_that_drains_does_not_succeed_a_crashed_leader_while_another_can)
+{
+    for (std::size_t index = 1; index <= 2; ++index) {
+        handover_fixture fixture;
+        auto const draining = fixture.group().ids()[index];
+        fixture.fleet.drain_member(draining);
+        fixture.write_until([] { return false; }, 1s);
+        fixture.group().crash(fixture.old_leader);
+        cr_assert(fixture.write_until([&] { return fixture.is_replaced(); }, drain_limit));
+        cr_assert(fixture.group().leader() != draining);
+        cr_assert(fixture.group().holds_all_acknowledged());
+    }
+}
