failover: Skip the pause after a takeover only before a handover

Found by reading. What is to be done next is now judged when a takeover ends, and only a handover follows at once.

handover tests as before; no test shows the repetition.

--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -291,11 +291,10 @@
 {
     auto const ended = std::move(m_takeovers.at(group));
     m_takeovers.erase(group);
-    auto const* const leader = m_groups->group(group).leader();
-    auto const must_be_handed_over = !is_handover(ended->cause()) && leader != nullptr &&
-                                     leader->confirmed_term != 0 && leader->entry.is_draining;
     // A search that disturbed nobody goes on at once, as the leader still has to be replaced. So does the
-    // search for a successor of a new leader that leaves, which disturbs nobody.
+    // search for a successor of a new leader that leaves, which disturbs nobody, either.
+    auto const next_cause = find_cause(m_groups->group(group));
+    auto const must_be_handed_over = !is_handover(ended->cause()) && next_cause && is_handover(*next_cause);
     auto const needs_pause = ended->has_interfered() && !must_be_handed_over;
     m_next_takeover_at[group] = m_kernel.now() + (needs_pause ? pause_after_end : duration::zero());
     m_reports->send_report_now();
