standins: Pass statements, commands and answers as bytes of the line protocol

With passes_wire, the product encodes and reads what it sends and receives, in packets that are split anywhere, and readers of the stand-in's own, which end a message at CR LF only, do so for callers and members. Messages that they cannot read count as UNASKED or MIXED. The option is off by default.

--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include "brokers/relay_messages.h"
+#include "member_wire.h"
 
 namespace greengagehitch::standin {
 
@@ -36,6 +37,7 @@
     : m_shape(std::move(shape)), m_clock(seed)
 {
     m_configuration.version = 1;
+    m_shape.group.marks_handshake_answers = m_shape.passes_wire;
     for (std::size_t i = 0; i < m_shape.groups; ++i) {
         std::vector<std::string> ids;
         for (auto const* const letter : {"a", "b", "c"}) {
@@ -345,6 +347,13 @@
             }
         },
         [this](backend_connection_id id) { close_connection(static_cast<std::uint64_t>(id)); }};
+    if (m_shape.passes_wire) {
+        auto const wire =
+            std::make_shared<member_wire>(m_clock, hooks.connections, [this](std::string const& message) {
+                m_ledger.record_unreadable_command(message);
+            });
+        hooks.connections = wire->hooks();
+    }
     hooks.channels = {
         [this, index](std::string const& vm, endpoint const&, std::string const& message) {
             send_message(index, vm, message);
@@ -550,14 +559,37 @@
                                std::string const& key)
     : m_fleet(fleet)
 {
-    session_hooks hooks;
     m_number = fleet.ledger().add_session("account-" + key.substr(key.find('-') + 1));
-    hooks.answer = [&fleet, number = m_number, answers = m_answers](session_answer answer) {
+    auto record = [&fleet, number = m_number, answers = m_answers](session_answer answer) {
         fleet.ledger().record_answer(number, answer);
         answers->push_back(std::move(answer));
     };
+    if (!fleet.passes_wire()) {
+        open(vm, database, key, std::move(record));
+        return;
+    }
+    m_wire =
+        std::make_shared<caller_wire>(fleet.clock(), std::move(record), [&fleet](std::string const& message) {
+            fleet.ledger().record_unreadable_answer(message);
+        });
+    for (auto const& message : m_wire->send("START " + database + " " + key)) {
+        auto const* const opening = std::get_if<line_protocol::open_message>(&message);
+        if (opening == nullptr || m_session) {
+            end();
+            return;
+        }
+        open(vm, opening->database, opening->key,
+             [wire = m_wire](session_answer const& answer) { wire->receive(answer); });
+    }
+}
+
+void session_caller::open(std::size_t vm, std::string const& database, std::string const& key,
+                          std::function<void(session_answer)> on_answer)
+{
+    session_hooks hooks;
+    hooks.answer = std::move(on_answer);
     hooks.close = [was_closed = m_was_closed] { *was_closed = true; };
-    auto opened = fleet.vm(vm).sessions().open(database, key, std::move(hooks));
+    auto opened = m_fleet.vm(vm).sessions().open(database, key, std::move(hooks));
     if (auto const* const error = std::get_if<session_error>(&opened)) {
         m_open_error = *error;
         return;
@@ -568,7 +600,26 @@
 void session_caller::send(session_statement statement)
 {
     m_fleet.ledger().record_sent(m_number, statement);
-    m_session->handle(std::move(statement));
+    if (!m_wire) {
+        m_session->handle(std::move(statement));
+        return;
+    }
+    for (auto& message : m_wire->send("QUERY " + statement.id + " " + statement.text)) {
+        auto* const read = std::get_if<session_statement>(&message);
+        if (read == nullptr) {
+            end();
+            return;
+        }
+        m_session->handle(std::move(*read));
+    }
+}
+
+void session_caller::end()
+{
+    *m_was_closed = true;
+    if (auto const ended = std::exchange(m_session, nullptr)) {
+        ended->disconnect(session_end::invalid_message);
+    }
 }
 
 session_answer session_caller::send_and_wait(session_statement statement)
@@ -590,8 +641,9 @@
 
 void session_caller::disconnect()
 {
-    m_session->disconnect();
-    m_session.reset();
+    if (auto const left = std::exchange(m_session, nullptr)) {
+        left->disconnect();
+    }
 }
 
 session_statement session_caller::make_statement(statement_kind kind, std::string const& text)
@@ -608,14 +660,14 @@
     return make_statement(statement_kind::read, "READ " + item);
 }
 
-session_statement session_caller::write(std::string const& item)
+session_statement session_caller::write(std::string const& item, std::string const& data)
 {
-    return make_statement(statement_kind::write, "WRITE " + item + " data");
+    return make_statement(statement_kind::write, "WRITE " + item + " " + data);
 }
 
 session_statement session_caller::set(std::string const& name, std::string const& value)
 {
-    auto statement = make_statement(statement_kind::set_value, "SET");
+    auto statement = make_statement(statement_kind::set_value, "SET " + name + " " + value);
     statement.name = name;
     statement.argument = value;
     return statement;
@@ -623,7 +675,8 @@
 
 session_statement session_caller::prepare(std::string const& name, bool is_write, std::string const& shape)
 {
-    auto statement = make_statement(statement_kind::prepare, "PREPARE");
+    auto statement = make_statement(statement_kind::prepare,
+                                    "PREPARE " + name + (is_write ? " WRITE " : " READ ") + shape);
     statement.name = name;
     statement.prepared = {is_write, shape};
     return statement;
@@ -631,10 +684,17 @@
 
 session_statement session_caller::execute(std::string const& name, std::string const& arguments)
 {
-    auto statement = make_statement(statement_kind::execute, "EXECUTE");
+    auto statement = make_statement(statement_kind::execute, "EXECUTE " + name + " " + arguments);
     statement.name = name;
     statement.argument = arguments;
     return statement;
 }
 
+session_statement session_caller::deallocate(std::string const& name)
+{
+    auto statement = make_statement(statement_kind::deallocate, "DEALLOC " + name);
+    statement.name = name;
+    return statement;
+}
+
 } // namespace greengagehitch::standin
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "caller_wire.h"
 #include "session_vm/session_vm.h"
 #include "statement_ledger.h"
 #include "virtual_clock.h"
@@ -28,6 +29,8 @@
     /// Whether all VMs receive the configuration and the member directory periodically. Otherwise the test
     /// passes them to fleet_state.
     bool publishes_documents = true;
+    /// Whether commands, statements and their answers pass as bytes of the line protocol.
+    bool passes_wire = false;
 };
 
 /// Simulates VMs that serve sessions, their database groups and the platform's store in virtual time.
@@ -48,6 +51,7 @@
     /// Returns a VM that is running.
     session_vm& vm(std::size_t index) { return *m_vms[index]->vm; }
     bool is_running(std::size_t index) const { return m_vms[index]->vm != nullptr; }
+    bool passes_wire() const { return m_shape.passes_wire; }
 
     /// Stops a VM at once. Its peers and members learn of the loss after the latency.
     void kill_vm(std::size_t index);
@@ -316,14 +320,21 @@
 
     // Statements with ids that are unique in the process.
     static session_statement read(std::string const& item);
-    static session_statement write(std::string const& item);
+    static session_statement write(std::string const& item, std::string const& data = "data");
     static session_statement make_statement(statement_kind kind, std::string const& text);
     static session_statement set(std::string const& name, std::string const& value);
     static session_statement prepare(std::string const& name, bool is_write, std::string const& shape);
     static session_statement execute(std::string const& name, std::string const& arguments);
+    static session_statement deallocate(std::string const& name);
 
 private:
+    void open(std::size_t vm, std::string const& database, std::string const& key,
+              std::function<void(session_answer)> on_answer);
+    /// Ends the session at the VM, which does not accept a message.
+    void end();
+
     session_fleet& m_fleet;
+    std::shared_ptr<caller_wire> m_wire; ///< Null if messages pass without bytes.
     statement_ledger::session_number m_number = statement_ledger::session_number::none;
     std::shared_ptr<client_session> m_session;
     std::optional<session_error> m_open_error;
--- a/standins/session_fleet/statement_ledger.cpp
+++ b/standins/session_fleet/statement_ledger.cpp
@@ -177,6 +177,16 @@
     m_rows[proof] = std::move(rows);
 }
 
+void statement_ledger::record_unreadable_command(std::string const& message)
+{
+    add_finding(m_counts.unasked, "UNASKED", "-", "message that no member reads: " + message);
+}
+
+void statement_ledger::record_unreadable_answer(std::string const& message)
+{
+    add_finding(m_counts.mixed, "MIXED", "-", "message that has no place in an answer: " + message);
+}
+
 void statement_ledger::record_commit(std::uint64_t transaction, std::string const& statement)
 {
     auto const found = m_owners.find(transaction);
--- a/standins/session_fleet/statement_ledger.h
+++ b/standins/session_fleet/statement_ledger.h
@@ -47,6 +47,10 @@
     std::string record_run(run_place const& place, member_command const& command);
     /// Records the rows that a member returned with a proof.
     void record_rows(std::string const& proof, std::vector<std::string> rows);
+    /// Records that a member received a message that is none of the protocol.
+    void record_unreadable_command(std::string const& message);
+    /// Records that a caller received a message that has no place in an answer.
+    void record_unreadable_answer(std::string const& message);
     /// Records that a member commits a transaction on the order of a statement.
     void record_commit(std::uint64_t transaction, std::string const& statement);
 
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -225,6 +225,7 @@
                             answer.position = applied_position(member);
                             added->events.opened(answer);
                             if (answer.is_ok() && draw(member.faults.repeated_answer_share)) {
+                                answer.is_handshake = m_options.marks_handshake_answers;
                                 ++m_repeated_answers;
                                 deliver_after(m_clock.random_interval(member.faults.mean_repetition_delay),
                                               connection_number, std::move(answer));
@@ -322,6 +323,7 @@
                                     member_command const& command)
 {
     auto const proof = record_run(connection_number, *current, command);
+    use_data(*current, command);
     auto const is_empty = current->pending_writes.empty();
     auto const is_stale =
         current->state == transaction_state::open && current->is_write_transaction && current->term != m_term;
@@ -512,9 +514,30 @@
     }
     auto answer = make_answer(current);
     answer.error = error;
+    answer.error_text = m_options.error_text;
     return answer;
 }
 
+std::optional<std::string> virtual_database_group::use_data(connection const& current,
+                                                            member_command const& command)
+{
+    if (!m_options.returns_data || command.text == "COMMIT") {
+        return std::nullopt;
+    }
+    auto const is_execution = command.kind == command_kind::execute;
+    auto const is_write =
+        is_execution ? current.prepared.at(command.name).is_write : command.text.starts_with("WRITE ");
+    auto const arguments = is_execution ? command.argument : command.text.substr(command.text.find(' ') + 1);
+    auto const blank = arguments.find(' ');
+    auto const item = arguments.substr(0, blank);
+    if (is_write) {
+        m_data[item] = blank == std::string::npos ? std::string() : arguments.substr(blank + 1);
+        return std::nullopt;
+    }
+    auto const found = m_data.find(item);
+    return found == m_data.end() ? std::nullopt : std::optional(found->second);
+}
+
 log_position virtual_database_group::applied_position(member const& queried) const
 {
     return queried.applied == 0 ? log_position{} : queried.log[queried.applied - 1].position;
@@ -645,6 +668,9 @@
     }
     answer.rows = {fmt::format("{}.{} {} {} {}", position.term, position.position, current.member,
                                current.client_account, session_values)};
+    if (auto data = use_data(current, command)) {
+        answer.rows = {command.id, *std::move(data)};
+    }
     if (m_ledger != nullptr) {
         m_ledger->record_rows(proof, answer.rows);
     }
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,6 +63,11 @@
         /// Time for which the directory lists a member that has crashed.
         duration entry_lifetime{};
         duration warm_up_time{}; ///< Time that a member's directory entry says it is slow after a restart.
+        /// Whether reads of an item that was written return two rows: their id, and the data written last.
+        bool returns_data = false;
+        std::string error_text; ///< Text of all errors of members.
+        /// Whether answers to the handshake that arrive on an open connection are marked as such.
+        bool marks_handshake_answers = false;
     };
 
     virtual_database_group(virtual_clock& clock, std::string name, std::vector<std::string> ids,
@@ -212,6 +218,8 @@
     bool is_primary(std::string const& id) const { return m_primaries.contains(id); }
     void depose_replaced_leader(std::string const& id);
     void check_noted_read(std::string const& statement, log_position applied);
+    /// Stores the data of a write, or returns the data of the item that a read names.
+    std::optional<std::string> use_data(connection const& current, member_command const& command);
 
     virtual_clock& m_clock;
     std::string m_name;
@@ -227,6 +235,7 @@
     /// Acknowledged commits in order, each with the time of its acknowledgement.
     std::vector<std::pair<monotonic_time, log_entry>> m_acknowledged;
     std::map<std::string, log_position> m_noted_reads; ///< Positions that reads must see, keyed by statement.
+    std::map<std::string, std::string> m_data; ///< Data that ran last, committed or not, keyed by item.
     std::size_t m_stale_reads = 0;
     std::size_t m_opened_connections = 0;
     std::size_t m_refused_connections = 0;
