--- a/standins/session_fleet/caller_wire.cpp
+++ b/standins/session_fleet/caller_wire.cpp
@@ -53,12 +53,12 @@
 
 void caller_wire::receive(session_answer const& answer)
 {
-    for (auto& message : m_answers.add(line_protocol::encode_answer(answer))) {
-        handle_message(std::move(message));
+    for (auto const& message : m_answers.add(line_protocol::encode_answer(answer))) {
+        handle_message(message);
     }
 }
 
-void caller_wire::handle_message(std::string message)
+void caller_wire::handle_message(std::string const& message)
 {
     auto rest = message;
     auto const word = strict_line_splitter::take_word(rest);
--- a/standins/session_fleet/caller_wire.h
+++ b/standins/session_fleet/caller_wire.h
@@ -26,7 +26,7 @@
     void receive(session_answer const& answer);
 
 private:
-    void handle_message(std::string message);
+    void handle_message(std::string const& message);
     /// Completes the answer with the fields of a READY message. Returns false if they cannot be read.
     bool complete(std::string fields);
 
