--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -16,7 +16,7 @@
 
 virtual_database_group::virtual_database_group(virtual_clock& clock, std::string name,
                                                std::vector<std::string> ids, options options)
-    : m_clock(clock), m_name(std::move(name)), m_ids(std::move(ids)), m_options(options),
+    : m_clock(clock), m_name(std::move(name)), m_ids(std::move(ids)), m_options(std::move(options)),
       m_leader(m_ids.front()), m_primaries{m_leader}
 {
     for (auto const& id : m_ids) {
