--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -572,7 +572,7 @@
         std::make_shared<caller_wire>(fleet.clock(), std::move(record), [&fleet](std::string const& message) {
             fleet.ledger().record_unreadable_answer(message);
         });
-    for (auto const& message : m_wire->send("START " + database + " " + key)) {
+    for (auto const& message : m_wire->send(fmt::format("START {} {}", database, key))) {
         auto const* const opening = std::get_if<line_protocol::open_message>(&message);
         if (opening == nullptr || m_session) {
             end();
