--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -13,6 +13,7 @@
 
 from fault_soak import GRACE_PERIOD, SoakFleet  # noqa: E402
 from repeated_answers import AnswerFaults  # noqa: E402
+from strict_wire import read_message  # noqa: E402
 
 BUILD = os.path.abspath(sys.argv.pop() if len(sys.argv) > 1 else "build/release")
 SEED = 1000 + os.getpid()  # Only chooses the addresses.
@@ -44,7 +45,7 @@
     async def open(self):
         await self.connect()
         await self.send("START ponds " + KEY)
-        return (await asyncio.wait_for(self.reader.readline(), 3)).decode().strip()
+        return await asyncio.wait_for(read_message(self.reader), 3)
 
 
 class PlannedStopTest(unittest.TestCase):
