brokers: Withhold commits while an order may replace the leader

The wait ended by time alone; no VM asked whether an order was outstanding.

Now the broker of a member sends it commits, and statements that begin a transaction, only if an order given before cannot replace it any more (promotion_guard). A connection belongs to a process that is known so, or the VM looks for orders after it was opened: it reads the row of the failover lock, and if the store does not answer, asks all other members whether a takeover has stopped them (order_lookup). The question is put anew when the member was refused, silent for 0.8 s, or reported as absent by another VM, and by a VM that has just started or become the broker. The row says whether the claim replaced another one that was open.

--- a/libraries/brokers/broker_service.cpp
+++ b/libraries/brokers/broker_service.cpp
@@ -29,13 +29,6 @@
 /// Time after a request of a peer for which the peer is assumed to take this VM for the broker.
 constexpr duration use_time = std::chrono::milliseconds(300);
 
-/// Returns whether the request begins a transaction that may write.
-bool begins_transaction(member_request const& request)
-{
-    return request.keeps_connection && !request.commands.empty() &&
-           request.commands.front().kind == command_kind::begin;
-}
-
 } // namespace
 
 void broker_service::start()
@@ -73,7 +66,7 @@
 bool broker_service::may_commit(member_request const& request, std::string const& leader,
                                 std::string const& leader_zone)
 {
-    if (!request.commits_write && !begins_transaction(request)) {
+    if (!request.commits_write && !request.begins_transaction()) {
         return true;
     }
     auto const now = m_kernel.now();
--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -39,6 +39,9 @@
     pool.connection_limit = m_options.connection_limit;
     pool.on_open_failed = [this](member_error error) {
         m_flight.record_failed_handshake(error, m_kernel.now());
+        if (m_options.guard && error == member_error::refused) {
+            m_options.guard->record_absence();
+        }
         if (m_options.on_open_failed) {
             m_options.on_open_failed(error);
         }
@@ -71,6 +74,10 @@
     if (added->request.was_member_absent && m_pool->connections() == 0 && m_options.on_connection_lost) {
         m_options.on_connection_lost();
     }
+    auto const leads_to_commit = added->request.commits_write || added->request.begins_transaction();
+    if (added->request.was_member_absent && leads_to_commit && m_options.guard) {
+        m_options.guard->record_reported_absence();
+    }
     added->id = m_next_id++;
     if (!may_send(added->request)) {
         refuse_soon(added, member_error::not_started, "availability zone of the member is evacuated");
@@ -316,23 +323,54 @@
                              backend_connection_pointer const& connection)
 {
     if (!queued->request.needs_proven_leader || !m_options.check_leadership) {
-        send_commands(queued, connection);
+        send_guarded(queued, connection);
         return;
     }
     m_options.check_leadership([dispatcher = shared_from_this(), queued, connection](bool is_proven) {
         if (is_proven) {
-            dispatcher->send_commands(queued, connection);
+            dispatcher->send_guarded(queued, connection);
             return;
         }
-        if (!queued->connection) {
-            dispatcher->m_pool->release(connection);
-        }
-        dispatcher->free_slot(*queued, false);
-        dispatcher->refuse(queued, member_error::unproven_leader,
-                           "member is not proven to be the leader of its group");
+        dispatcher->refuse_unproven(queued, connection, "member is not proven to be the leader of its group");
     });
 }
 
+void member_dispatcher::send_guarded(queued_request_pointer const& queued,
+                                     backend_connection_pointer const& connection)
+{
+    auto const leads_to_commit = queued->request.commits_write || queued->request.begins_transaction();
+    if (!leads_to_commit || !m_options.guard) {
+        send_commands(queued, connection);
+        return;
+    }
+    m_options.guard->check(
+        connection->opened_at(), [dispatcher = shared_from_this(), queued, connection](bool is_clear) {
+            if (!is_clear) {
+                dispatcher->refuse_unproven(queued, connection,
+                                            "an order to promote another member may still be carried out");
+                return;
+            }
+            if (queued->connection && !*queued->is_pinned) {
+                dispatcher->free_slot(*queued, false);
+                dispatcher->refuse(queued, member_error::connection_lost,
+                                   "transaction was rolled back while the statement waited");
+                return;
+            }
+            dispatcher->send_commands(queued, connection);
+        });
+}
+
+void member_dispatcher::refuse_unproven(queued_request_pointer const& queued,
+                                        backend_connection_pointer const& connection, std::string const& text)
+{
+    if (!queued->connection) {
+        m_pool->release(connection);
+    }
+    free_slot(*queued, false);
+    // The transaction stays open, so the statement may be sent again.
+    refuse(queued, queued->connection ? member_error::not_started : member_error::unproven_leader, text);
+}
+
 bool member_dispatcher::may_send(member_request const& request) const
 {
     auto const is_for_caller = request.keeps_connection || request.needs_slot;
@@ -423,6 +461,9 @@
         m_service_times.record(queued->priority(), m_kernel.now() - sent_at);
     }
     auto const is_answered = answers.back().is_ok() || is_answer(*answers.back().error);
+    if (is_answered && !answers.back().is_doubtful && m_options.guard) {
+        m_options.guard->record_answer(connection->opened_at(), sent_at);
+    }
     member_reply reply;
     auto const is_kept = queued->request.keeps_connection && connection->is_open() &&
                          connection->state() != transaction_state::idle;
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -11,6 +11,7 @@
 #include "brokers/flight_control.h"
 #include "brokers/member_queue.h"
 #include "brokers/member_request.h"
+#include "brokers/promotion_guard.h"
 #include "brokers/return_pace.h"
 #include "brokers/warm_up_gate.h"
 #include "kernel/kernel.h"
@@ -41,6 +42,8 @@
         std::function<bool()> may_send;
         /// Called when the member lost a connection with a request, or another VM found it not to be running.
         std::function<void()> on_connection_lost;
+        /// Withholds commits while the member may be replaced; null if they are never withheld.
+        std::shared_ptr<promotion_guard> guard;
         std::shared_ptr<warm_up_gate> warm_up; ///< Paces requests after the member's start; may be null.
     };
 
@@ -113,7 +116,12 @@
     void acquire_connection(queued_request_pointer const& queued);
     /// Sends the request, once the member is proven to be the leader if the request needs this.
     void send(queued_request_pointer const& queued, backend_connection_pointer const& connection);
+    /// Sends the request, once no order can replace the member any more if the request leads to a commit.
+    void send_guarded(queued_request_pointer const& queued, backend_connection_pointer const& connection);
     void send_commands(queued_request_pointer const& queued, backend_connection_pointer const& connection);
+    /// Refuses a request that has got its connection.
+    void refuse_unproven(queued_request_pointer const& queued, backend_connection_pointer const& connection,
+                         std::string const& text);
     void handle_answers(queued_request_pointer const& queued, backend_connection_pointer const& connection,
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
     /// Decides what is left of answers that may be repetitions. Returns true if the request is sent again.
--- a/libraries/brokers/member_request.h
+++ b/libraries/brokers/member_request.h
@@ -37,6 +37,11 @@
     std::shared_ptr<request_cancellation> cancellation;
 
     bool is_cancelled() const { return cancellation && cancellation->is_cancelled(); }
+    /// Returns whether the request begins a transaction that may write.
+    bool begins_transaction() const
+    {
+        return keeps_connection && !commands.empty() && commands.front().kind == command_kind::begin;
+    }
     MSGPACK_DEFINE(client_account, values, prepared, commands, time_limit_ms, queue_limit_ms, priority,
                    needs_slot, keeps_connection, needs_proven_leader, commits_write, was_member_absent)
 };
--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -53,12 +53,14 @@
         return std::nullopt;
     }
     auto const& is_settled = (*root)["is_settled"];
+    auto const& replaces_open = (*root)["replaces_open"];
     return lock_row{*holder,
                     *member,
                     *fence,
                     static_cast<std::int64_t>(*claimed_at_ms),
                     !is_settled.isBool() || is_settled.asBool(),
-                    is_settled.isBool()};
+                    is_settled.isBool(),
+                    !replaces_open.isBool() || replaces_open.asBool()};
 }
 
 failover_lock::lock_row failover_lock::parse(std::string const& group, table_row const& row)
@@ -79,7 +81,7 @@
                      "failover lock cannot be decoded; it counts as held by another VM for its lifetime",
                      std::move(fields));
     }
-    return {unknown_holder, {}, first_fence_of_era(row), unreadable.first_read_at_ms, false};
+    return {unknown_holder, {}, first_fence_of_era(row), unreadable.first_read_at_ms, false, true, true};
 }
 
 bool failover_lock::may_have_lost_claims(bool checks_fences) const
@@ -128,7 +130,9 @@
         auto const fence = is_own_lock && is_claim_of_era && known.member == member
                                ? known.fence
                                : std::max(known.fence + 1, first_fence_of_era(row) | row.version);
-        write(group, row.version, {holder, member, fence, row.read_at_ms, false}, has_replaced_open, done);
+        auto const replaces_open = !known.is_settled && (known.fence != fence || known.replaces_open);
+        write(group, row.version, {holder, member, fence, row.read_at_ms, false, true, replaces_open},
+              has_replaced_open, done);
     };
     m_platform.read_row(row_key(group),
                         m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(std::move(handle_row)));
@@ -142,6 +146,7 @@
     value["fence"] = Json::UInt64(row.fence);
     value["claimed_at_ms"] = Json::Int64(row.claimed_at_ms);
     value["is_settled"] = row.is_settled;
+    value["replaces_open"] = row.replaces_open;
     return to_json_line(value);
 }
 
@@ -185,9 +190,10 @@
             return;
         }
         lock_claim const found{
-            claim->holder,     claim->member,
-            claim->fence,      std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
-            claim->is_settled, claim->is_marked};
+            claim->holder,       claim->member,
+            claim->fence,        std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
+            claim->is_settled,   claim->is_marked,
+            claim->replaces_open};
         Json::Value fields(Json::objectValue);
         fields["group"] = group;
         fields["holder"] = found.holder;
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -33,6 +33,8 @@
     bool is_settled = true;
     /// Whether the row says so. A claim of an earlier build says nothing of its orders.
     bool is_marked = true;
+    /// Whether an order under an earlier claim may be outstanding, perhaps for another member.
+    bool replaces_open = false;
 };
 
 /// Receives the last claim, or std::nullopt if the row is absent or cannot be decoded.
@@ -74,6 +76,8 @@
         /// Whether no order under the claim is outstanding. VMs of builds without the mark never write false.
         bool is_settled = true;
         bool is_marked = true; ///< Whether the row has the mark.
+        /// Whether the claim has replaced one with another fence that was not settled.
+        bool replaces_open = false;
     };
 
     /// Claim that this VM wrote last.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -22,6 +22,8 @@
 /// for the one that has to act.
 constexpr duration peer_discovery_time = std::chrono::seconds(1);
 constexpr duration lock_read_retry_delay = std::chrono::milliseconds(500);
+/// Age of the configuration from which on the store counts as unavailable, so that its answer is not awaited.
+constexpr duration store_contact_time = std::chrono::seconds(2);
 /// Placeholder account for probes, which belong to no client account.
 constexpr auto control_account = "-";
 
@@ -37,6 +39,17 @@
     m_brokers = &m_kernel.find<broker_service>(broker_service::service_name);
     m_reports->set_holds_failover_lock(
         [this](std::string const& group) { return m_held_locks.contains(group); });
+    m_order_lookup.emplace(order_lookup::dependencies{
+        m_kernel, m_lock, *m_groups, *m_brokers,
+        [this] {
+            auto const age = m_fleet->configuration_age();
+            return age && *age < store_contact_time;
+        },
+        [this](std::string const& group) { return has_outstanding_order(group); }});
+    m_groups->set_order_lookup(
+        [this](std::string const& group, std::string const& leader, std::function<void(bool)> done) {
+            m_order_lookup->run(group, leader, std::move(done));
+        });
     m_started_at = m_kernel.now();
     m_kernel.start_periodic(tick_period, [this] { tick(); });
 }
--- a/libraries/failover/takeover_service.h
+++ b/libraries/failover/takeover_service.h
@@ -9,6 +9,7 @@
 #include "brokers/broker_service.h"
 #include "failover/failover_lock.h"
 #include "failover/group_takeover.h"
+#include "failover/order_lookup.h"
 #include "failover/roster_service.h"
 #include "fleet/report_service.h"
 #include "kernel/kernel.h"
@@ -75,6 +76,7 @@
     fleet_state* m_fleet = nullptr;
     roster_service* m_rosters = nullptr;
     broker_service* m_brokers = nullptr;
+    std::optional<order_lookup> m_order_lookup;                         ///< Set when the service starts.
     std::map<std::string, std::shared_ptr<group_takeover>> m_takeovers; ///< Keyed by group.
     std::set<std::string> m_held_locks;                       ///< Groups whose failover lock this VM holds.
     std::map<std::string, monotonic_time> m_leaderless_since; ///< Keyed by group without a known leader.
--- a/libraries/members/backend_connection.cpp
+++ b/libraries/members/backend_connection.cpp
@@ -167,6 +167,7 @@
         return;
     }
     m_is_open = true;
+    m_opened_at = m_kernel.now();
     m_kernel.cancel_timer(std::exchange(m_open_timer, timer_id::none));
     if (auto const on_opened = std::exchange(m_on_opened, nullptr)) {
         on_opened(answer);
--- a/libraries/members/backend_connection.h
+++ b/libraries/members/backend_connection.h
@@ -94,6 +94,8 @@
     void clear_prepared() { m_prepared.clear(); }
 
     monotonic_time last_used() const { return m_last_used; }
+    /// Time at which the member had accepted the connection.
+    monotonic_time opened_at() const { return m_opened_at; }
 
 private:
     struct batch_state {
@@ -130,6 +132,7 @@
     bool m_is_closed = false;
     transaction_state m_state = transaction_state::idle;
     monotonic_time m_last_used;
+    monotonic_time m_opened_at;
     std::function<void(member_answer)> m_on_opened;
     timer_id m_open_timer = timer_id::none;
     std::deque<std::shared_ptr<batch_state>> m_batches;
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -196,7 +196,10 @@
         group(entry.group).record_response(entry.id);
         group(entry.group).record_contact(entry.id);
     };
-    if (!m_deposes_replaced_leaders) {
+    if (m_deposes_replaced_leaders) {
+        options.guard = make_promotion_guard(entry);
+    }
+    else {
         guard_leadership(entry, options);
     }
     auto dispatcher = std::make_shared<member_dispatcher>(
@@ -220,6 +223,19 @@
     };
 }
 
+std::shared_ptr<promotion_guard> group_registry::make_promotion_guard(member_entry const& entry) const
+{
+    return std::make_shared<promotion_guard>(
+        m_kernel, [this, group = entry.group, leader = entry.id](promotion_guard::result_callback done) {
+            if (m_look_for_orders) {
+                m_look_for_orders(group, leader, std::move(done));
+            }
+            else {
+                done(true);
+            }
+        });
+}
+
 group_limits const* group_registry::limits_of(std::string const& group) const
 {
     auto const& configuration = m_fleet->configuration();
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -65,6 +65,17 @@
     };
     std::vector<connection_counts> connection_counts_of_members() const;
 
+    /// Finds out whether an order to promote another member than `leader` may still be carried out, and
+    /// passes true if none can.
+    using order_lookup_hook = std::function<void(std::string const& group, std::string const& leader,
+                                                 std::function<void(bool)> done)>;
+
+    /// Sets the function by which commits to leaders that were away are withheld.
+    void set_order_lookup(order_lookup_hook look_for_orders)
+    {
+        m_look_for_orders = std::move(look_for_orders);
+    }
+
     /// Reports the numbers of this VM's connections to the VMs that must know them. Reports all numbers if
     /// `is_complete` is set, and otherwise those that have changed.
     void report_connections(bool is_complete);
@@ -77,6 +88,7 @@
     void add_member(member_entry const& entry);
     void remove_member(member_entry const& entry);
     void guard_leadership(member_entry const& entry, member_dispatcher::options& options);
+    std::shared_ptr<promotion_guard> make_promotion_guard(member_entry const& entry) const;
     bool replicates_synchronously(std::string const& group) const;
     /// Returns the configured limits of a group, or null if there are none.
     group_limits const* limits_of(std::string const& group) const;
@@ -102,6 +114,7 @@
     std::map<std::string, held_connections> m_reported_connections;          ///< Keyed by member id.
     monotonic_time m_next_complete_report_at;
     monotonic_time m_next_refusal_log_at;
+    order_lookup_hook m_look_for_orders; ///< Empty if this VM runs no takeovers.
     std::map<std::string, std::unique_ptr<database_group>> m_groups;
     std::unordered_map<name_hash, database_group*>
         m_group_of_hash; ///< Keyed by the hash of the group's name.
--- a/tests/failover/failover_lock_tests.cpp
+++ b/tests/failover/failover_lock_tests.cpp
@@ -260,3 +260,22 @@
     fixture.pass(1ms);
     cr_assert(fixture.acquire("vm-2", "member-b", false).ok());
 }
+
+/// Guards against commits that a late order rolls back: the last claim names the present leader, but an order
+/// under the claim before it, for another member, may still be carried out.
+Test(failover_lock, claim_that_replaces_an_open_one_says_so)
+{
+    failover_lock_fixture fixture;
+    cr_assert(fixture.acquire("vm-1", "a", true).ok());
+    cr_assert(!fixture.read().replaces_open);
+    cr_assert(fixture.acquire("vm-1", "a", true).ok());
+    cr_assert(!fixture.read().replaces_open);
+    fixture.pass(5s);
+    cr_assert(fixture.acquire("vm-2", "b", true).ok());
+    cr_assert(fixture.read().replaces_open);
+    cr_assert(fixture.acquire("vm-2", "b", true).ok());
+    cr_assert(fixture.read().replaces_open);
+    fixture.lock.settle("group", true);
+    cr_assert(fixture.acquire("vm-2", "a", true).ok());
+    cr_assert(!fixture.read().replaces_open);
+}
--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -26,6 +26,8 @@
     std::optional<duration> replica_after; ///< Time at which the replica that was not ordered restarts.
     duration order_delay{8s};              ///< Time at which the platform carries out the order.
     duration reads_for{};                  ///< Time for which callers only read once the leader is back.
+    /// Time from the loss of the VM on for which no VM reaches the store.
+    std::optional<duration> store_outage = std::nullopt;
 };
 
 /// Failure pattern: the leader crashes, and a VM orders a replica to lead. The platform does not answer and
@@ -106,6 +108,13 @@
         }
     }
 
+    void set_store_down(bool is_down)
+    {
+        for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+            fleet.set_store_cut(vm, is_down);
+        }
+    }
+
     /// Plays the scenario until eight seconds after the order was carried out.
     void play(order_scenario const& scenario)
     {
@@ -138,7 +147,13 @@
             if (on_loss) {
                 on_loss();
             }
+            if (scenario.store_outage) {
+                set_store_down(true);
+            }
         });
+        if (scenario.store_outage) {
+            events.emplace_back(scenario.lost_after + *scenario.store_outage, [&] { set_store_down(false); });
+        }
         if (scenario.fault == vm_fault::all_killed) {
             events.emplace_back(scenario.lost_after + 500ms, [&] {
                 for (std::size_t i = 0; i < fleet.vms(); ++i) {
@@ -300,6 +315,45 @@
     check_all(scenarios);
 }
 
+/// Guards against lost acknowledged commits: as before, at other moments, also with all VMs lost and with one
+/// that is cut off.
+Test(order_of_a_lost_vm, early_order_at_other_moments_loses_no_commit)
+{
+    std::vector<order_scenario> scenarios;
+    for (auto const fault : {vm_fault::killed, vm_fault::all_killed, vm_fault::cut_off}) {
+        for (duration const leader_after : {duration(200ms), duration(1s), duration(2s)}) {
+            for (duration const replica_after : {duration(100ms), duration(800ms), duration(1900ms)}) {
+                scenarios.push_back({100ms, fault, leader_after, replica_after, 3s});
+                scenarios.push_back({900ms, fault, leader_after, replica_after, 5s});
+            }
+        }
+    }
+    check_all(scenarios);
+}
+
+/// Guards against callers that are refused for long: a leader crashes and is back at once, and no order was
+/// given. The store may be away or not.
+Test(order_of_a_lost_vm, leader_that_restarts_without_an_order_is_served_soon)
+{
+    for (auto const is_store_down : {false, true}) {
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            order_fixture fixture(seed);
+            fixture.set_store_down(is_store_down);
+            fixture.write_for(500ms);
+            auto& group = fixture.fleet.group();
+            std::string const leader = group.leader();
+            group.crash(leader);
+            fixture.write_for(200ms);
+            group.restart(leader);
+            fixture.write_for(1600ms);
+            auto const before = group.acknowledged();
+            fixture.write_for(400ms);
+            cr_expect(group.acknowledged() > before, "seed %lu, store %s", static_cast<unsigned long>(seed),
+                      is_store_down ? "down" : "up");
+        }
+    }
+}
+
 /// Guards against needless takeovers: each VM is restarted by plan, one after the other, after a handover
 /// that ended well.
 Test(order_of_a_lost_vm, planned_restarts_after_a_handover_cause_no_takeover)
