failover: Resume no replica that another takeover has stopped

Within 3 s of the last answer of the store another VM starts a takeover, gets no lock, and on its end lets all replicas receive, also those that the killed VM had stopped. The replicas then seem to show that no order was given.

A takeover now asks each member for its status before it orders it to stop. When it ends, it resumes those that had been stopped before only if it has read since its start that no order is outstanding.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -204,16 +204,25 @@
         if (!is_listed(id) && is_address_listed(id)) {
             continue;
         }
-        member_command command;
-        command.kind = command_for(id);
-        command.term = m_term;
-        // A member that restarted may have another id, which the directory does not list yet.
-        m_control.send(entry, command,
-                       is_listed(id) ? member_control::recipient::member
-                                     : member_control::recipient::address);
+        send_command(entry);
     }
 }
 
+void group_takeover::send_command(member_entry const& member)
+{
+    member_command command;
+    command.kind = command_for(member.id);
+    if (command.kind == command_kind::stop_receiving && !m_heard.contains(member.id)) {
+        // The first answer shows whether another takeover has stopped the member.
+        command.kind = command_kind::status;
+    }
+    command.term = m_term;
+    // A member that restarted may have another id, which the directory does not list yet.
+    m_control.send(member, command,
+                   is_listed(member.id) ? member_control::recipient::member
+                                        : member_control::recipient::address);
+}
+
 void group_takeover::handle_refusal(std::string const& member, member_error error, monotonic_time started_at)
 {
     if (m_has_ended) {
@@ -271,6 +280,10 @@
         return;
     }
     log_status(member, status);
+    auto const is_first_answer = m_heard.insert(member).second;
+    if (is_first_answer && status.stopped_at_term != 0) {
+        m_found_stopped.insert(member);
+    }
     if (status.role == member_role::primary && status.term >= m_term) {
         group().apply_reported_leader(member, status.term);
         auto const is_successor = m_phase >= phase::ordering && member == m_successor;
@@ -292,6 +305,10 @@
         m_newly_answered_at = m_kernel.now();
     }
     m_evidence.record_status(member, status, sent_at);
+    auto const target = m_targets.find(member);
+    if (is_first_answer && target != m_targets.end() && command_for(member) == command_kind::stop_receiving) {
+        send_command(target->second);
+    }
     advance();
 }
 
@@ -859,7 +876,7 @@
     log("takeover ended", std::move(fields));
     // A replica that receives lets the old leader acknowledge commits that the ordered member may lack.
     if (must_resume && m_has_interfered && !has_outstanding_order()) {
-        m_control.resume_receiving(m_evidence.old_leader());
+        resume_replicas();
     }
     if (m_fence != 0 && m_dependencies.deposes_replaced_leaders && !m_dependencies.last_order) {
         m_dependencies.lock.settle(m_name, m_was_order_answered);
@@ -867,6 +884,16 @@
     m_dependencies.ended();
 }
 
+void group_takeover::resume_replicas()
+{
+    std::set<std::string> excluded{m_evidence.old_leader()};
+    if (m_dependencies.deposes_replaced_leaders && !m_dependencies.has_read_lock_since(m_started_at)) {
+        // The takeover that stopped these may have sent an order that has no answer.
+        excluded.insert(m_found_stopped.begin(), m_found_stopped.end());
+    }
+    m_control.resume_receiving(excluded);
+}
+
 void group_takeover::start_timer(duration delay, std::function<void(group_takeover&)> callback)
 {
     m_kernel.start_timer(delay, [weak = weak_from_this(), callback = std::move(callback)] {
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <absl/status/statusor.h>
@@ -133,6 +134,7 @@
     /// Finds the members that commands are sent to, and those that may have received commits.
     void update_targets();
     void send_commands();
+    void send_command(member_entry const& member);
     command_kind command_for(std::string const& member) const;
     void handle_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
     void handle_refusal(std::string const& member, member_error error, monotonic_time started_at);
@@ -212,6 +214,7 @@
     /// Ends the takeover once the successor was seen leading.
     void finish();
     void end(std::string_view outcome, bool must_resume);
+    void resume_replicas();
 
     /// Starts a timer that is ignored once the takeover has ended.
     void start_timer(duration delay, std::function<void(group_takeover&)> callback);
@@ -227,6 +230,9 @@
     std::map<std::string, member_entry> m_targets; ///< Members that may run or hold commits, keyed by id.
     std::optional<member_roster> m_roster;         ///< Set once the store has answered.
     member_control m_control;
+    std::set<std::string> m_heard; ///< Members that have answered in this takeover.
+    /// Members that had been ordered to stop receiving before this takeover did so.
+    std::set<std::string> m_found_stopped;
     phase m_phase = phase::surveying;
     monotonic_time m_started_at;
     monotonic_time m_phase_since;
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,8 @@
     /// Reports the connections that were lost since the last call.
     void check_connections();
 
-    /// Lets the members receive again, except for `excluded`.
-    void resume_receiving(std::string const& excluded);
+    /// Lets the members receive again, except for those with an id in `excluded`.
+    void resume_receiving(std::set<std::string> const& excluded);
 
 private:
     backend_connection_pointer make_connection(member_entry const& member, recipient to);
--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -331,6 +331,22 @@
     check_all(scenarios);
 }
 
+/// Guards against lost acknowledged commits: the store is away from the loss of the VM on, so that no VM can
+/// read of the order.
+Test(order_of_a_lost_vm, order_before_an_outage_of_the_store_loses_no_commit)
+{
+    std::vector<order_scenario> scenarios;
+    for (auto const lost_after : {0ms, 480ms, 1200ms}) {
+        for (duration const order_delay : {duration(2500ms), duration(4s), duration(6s)}) {
+            for (duration const replica_after : {duration(300ms), duration(1600ms)}) {
+                scenarios.push_back(
+                    {lost_after, vm_fault::killed, 500ms, replica_after, order_delay, {}, duration(6s)});
+            }
+        }
+    }
+    check_all(scenarios);
+}
+
 /// Guards against callers that are refused for long: a leader crashes and is back at once, and no order was
 /// given. The store may be away or not.
 Test(order_of_a_lost_vm, leader_that_restarts_without_an_order_is_served_soon)
