--- a/tests/platform/document_decoder_tests.cpp
+++ b/tests/platform/document_decoder_tests.cpp
@@ -40,6 +40,11 @@
 {
     for (auto const& text : {replace_text(member_document, R"("service":"g",)", ""),
                              replace_text(member_document, R"("capacity":5)", R"("capacity":"5")"),
+                             replace_text(member_document, R"("version":"v1",)", ""),
+                             replace_text(member_document, R"("cold-remaining-ms":0,)", ""),
+                             replace_text(member_document, R"(,"sequence":4)", ""),
+                             replace_text(member_document, R"("sequence":4)", R"("sequence":"4")"),
+                             replace_text(member_document, R"("born":17)", R"("born":"17")"),
                              replace_text(member_document, R"("state":"ready")", R"("state":"asleep")"),
                              replace_text(member_document, R"("replica")", R"("witness")"),
                              replace_text(member_document, "10.1.0.9:8080", "somewhere"),
--- a/tests/platform/odd_entries_tests.cpp
+++ b/tests/platform/odd_entries_tests.cpp
@@ -20,6 +20,7 @@
     for (auto const& each : with_odd_fields({{"service", "\"group-0\""},
                                              {"address", "\"10.1.0.9:80\""},
                                              {"zone", "\"a\""},
+                                             {"version", "\"v1\""},
                                              {"capacity", "5"},
                                              {"state", "\"ready\""},
                                              {"db-role", "\"replica\""},
@@ -31,7 +32,8 @@
     for (auto const* const address :
          {"10.1.0.9:0", "10.1.0.9:70000", "10.1.0.9:-1", "10.1.0.9", ":80", "host:80"}) {
         documents.push_back(R"({"service":"group-0","address":")" + std::string(address) +
-                            R"(","zone":"a","capacity":5,"state":"ready","db-role":"replica"})");
+                            R"(","zone":"a","version":"v1","capacity":5,"state":"ready",)" +
+                            R"("cold-remaining-ms":0,"db-role":"replica","sequence":4})");
     }
     return documents;
 }
