failover: Undo in a takeover only its own stops

The second finds the replicas stopped by the first; the first ends and resumes them; the second stops them again, and on its end resumes nobody, since it had found them stopped.

Takeovers now ask for the status each time, and order a replica to stop only if the answer shows that it receives. So the second one sees that the replicas were resumed, and that its own stop is the one to undo.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -204,18 +204,16 @@
         if (!is_listed(id) && is_address_listed(id)) {
             continue;
         }
-        send_command(entry);
+        auto const kind = command_for(id);
+        // What a replica answers before it is stopped shows whether another takeover has stopped it.
+        send_command(entry, kind == command_kind::stop_receiving ? command_kind::status : kind);
     }
 }
 
-void group_takeover::send_command(member_entry const& member)
+void group_takeover::send_command(member_entry const& member, command_kind kind)
 {
     member_command command;
-    command.kind = command_for(member.id);
-    if (command.kind == command_kind::stop_receiving && !m_heard.contains(member.id)) {
-        // The first answer shows whether another takeover has stopped the member.
-        command.kind = command_kind::status;
-    }
+    command.kind = kind;
     command.term = m_term;
     // A member that restarted may have another id, which the directory does not list yet.
     m_control.send(member, command,
@@ -223,6 +221,22 @@
                                         : member_control::recipient::address);
 }
 
+void group_takeover::stop_if_receiving(std::string const& member, replication_status const& status)
+{
+    if (status.stopped_at_term == 0) {
+        m_stopped_by_others.erase(member);
+    }
+    else if (!m_stopped.contains(member)) {
+        m_stopped_by_others.insert(member);
+    }
+    auto const target = m_targets.find(member);
+    if (target != m_targets.end() && command_for(member) == command_kind::stop_receiving &&
+        status.stopped_at_term < m_term) {
+        m_stopped.insert(member);
+        send_command(target->second, command_kind::stop_receiving);
+    }
+}
+
 void group_takeover::handle_refusal(std::string const& member, member_error error, monotonic_time started_at)
 {
     if (m_has_ended) {
@@ -280,10 +294,6 @@
         return;
     }
     log_status(member, status);
-    auto const is_first_answer = m_heard.insert(member).second;
-    if (is_first_answer && status.stopped_at_term != 0) {
-        m_found_stopped.insert(member);
-    }
     if (status.role == member_role::primary && status.term >= m_term) {
         group().apply_reported_leader(member, status.term);
         auto const is_successor = m_phase >= phase::ordering && member == m_successor;
@@ -305,10 +315,7 @@
         m_newly_answered_at = m_kernel.now();
     }
     m_evidence.record_status(member, status, sent_at);
-    auto const target = m_targets.find(member);
-    if (is_first_answer && target != m_targets.end() && command_for(member) == command_kind::stop_receiving) {
-        send_command(target->second);
-    }
+    stop_if_receiving(member, status);
     advance();
 }
 
@@ -889,7 +896,7 @@
     std::set<std::string> excluded{m_evidence.old_leader()};
     if (m_dependencies.deposes_replaced_leaders && !m_dependencies.has_read_lock_since(m_started_at)) {
         // The takeover that stopped these may have sent an order that has no answer.
-        excluded.insert(m_found_stopped.begin(), m_found_stopped.end());
+        excluded.insert(m_stopped_by_others.begin(), m_stopped_by_others.end());
     }
     m_control.resume_receiving(excluded);
 }
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -134,7 +134,9 @@
     /// Finds the members that commands are sent to, and those that may have received commits.
     void update_targets();
     void send_commands();
-    void send_command(member_entry const& member);
+    void send_command(member_entry const& member, command_kind kind);
+    /// Orders the member to stop receiving if it has to and its status shows that it does not know.
+    void stop_if_receiving(std::string const& member, replication_status const& status);
     command_kind command_for(std::string const& member) const;
     void handle_status(std::string const& member, replication_status const& status, monotonic_time sent_at);
     void handle_refusal(std::string const& member, member_error error, monotonic_time started_at);
@@ -230,9 +232,9 @@
     std::map<std::string, member_entry> m_targets; ///< Members that may run or hold commits, keyed by id.
     std::optional<member_roster> m_roster;         ///< Set once the store has answered.
     member_control m_control;
-    std::set<std::string> m_heard; ///< Members that have answered in this takeover.
-    /// Members that had been ordered to stop receiving before this takeover did so.
-    std::set<std::string> m_found_stopped;
+    std::set<std::string> m_stopped; ///< Members that this takeover has ordered to stop receiving.
+    /// Members that another takeover had ordered to stop when this one last found out.
+    std::set<std::string> m_stopped_by_others;
     phase m_phase = phase::surveying;
     monotonic_time m_started_at;
     monotonic_time m_phase_since;
