brokers: Look again for connections opened during a lookup

A commit on a connection that was opened while the lookup for another one was under way was refused, and tried again after 60 ms, though no order was given: six lookups within 0.3 s of a start in a log with real processes. Such a check now waits for one more lookup.

promotion_guard/connection_that_is_opened_during_a_lookup_causes_another_one fails without the change by its first assertion, as the check was answered with false at once.

--- a/libraries/brokers/promotion_guard.cpp
+++ b/libraries/brokers/promotion_guard.cpp
@@ -113,7 +113,19 @@
         m_failed_at.reset();
         m_presence = presence{asked_at, asked_at, now, true};
     }
-    for (auto const& each : std::exchange(m_waiting, {})) {
+    std::vector<waiting_check> decided;
+    std::erase_if(m_waiting, [&](waiting_check& each) {
+        // A connection that was opened during the lookup needs another one.
+        auto const needs_another = is_clear && !this->is_clear(each.opened_at);
+        if (!needs_another) {
+            decided.push_back(std::move(each));
+        }
+        return !needs_another;
+    });
+    if (!m_waiting.empty()) {
+        start_lookup();
+    }
+    for (auto const& each : decided) {
         each.done(this->is_clear(each.opened_at));
     }
 }
--- a/tests/brokers/promotion_guard_tests.cpp
+++ b/tests/brokers/promotion_guard_tests.cpp
@@ -125,6 +125,22 @@
     cr_assert(fixture.lookups == 3);
 }
 
+/// Guards against callers that are refused while a VM opens its first connections: one of them was opened
+/// while the lookup for another one was under way.
+Test(promotion_guard, connection_that_is_opened_during_a_lookup_causes_another_one)
+{
+    guard_fixture fixture;
+    cr_assert(!fixture.check(fixture.clock.now(), std::nullopt).has_value());
+    fixture.clock.run_for(1ms);
+    std::optional<bool> result;
+    fixture.guard->check(fixture.clock.now(), [&result](bool may_commit) { result = may_commit; });
+    fixture.answer(true);
+    cr_assert(!result.has_value());
+    cr_assert(fixture.lookups == 2);
+    fixture.answer(true);
+    cr_assert(result == true);
+}
+
 /// Guards against the use of an old answer: the member went away while the lookup was under way.
 Test(promotion_guard, lookup_that_an_absence_overtakes_clears_nothing)
 {
@@ -134,6 +150,7 @@
     fixture.clock.run_for(1ms);
     fixture.guard->record_absence();
     fixture.answer(true);
+    cr_assert(fixture.lookups == 2);
     cr_assert(fixture.check(opened_at, false) == false);
 }
 
