standins: Let members of virtual groups stand still with open connections

A member could crash, be cut off or go dark, but not stand still: keep its connections, go on later with what it has read, and answer then.

--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -525,6 +525,7 @@
 void session_fleet::execute_promotion(promotion_order const& order, std::function<void(absl::Status)> done)
 {
     ++m_sent_orders;
+    m_last_ordered = order.member;
     if (m_do_orders_fail) {
         m_clock.start_timer(failed_order_time, [done = std::move(done)] {
             done(absl::UnavailableError("platform did not answer"));
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -149,6 +149,8 @@
     std::string const& delayed_order() const { return m_delayed_order.member; }
     /// Returns the index of the VM that sent the last delayed order. There must be one.
     std::size_t delayed_order_vm() { return find_vm(m_delayed_order.holder)->index; }
+    /// Returns the member that the last promotion order names; empty if there was none.
+    std::string const& last_ordered() const { return m_last_ordered; }
     /// Returns the number of promotion orders that VMs have sent.
     std::size_t sent_orders() const { return m_sent_orders; }
 
@@ -294,6 +296,7 @@
     std::optional<duration> m_next_order_delay;
     std::optional<duration> m_order_delay;
     promotion_order m_delayed_order; ///< Last delayed order.
+    std::string m_last_ordered;      ///< Member that the last order names.
     std::size_t m_sent_orders = 0;
     std::size_t m_stale_promotion_orders = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/standins/session_fleet/virtual_database_group.cpp
+++ b/standins/session_fleet/virtual_database_group.cpp
@@ -39,6 +39,7 @@
     faults.is_down = true;
     faults.refuses_connections = true;
     lose_connections(id);
+    drop_postponed_steps(id);
 }
 
 void virtual_database_group::restart(std::string const& id)
@@ -50,6 +51,7 @@
     restarted.has_stepped_down = false;
     restarted.started_at = m_clock.now();
     lose_connections(id);
+    drop_postponed_steps(id);
     if (id == m_leader) {
         m_primaries.insert(id);
         return;
@@ -59,6 +61,60 @@
     restarted.applied = restarted.log.size();
 }
 
+void virtual_database_group::drop_postponed_steps(std::string const& id)
+{
+    auto& ended = m_members.at(id);
+    ended.is_standing_still = false;
+    // The steps free the slots that they hold, and do nothing else on a lost connection.
+    for (auto const& step : std::exchange(ended.postponed, {})) {
+        step();
+    }
+}
+
+void virtual_database_group::stand_still(std::string const& id)
+{
+    m_members.at(id).is_standing_still = true;
+}
+
+void virtual_database_group::go_on(std::string const& id)
+{
+    auto& member = m_members.at(id);
+    if (!std::exchange(member.is_standing_still, false)) {
+        return;
+    }
+    for (auto const& step : std::exchange(member.postponed, {})) {
+        step();
+    }
+    std::vector<std::uint64_t> connection_numbers;
+    for (auto const& [connection_number, each] : m_connections) {
+        if (each->member == id) {
+            connection_numbers.push_back(connection_number);
+        }
+    }
+    for (auto const connection_number : connection_numbers) {
+        // What has arrived on different connections is read in any order.
+        m_clock.start_timer(m_clock.random_interval(m_options.mean_statement_time),
+                            [this, connection_number] { run_next_command(connection_number); });
+    }
+    m_clock.start_timer(m_options.latency, [this, id] {
+        for (auto const& replica : m_ids) {
+            if (replica != m_leader && (id == m_leader || id == replica)) {
+                receive(replica, m_leader, end_of_log());
+            }
+        }
+    });
+}
+
+void virtual_database_group::run_step(std::string const& id, std::function<void()> step)
+{
+    auto& member = m_members.at(id);
+    if (member.is_standing_still) {
+        member.postponed.push_back(std::move(step));
+        return;
+    }
+    step();
+}
+
 void virtual_database_group::add_replica(std::string const& id, bool is_isolated)
 {
     m_ids.push_back(id);
@@ -203,36 +259,43 @@
     ++m_members.at(target.member).connections;
     m_clock.start_timer(m_options.connection_setup_time + 2 * m_options.latency,
                         [this, connection_number, added, group = target.group] {
-                            auto const& member = m_members.at(added->member);
-                            auto const is_silent =
-                                member.faults.is_down && !member.faults.refuses_connections;
-                            if (!m_connections.contains(connection_number) || is_silent) {
-                                return;
-                            }
-                            member_answer answer;
-                            if (member.faults.refuses_connections) {
-                                answer.error = member_error::refused;
-                                answer.is_refused_by_host = true;
-                            }
-                            else if (group != m_name) {
-                                answer.error = member_error::wrong_member;
-                            }
-                            else if (member.connections > m_options.max_connections) {
-                                answer.error = member_error::too_many_connections;
-                                ++m_refused_connections;
-                            }
-                            ++m_opened_connections;
-                            answer.position = applied_position(member);
-                            added->events.opened(answer);
-                            if (answer.is_ok() && draw(member.faults.repeated_answer_share)) {
-                                answer.is_handshake = m_options.marks_handshake_answers;
-                                ++m_repeated_answers;
-                                deliver_after(m_clock.random_interval(member.faults.mean_repetition_delay),
-                                              connection_number, std::move(answer));
-                            }
+                            run_step(added->member, [this, connection_number, added, group] {
+                                finish_handshake(connection_number, added, group);
+                            });
                         });
 }
 
+void virtual_database_group::finish_handshake(std::uint64_t connection_number,
+                                              connection_pointer const& added, std::string const& group)
+{
+    auto const& member = m_members.at(added->member);
+    auto const is_silent = member.faults.is_down && !member.faults.refuses_connections;
+    if (!m_connections.contains(connection_number) || is_silent) {
+        return;
+    }
+    member_answer answer;
+    if (member.faults.refuses_connections) {
+        answer.error = member_error::refused;
+        answer.is_refused_by_host = true;
+    }
+    else if (group != m_name) {
+        answer.error = member_error::wrong_member;
+    }
+    else if (member.connections > m_options.max_connections) {
+        answer.error = member_error::too_many_connections;
+        ++m_refused_connections;
+    }
+    ++m_opened_connections;
+    answer.position = applied_position(member);
+    added->events.opened(answer);
+    if (answer.is_ok() && draw(member.faults.repeated_answer_share)) {
+        answer.is_handshake = m_options.marks_handshake_answers;
+        ++m_repeated_answers;
+        deliver_after(m_clock.random_interval(member.faults.mean_repetition_delay), connection_number,
+                      std::move(answer));
+    }
+}
+
 void virtual_database_group::send(std::uint64_t connection_number,
                                   std::vector<member_command> const& commands)
 {
@@ -279,7 +342,7 @@
     }
     auto const current = found->second;
     auto& member = m_members.at(current->member);
-    if (member.faults.is_down) {
+    if (member.faults.is_down || member.is_standing_still) {
         return;
     }
     auto const command = current->queue.front();
@@ -295,30 +358,38 @@
     auto const statement_time =
         takes_slot ? m_clock.random_interval(m_options.mean_statement_time) : duration::zero();
     m_clock.start_timer(statement_time, [this, connection_number, current, command, takes_slot] {
-        m_members.at(current->member).running_statements -= takes_slot ? 1 : 0;
-        current->is_running = false;
-        if (!m_connections.contains(connection_number) || m_members.at(current->member).faults.is_down) {
-            return;
-        }
-        auto const is_commit = command.kind == command_kind::caller_statement && command.text == "COMMIT";
-        auto const is_write =
-            command.text.starts_with("WRITE") ||
-            (command.kind == command_kind::execute && current->prepared.contains(command.name) &&
-             current->prepared.at(command.name).is_write);
-        auto const ends_with_commit = (is_commit && current->state == transaction_state::open) ||
-                                      (is_write && current->state == transaction_state::idle);
-        if (ends_with_commit && is_primary(current->member)) {
-            m_statements_run += is_write ? 1 : 0;
-            if (!is_commit) {
-                current->pending_writes = {command.id};
-            }
-            commit(connection_number, current, command);
-            return;
-        }
-        send_answer(connection_number, run_command(connection_number, *current, command), takes_slot);
+        run_step(current->member, [this, connection_number, current, command, takes_slot] {
+            finish_command(connection_number, current, command, takes_slot);
+        });
     });
 }
 
+void virtual_database_group::finish_command(std::uint64_t connection_number,
+                                            connection_pointer const& current, member_command const& command,
+                                            bool takes_slot)
+{
+    m_members.at(current->member).running_statements -= takes_slot ? 1 : 0;
+    current->is_running = false;
+    if (!m_connections.contains(connection_number) || m_members.at(current->member).faults.is_down) {
+        return;
+    }
+    auto const is_commit = command.kind == command_kind::caller_statement && command.text == "COMMIT";
+    auto const is_write = command.text.starts_with("WRITE") || (command.kind == command_kind::execute &&
+                                                                current->prepared.contains(command.name) &&
+                                                                current->prepared.at(command.name).is_write);
+    auto const ends_with_commit = (is_commit && current->state == transaction_state::open) ||
+                                  (is_write && current->state == transaction_state::idle);
+    if (ends_with_commit && is_primary(current->member)) {
+        m_statements_run += is_write ? 1 : 0;
+        if (!is_commit) {
+            current->pending_writes = {command.id};
+        }
+        commit(connection_number, current, command);
+        return;
+    }
+    send_answer(connection_number, run_command(connection_number, *current, command), takes_slot);
+}
+
 void virtual_database_group::commit(std::uint64_t connection_number, connection_pointer const& current,
                                     member_command const& command)
 {
@@ -376,6 +447,7 @@
     auto const& faults = receiver.faults;
     auto const& sender_faults = m_members.at(sender).faults;
     return m_leader == sender && !faults.is_down && !faults.is_replication_cut && !sender_faults.is_down &&
+           !receiver.is_standing_still && !m_members.at(sender).is_standing_still &&
            faults.is_isolated == sender_faults.is_isolated && receiver.stopped_at_term <= m_term;
 }
 
@@ -405,7 +477,18 @@
             m_waiting_commits.push_back(commit);
             continue;
         }
-        m_clock.start_timer(m_options.latency, [this, commit, sender] { acknowledge(commit, sender); });
+        m_clock.start_timer(m_options.latency, [this, commit, sender] {
+            if (!m_members.at(sender).is_standing_still) {
+                acknowledge(commit, sender);
+                return;
+            }
+            run_step(sender, [this, commit, sender] {
+                // A leader that was replaced while it stood still answers nothing more.
+                if (is_primary(sender)) {
+                    acknowledge(commit, sender);
+                }
+            });
+        });
     }
 }
 
--- a/standins/session_fleet/virtual_database_group.h
+++ b/standins/session_fleet/virtual_database_group.h
@@ -87,6 +87,12 @@
     /// which receives what it has missed from the leader.
     void restart(std::string const& id);
 
+    /// Lets a member's process stand still: its connections stay open and new ones get no answer, and all
+    /// that arrives at it waits until it goes on.
+    void stand_still(std::string const& id);
+    /// Lets a member that stands still go on with what it has read and with what has arrived since.
+    void go_on(std::string const& id);
+
     /// Starts a further replica, which receives the leader's log unless it is isolated from the leader.
     void add_replica(std::string const& id, bool is_isolated);
 
@@ -181,9 +187,19 @@
         std::vector<monotonic_time> arrival_times;
         monotonic_time started_at{};
         monotonic_time crashed_at{};
+        bool is_standing_still = false;
+        std::vector<std::function<void()>> postponed; ///< Steps of the member that wait until it goes on.
     };
 
+    /// Runs a step of a member, now or once the member goes on.
+    void run_step(std::string const& id, std::function<void()> step);
+    /// Ends the standstill of a member that crashes or restarts, whose connections are lost.
+    void drop_postponed_steps(std::string const& id);
     void run_next_command(std::uint64_t connection_number);
+    void finish_handshake(std::uint64_t connection_number, connection_pointer const& added,
+                          std::string const& group);
+    void finish_command(std::uint64_t connection_number, connection_pointer const& current,
+                        member_command const& command, bool takes_slot);
     /// Sends an answer after the latency, then runs the next command. With `was_run`, the answer may be lost.
     void send_answer(std::uint64_t connection_number, member_answer const& answer, bool was_run);
     /// Delivers an answer after the latency, and a second time if the member repeats it.
--- a/tests/sessions/standstill_tests.cpp
+++ b/tests/sessions/standstill_tests.cpp
@@ -10,8 +10,8 @@
 
 #include "session_fleet.h"
 
-// Pattern: a leader stands still with open connections. A VM orders another member to lead, a replica that was
-// stopped restarts and receives again, and the leader goes on with the commits that were in flight.
+// Pattern: a leader stands still with open connections. A VM orders another member to lead, a replica that
+// was stopped restarts and receives again, and the leader goes on with the commits that were in flight.
 
 using namespace std::chrono_literals;
 using namespace greengagehitch;
@@ -21,7 +21,7 @@
 
 /// What happens after the order. Times count from the order.
 struct standstill_scenario {
-    duration order_delay{};                ///< Time until the platform carries out the order; 0 if it answers.
+    duration order_delay{}; ///< Time until the platform carries out the order; 0 if it answers.
     std::optional<duration> replica_after; ///< Time at which the replica that was not ordered restarts.
     duration leader_after{};               ///< Time at which the old leader goes on.
     std::optional<duration> killed_after = std::nullopt; ///< Time at which the VM that ordered is killed.
@@ -115,21 +115,23 @@
         load_for(2s);
         auto const lost = lost_commits();
         auto const has_committed = count_delivered() > before;
-        cr_expect(lost == 0 && has_committed,
-                  "%zu commits that callers know of are lost, %s; seed %lu, order after %.0f ms, replica back "
-                  "after %.0f ms, leader after %.0f ms",
-                  lost, has_committed ? "commits" : "commits nothing", static_cast<unsigned long>(seed),
-                  milliseconds(scenario.order_delay), milliseconds(scenario.replica_after.value_or(-1ms)),
-                  milliseconds(scenario.leader_after));
+        cr_expect(
+            lost == 0 && has_committed,
+            "%zu commits that callers know of are lost, %s; seed %lu, order after %.0f ms, replica back "
+            "after %.0f ms, leader after %.0f ms",
+            lost, has_committed ? "commits" : "commits nothing", static_cast<unsigned long>(seed),
+            milliseconds(scenario.order_delay), milliseconds(scenario.replica_after.value_or(-1ms)),
+            milliseconds(scenario.leader_after));
     }
 
     /// Number of commits that callers know of and that the leader's log lacks.
     std::size_t lost_commits() const
     {
         auto const counts = fleet_log_counts();
-        return static_cast<std::size_t>(std::count_if(
-            m_commits.begin(), m_commits.end(),
-            [&counts](auto const& each) { return is_delivered(each) && !counts.contains(each.write); }));
+        return static_cast<std::size_t>(
+            std::count_if(m_commits.begin(), m_commits.end(), [&counts](auto const& each) {
+                return is_delivered(each) && !counts.contains(each.write);
+            }));
     }
 
     std::size_t count_delivered() const
@@ -139,9 +141,10 @@
 
     std::size_t count_in_doubt() const
     {
-        return static_cast<std::size_t>(std::count_if(m_commits.begin(), m_commits.end(), [](auto const& each) {
-            return each.is_whole() && each.caller.answers().back().error == session_error::in_doubt;
-        }));
+        return static_cast<std::size_t>(
+            std::count_if(m_commits.begin(), m_commits.end(), [](auto const& each) {
+                return each.is_whole() && each.caller.answers().back().error == session_error::in_doubt;
+            }));
     }
 
     mutable session_fleet fleet;
@@ -233,8 +236,8 @@
 
 } // namespace
 
-/// Guards against lost acknowledged commits: the platform carries out the order at once, and a commit that was
-/// sent before the standstill is answered before the new term.
+/// Guards against lost acknowledged commits: the platform carries out the order at once, and a commit that
+/// was sent before the standstill is answered before the new term.
 Test(standstill, commit_in_flight_that_a_restarted_replica_confirms_is_not_acknowledged)
 {
     check_all({{0ms, 20ms, 100ms}, {0ms, 50ms, 150ms}, {0ms, 150ms, 250ms}, {0ms, 200ms, 280ms}});
@@ -244,10 +247,8 @@
 /// gave it may be gone.
 Test(standstill, commit_in_flight_beside_a_late_order_is_not_acknowledged)
 {
-    check_all({{2200ms, 100ms, 200ms},
-               {2200ms, 100ms, 1s},
-               {3s, 100ms, 300ms, 100ms},
-               {3s, 200ms, 1500ms, 100ms}});
+    check_all(
+        {{2200ms, 100ms, 200ms}, {2200ms, 100ms, 1s}, {3s, 100ms, 300ms, 100ms}, {3s, 200ms, 1500ms, 100ms}});
 }
 
 /// Guards against lost acknowledged commits of transactions, whose last statement is the one in flight.
@@ -256,8 +257,8 @@
     check_all({{0ms, 50ms, 150ms}, {2200ms, 100ms, 200ms}}, commit_kind::transaction);
 }
 
-/// Guards against answers that are left open without need: the leader stands still for a moment, and nobody is
-/// ordered to replace it.
+/// Guards against answers that are left open without need: the leader stands still for a moment, and nobody
+/// is ordered to replace it.
 Test(standstill, commits_of_a_leader_that_soon_goes_on_are_acknowledged)
 {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
