failover: Log the term of takeovers and the fate of their orders

Each line of a takeover names the term that it is to begin, its last line says what became of its orders, and a VM logs when an order without an answer turns out to be void.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -880,6 +880,11 @@
     Json::Value fields(Json::objectValue);
     fields["outcome"] = std::string(outcome);
     fields["after_ms"] = to_milliseconds(elapsed());
+    fields["order"] = std::string(find_name(order_fate_names, order_fate()));
+    if (m_fence != 0) {
+        fields["fence"] = Json::UInt64(m_fence);
+        fields["member"] = m_successor;
+    }
     log("takeover ended", std::move(fields));
     // A replica that receives lets the old leader acknowledge commits that the ordered member may lack.
     if (must_resume && m_has_interfered && !has_outstanding_order()) {
@@ -891,6 +896,17 @@
     m_dependencies.ended();
 }
 
+group_takeover::fate group_takeover::order_fate() const
+{
+    if (m_was_order_answered) {
+        return fate::answered;
+    }
+    if (has_outstanding_order()) {
+        return fate::outstanding;
+    }
+    return m_order_attempts == 0 ? fate::not_sent : fate::settled;
+}
+
 void group_takeover::resume_replicas()
 {
     std::set<std::string> excluded{m_evidence.old_leader()};
@@ -914,6 +930,7 @@
 void group_takeover::log(std::string_view message, Json::Value fields) const
 {
     fields["group"] = m_name;
+    fields["new_term"] = Json::UInt64(m_term);
     m_kernel.log(log_level::info, "takeover", message, std::move(fields));
 }
 
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -124,6 +124,20 @@
         confirming, ///< The order was accepted; the successor is asked until it leads.
     };
 
+    /// What is known of the promotion orders of this takeover, or of an earlier one.
+    enum class fate {
+        not_sent,
+        answered,    ///< The platform has accepted the last one.
+        outstanding, ///< One was not answered, and may still be carried out.
+        settled,     ///< None can be carried out any more.
+    };
+    static constexpr std::array order_fate_names{
+        enum_name<fate>{fate::not_sent, "not_sent"},
+        enum_name<fate>{fate::answered, "answered"},
+        enum_name<fate>{fate::outstanding, "outstanding"},
+        enum_name<fate>{fate::settled, "settled"},
+    };
+
     database_group& group() const { return m_dependencies.groups.group(m_name); }
     void set_phase(phase next);
     duration time_limit() const;
@@ -216,6 +230,7 @@
     /// Ends the takeover once the successor was seen leading.
     void finish();
     void end(std::string_view outcome, bool must_resume);
+    fate order_fate() const;
     void resume_replicas();
 
     /// Starts a timer that is ignored once the takeover has ended.
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -279,6 +279,14 @@
     if (claim.is_settled) {
         // No order under this fence or a lower one can be carried out any more.
         if (claim.is_marked && last && last->fence <= claim.fence) {
+            Json::Value fields(Json::objectValue);
+            fields["group"] = group;
+            fields["member"] = last->member;
+            fields["fence"] = Json::UInt64(last->fence);
+            fields["settled_fence"] = Json::UInt64(claim.fence);
+            m_kernel.log(log_level::info, service_name,
+                         "promotion order that was not answered is void, since a claim was settled",
+                         std::move(fields));
             last.reset();
         }
         return;
