brokers: Pass on successes only if no order can replace the leader

Cause: the broker looks for orders before it sends a commit, and nobody looks before a success is passed on. A commit that is in flight at a leader that stands still is answered after an order was given, as soon as a replica that was stopped has restarted and receives. The ordered member lacks it. Class: a fact that was true when a command was sent (no order is outstanding) is used when it is answered.

The broker now passes a success on at once only if the leader's process has answered without a gap of 300 ms since the commit was sent, commits did not wait longer than that, and no VM has reported a suspicion. Otherwise a lookup that begins after the success decides: without an open claim, and without one that is younger than the lookup that let the commit be sent. Any later order rests on answers of replicas that were given after one of them received the commit. A success that is withheld is in doubt for its caller.

The gap after which commits need a lookup falls from 800 to 300 ms as well: VMs may suspect a leader from then on.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -30,7 +30,7 @@
 
 member_dispatcher::member_dispatcher(kernel& kernel, backend_connection_hooks const& hooks,
                                      backend_connection_target target, options options)
-    : m_kernel(kernel), m_options(std::move(options)), m_member(target.member),
+    : m_kernel(kernel), m_options(std::move(options)), m_group(target.group), m_member(target.member),
       m_flight(m_options.slots, m_options.paces_recovery,
                [this](recovery_pace const& pace) { log_pace(pace); }),
       m_doubtful_answers(std::make_shared<doubtful_answer_log>(kernel, target.group, target.member))
@@ -412,6 +412,9 @@
     }
     commands.insert(commands.end(), request.commands.begin(), request.commands.end());
     m_flight.record_sent(queued->id, m_kernel.now(), m_service_times.expected(queued->priority()));
+    if (request.commits_write && m_options.guard) {
+        queued->sent_commit = m_options.guard->record_sent_commit();
+    }
     connection->send(commands, std::chrono::milliseconds(request.time_limit_ms),
                      [dispatcher = shared_from_this(), queued, connection, setup_count,
                       sent_at = m_kernel.now()](std::vector<member_answer> answers) {
@@ -477,9 +480,56 @@
         }
     }
     free_slot(*queued, is_answered);
+    if (queued->sent_commit) {
+        finish_commit(queued, std::move(reply));
+        return;
+    }
     queued->done(std::move(reply));
 }
 
+void member_dispatcher::finish_commit(queued_request_pointer const& queued, member_reply reply)
+{
+    auto const commit = *std::exchange(queued->sent_commit, std::nullopt);
+    if (!reply.answers.back().is_ok()) {
+        m_options.guard->record_failed_commit();
+        queued->done(std::move(reply));
+        return;
+    }
+    m_options.guard->check_success(commit, [dispatcher = shared_from_this(), queued, commit,
+                                            reply = std::move(reply)](bool is_passed) mutable {
+        if (!is_passed) {
+            dispatcher->log_withheld(*queued, commit, reply.answers.back());
+            withhold_successes(reply.answers,
+                               "the leader committed, but another member may have been ordered "
+                               "to lead, which may lack the commit");
+        }
+        queued->done(std::move(reply));
+    });
+}
+
+void member_dispatcher::log_withheld(queued_request const& queued, promotion_guard::sent_commit const& commit,
+                                     member_answer const& answer) const
+{
+    Json::Value fields(Json::objectValue);
+    fields["group"] = m_group;
+    fields["leader"] = m_member;
+    fields["request"] = queued.request.commands.back().id;
+    fields["sent_ms_ago"] = to_milliseconds(m_kernel.now() - commit.sent_at);
+    if (answer.position) {
+        fields["term"] = Json::UInt64(answer.position->term);
+        fields["position"] = Json::UInt64(answer.position->position);
+    }
+    m_kernel.log(log_level::info, "brokers",
+                 "success of a commit is withheld, since an order may replace the leader", std::move(fields));
+}
+
+void member_dispatcher::record_suspicion()
+{
+    if (m_options.guard) {
+        m_options.guard->record_absence();
+    }
+}
+
 bool member_dispatcher::resolve_doubtful_answers(queued_request_pointer const& queued,
                                                  backend_connection_pointer const& connection,
                                                  std::vector<member_answer>& answers)
@@ -661,6 +711,13 @@
     state["pace"] = std::string(find_name(pace_state_names, m_flight.pace().state()));
     state["last_ramp_ms"] = to_milliseconds(m_flight.pace().last_ramp());
     state["total"] = m_counters.to_json({});
+    if (m_options.guard) {
+        auto const& successes = m_options.guard->successes();
+        state["commits"]["passed"] = Json::UInt64(successes.passed);
+        state["commits"]["looked_up"] = Json::UInt64(successes.looked_up);
+        state["commits"]["withheld"] = Json::UInt64(successes.withheld);
+        state["commits"]["lookups"] = Json::UInt64(m_options.guard->lookups());
+    }
     return state;
 }
 
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -61,6 +61,9 @@
     /// Closes connections that were idle for longer than `limit`, but keeps `kept` connections in total.
     void trim_surplus(std::size_t kept, duration limit) { m_pool->trim_surplus(kept, limit); }
 
+    /// Records that another VM suspects the member.
+    void record_suspicion();
+
     std::size_t connections() const { return m_pool->connections(); }
     std::size_t connection_limit() const { return m_options.connection_limit(); }
     std::size_t waiting() const { return m_waiting.size(); }
@@ -82,6 +85,8 @@
         bool is_sent = false;      ///< True once the request was sent, or will not be.
         duration queue_wait{};     ///< Wait that the member's load suggested when the request was admitted.
         duration expected_start{}; ///< Wait that was expected then.
+        /// Set while a commit that the guard decides about is under way.
+        std::optional<promotion_guard::sent_commit> sent_commit;
 
         /// Priority of its class in the queue.
         int priority() const { return connection ? member_queue::transaction_priority : request.priority; }
@@ -124,6 +129,10 @@
                          std::string const& text);
     void handle_answers(queued_request_pointer const& queued, backend_connection_pointer const& connection,
                         std::size_t setup_count, monotonic_time sent_at, std::vector<member_answer> answers);
+    /// Tells the guard how a commit has ended, and passes the reply on once its success may be.
+    void finish_commit(queued_request_pointer const& queued, member_reply reply);
+    void log_withheld(queued_request const& queued, promotion_guard::sent_commit const& commit,
+                      member_answer const& answer) const;
     /// Decides what is left of answers that may be repetitions. Returns true if the request is sent again.
     bool resolve_doubtful_answers(queued_request_pointer const& queued,
                                   backend_connection_pointer const& connection,
@@ -145,6 +154,7 @@
 
     kernel& m_kernel;
     options m_options;
+    std::string m_group;
     std::string m_member;
     std::shared_ptr<backend_connection_pool> m_pool;
     member_queue m_waiting;
--- a/libraries/brokers/promotion_guard.cpp
+++ b/libraries/brokers/promotion_guard.cpp
@@ -3,13 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/verify.h"
+
 namespace greengagehitch {
 
 namespace {
 
-/// Time without an answer after which the member may have been away. VMs need longer to find that a leader is
-/// lost.
-constexpr duration max_silence = std::chrono::milliseconds(800);
+/// Time without an answer, or without a commit that succeeds, after which another member may have been
+/// ordered to lead. VMs need longer to suspect a leader.
+constexpr duration max_silence = std::chrono::milliseconds(300);
 /// Time after a lookup that found an order, or nothing, for which checks fail without another one.
 constexpr duration failed_lookup_pause = std::chrono::milliseconds(250);
 /// Time between reports of other VMs from which on they are about another absence.
@@ -24,7 +26,7 @@
         m_presence.reset();
     }
     if (!m_presence) {
-        m_presence = presence{sent_at, sent_at, now, false};
+        m_presence = presence{m_next_presence++, sent_at, sent_at, now, false, {}};
         return;
     }
     if (opened_at > m_presence->until) {
@@ -79,6 +81,77 @@
     }
 }
 
+promotion_guard::sent_commit promotion_guard::record_sent_commit()
+{
+    auto const now = m_kernel.now();
+    if (m_unanswered_commits++ == 0) {
+        m_commits_wait_since = now;
+    }
+    if (!m_presence) {
+        return {now, now, 0};
+    }
+    // A member that answers for long may have been claimed against meanwhile.
+    return {now, m_presence->is_clear ? m_presence->cleared_at : m_presence->since, m_presence->number};
+}
+
+void promotion_guard::record_failed_commit()
+{
+    VERIFY(m_unanswered_commits != 0);
+    --m_unanswered_commits;
+}
+
+bool promotion_guard::is_prompt(sent_commit const& commit, bool has_waited) const
+{
+    return !has_waited && m_presence && m_presence->number == commit.presence &&
+           m_kernel.now() - commit.sent_at <= max_silence;
+}
+
+void promotion_guard::check_success(sent_commit const& commit, result_callback done)
+{
+    VERIFY(m_unanswered_commits != 0);
+    auto const now = m_kernel.now();
+    auto const has_waited = now - std::exchange(m_commits_wait_since, now) > max_silence;
+    --m_unanswered_commits;
+    if (is_prompt(commit, has_waited)) {
+        ++m_successes.passed;
+        done(true);
+        return;
+    }
+    if (has_waited) {
+        // All replicas may have been stopped, so the other commits that waited need a lookup, too.
+        record_absence();
+    }
+    ++m_successes.looked_up;
+    auto const number = m_next_check++;
+    m_waiting_successes.push_back({number, commit.cleared_at, now, std::move(done)});
+    m_kernel.start_timer(max_success_wait, [weak = weak_from_this(), number] {
+        if (auto const guard = weak.lock()) {
+            guard->give_up_success(number);
+        }
+    });
+    if (!m_is_looking) {
+        start_lookup();
+    }
+}
+
+void promotion_guard::give_up_success(std::uint64_t number)
+{
+    auto const found = std::find_if(m_waiting_successes.begin(), m_waiting_successes.end(),
+                                    [number](auto const& each) { return each.number == number; });
+    if (found == m_waiting_successes.end()) {
+        return;
+    }
+    auto const late = std::move(*found);
+    m_waiting_successes.erase(found);
+    finish_success(late, false);
+}
+
+void promotion_guard::finish_success(waiting_success const& finished, bool is_passed)
+{
+    m_successes.withheld += is_passed ? 0 : 1;
+    finished.done(is_passed);
+}
+
 void promotion_guard::give_up(std::uint64_t number)
 {
     auto const found = std::find_if(m_waiting.begin(), m_waiting.end(),
@@ -95,38 +168,70 @@
 {
     m_is_looking = true;
     m_is_lookup_outdated = false;
-    m_look_for_orders([weak = weak_from_this(), asked_at = m_kernel.now()](bool is_clear) {
+    ++m_lookups;
+    m_look_for_orders([weak = weak_from_this(), asked_at = m_kernel.now()](lookup_result const& result) {
         if (auto const guard = weak.lock()) {
             guard->m_is_looking = false;
-            guard->handle_result(is_clear, asked_at);
+            guard->handle_result(result, asked_at);
         }
     });
 }
 
-void promotion_guard::handle_result(bool is_clear, monotonic_time asked_at)
+void promotion_guard::handle_result(lookup_result const& result, monotonic_time asked_at)
 {
     auto const now = m_kernel.now();
-    if (!is_clear) {
+    if (!result.is_clear) {
         m_failed_at = now;
     }
     else if (!m_is_lookup_outdated) {
         m_failed_at.reset();
-        m_presence = presence{asked_at, asked_at, now, true};
+        clear_presence(asked_at);
     }
     std::vector<waiting_check> decided;
     std::erase_if(m_waiting, [&](waiting_check& each) {
         // A connection that was opened during the lookup needs another one.
-        auto const needs_another = is_clear && !this->is_clear(each.opened_at);
+        auto const needs_another = result.is_clear && !is_clear(each.opened_at);
         if (!needs_another) {
             decided.push_back(std::move(each));
         }
         return !needs_another;
     });
-    if (!m_waiting.empty()) {
+    decide_successes(result, asked_at);
+    if (!m_is_looking && (!m_waiting.empty() || !m_waiting_successes.empty())) {
         start_lookup();
     }
     for (auto const& each : decided) {
-        each.done(this->is_clear(each.opened_at));
+        each.done(is_clear(each.opened_at));
+    }
+}
+
+void promotion_guard::clear_presence(monotonic_time asked_at)
+{
+    auto const now = m_kernel.now();
+    if (!m_presence || now - m_presence->heard_at > max_silence) {
+        m_presence = presence{m_next_presence++, asked_at, asked_at, now, true, asked_at};
+        return;
+    }
+    // Commits that are under way stay commits of the same presence.
+    m_presence->until = std::max(m_presence->until, asked_at);
+    m_presence->is_clear = true;
+    m_presence->cleared_at = asked_at;
+}
+
+void promotion_guard::decide_successes(lookup_result const& result, monotonic_time asked_at)
+{
+    std::vector<std::pair<waiting_success, bool>> decided;
+    std::erase_if(m_waiting_successes, [&](waiting_success& each) {
+        if (each.answered_at > asked_at) {
+            return false;
+        }
+        // An order under a claim that was settled since the commit was sent may have been carried out.
+        auto const was_claimed = result.claimed_at && *result.claimed_at > each.cleared_at;
+        decided.emplace_back(std::move(each), result.is_clear && !was_claimed);
+        return true;
+    });
+    for (auto const& [success, is_passed] : decided) {
+        finish_success(success, is_passed);
     }
 }
 
--- a/libraries/failover/order_lookup.cpp
+++ b/libraries/failover/order_lookup.cpp
@@ -46,7 +46,7 @@
             ask_members(current);
             return;
         }
-        finish(*current, !*claim || is_clear_of(**claim, current->leader), "store");
+        finish_with_claim(*current, *claim);
     });
     if (!current->done) {
         return;
@@ -72,7 +72,7 @@
     }
     current->unanswered = others.size();
     if (others.empty() || m_dependencies.knows_order(current->group)) {
-        finish(*current, false, "members");
+        finish(*current, {}, "members");
         return;
     }
     for (auto const& member : others) {
@@ -92,23 +92,39 @@
                                   status->role == member_role::replica && status->stopped_at_term == 0;
             --current->unanswered;
             if (!receives || current->unanswered == 0) {
-                finish(*current, receives, "members");
+                finish(*current, {receives, std::nullopt}, "members");
             }
         });
     }
 }
 
-void order_lookup::finish(search& current, bool is_clear, std::string_view source)
+void order_lookup::finish_with_claim(search& current, std::optional<lock_claim> const& claim)
 {
+    if (!claim) {
+        finish(current, {true, std::nullopt}, "store");
+        return;
+    }
     Json::Value fields(Json::objectValue);
+    fields["holder"] = claim->holder;
+    fields["member"] = claim->member;
+    fields["fence"] = Json::UInt64(claim->fence);
+    fields["age_ms"] = to_milliseconds(claim->age);
+    fields["is_settled"] = claim->is_settled;
+    auto const claimed_at = m_dependencies.core.now() - claim->age;
+    finish(current, {is_clear_of(*claim, current.leader), claimed_at}, "store", std::move(fields));
+}
+
+void order_lookup::finish(search& current, promotion_guard::lookup_result const& result,
+                          std::string_view source, Json::Value fields)
+{
     fields["group"] = current.group;
     fields["leader"] = current.leader;
     fields["source"] = std::string(source);
-    fields["is_clear"] = is_clear;
+    fields["is_clear"] = result.is_clear;
     m_dependencies.core.log(log_level::info, "takeover",
                             "looked for an order that may replace the leader of the group",
                             std::move(fields));
-    std::exchange(current.done, nullptr)(is_clear);
+    std::exchange(current.done, nullptr)(result);
 }
 
 } // namespace greengagehitch
--- a/libraries/failover/order_lookup.h
+++ b/libraries/failover/order_lookup.h
@@ -2,16 +2,18 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "brokers/broker_service.h"
+#include "brokers/promotion_guard.h"
 #include "failover/failover_lock.h"
 #include "kernel/kernel.h"
 #include "members/group_registry.h"
 
 namespace greengagehitch {
 
-/// Finds out whether an order to promote another member may still replace a leader that was away.
+/// Finds out whether an order to promote another member may still replace a leader that may have been away.
 ///
 /// The row of the failover lock tells, since each order follows a claim there. If the store does not answer,
 /// the other members tell: a takeover stops all replicas before it orders one of them to lead, and lets them
@@ -19,8 +21,7 @@
 /// so that all of them have to answer.
 class order_lookup {
 public:
-    /// Receives true if no order can replace the leader any more.
-    using result_callback = std::function<void(bool)>;
+    using result_callback = promotion_guard::lookup_callback;
 
     struct dependencies {
         kernel& core;
@@ -43,7 +44,9 @@
     struct search;
 
     void ask_members(std::shared_ptr<search> const& current);
-    void finish(search& current, bool is_clear, std::string_view source);
+    void finish_with_claim(search& current, std::optional<lock_claim> const& claim);
+    void finish(search& current, promotion_guard::lookup_result const& result, std::string_view source,
+                Json::Value fields = Json::Value(Json::objectValue));
 
     dependencies m_dependencies;
 };
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -47,7 +47,7 @@
         },
         [this](std::string const& group) { return has_outstanding_order(group); }});
     m_groups->set_order_lookup(
-        [this](std::string const& group, std::string const& leader, std::function<void(bool)> done) {
+        [this](std::string const& group, std::string const& leader, promotion_guard::lookup_callback done) {
             m_order_lookup->run(group, leader, std::move(done));
         });
     m_started_at = m_kernel.now();
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -305,7 +305,7 @@
                                          bool is_suspected)
 {
     if (is_suspected) {
-        group.handle_reported_suspicion();
+        m_groups->record_reported_suspicion(group);
     }
     else if (leader.term != 0) {
         group.apply_reported_leader(leader.member, leader.term);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -226,16 +226,26 @@
 std::shared_ptr<promotion_guard> group_registry::make_promotion_guard(member_entry const& entry) const
 {
     return std::make_shared<promotion_guard>(
-        m_kernel, [this, group = entry.group, leader = entry.id](promotion_guard::result_callback done) {
+        m_kernel, [this, group = entry.group, leader = entry.id](promotion_guard::lookup_callback done) {
             if (m_look_for_orders) {
                 m_look_for_orders(group, leader, std::move(done));
             }
             else {
-                done(true);
+                done({true, std::nullopt});
             }
         });
 }
 
+void group_registry::record_reported_suspicion(database_group& group)
+{
+    group.handle_reported_suspicion();
+    auto const* const leader = group.leader();
+    auto const found = leader == nullptr ? m_dispatchers.end() : m_dispatchers.find(leader->entry.id);
+    if (found != m_dispatchers.end()) {
+        found->second->record_suspicion();
+    }
+}
+
 group_limits const* group_registry::limits_of(std::string const& group) const
 {
     auto const& configuration = m_fleet->configuration();
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -65,17 +65,20 @@
     };
     std::vector<connection_counts> connection_counts_of_members() const;
 
-    /// Finds out whether an order to promote another member than `leader` may still be carried out, and
-    /// passes true if none can.
+    /// Finds out whether an order to promote another member than `leader` may still be carried out.
     using order_lookup_hook = std::function<void(std::string const& group, std::string const& leader,
-                                                 std::function<void(bool)> done)>;
+                                                 promotion_guard::lookup_callback done)>;
 
-    /// Sets the function by which commits to leaders that were away are withheld.
+    /// Sets the function by which commits to leaders that were away, and successes of such commits, are
+    /// withheld.
     void set_order_lookup(order_lookup_hook look_for_orders)
     {
         m_look_for_orders = std::move(look_for_orders);
     }
 
+    /// Records that another VM suspects the leader of a group, and may order another member to lead.
+    void record_reported_suspicion(database_group& group);
+
     /// Reports the numbers of this VM's connections to the VMs that must know them. Reports all numbers if
     /// `is_complete` is set, and otherwise those that have changed.
     void report_connections(bool is_complete);
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -565,7 +565,9 @@
         }
         if (error == member_error::connection_lost || error == member_error::timed_out) {
             result.error = m_has_written ? session_error::in_doubt : session_error::failed;
-            result.error_text = "the commit was sent, but no answer was received";
+            if (result.error_text.empty()) {
+                result.error_text = "the commit was sent, but no answer was received";
+            }
             if (m_has_written) {
                 group.record_stuck_commit(m_connection->member);
             }
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -430,7 +430,9 @@
         if (result.error == session_error::timed_out) {
             m_group.record_stuck_commit(sent.member);
             result.error = session_error::in_doubt;
-            result.error_text = "the write was sent, but no answer was received";
+            if (result.error_text.empty()) {
+                result.error_text = "the write was sent, but no answer was received";
+            }
         }
         finish({std::move(result), std::nullopt});
         return;
--- a/tests/brokers/promotion_guard_tests.cpp
+++ b/tests/brokers/promotion_guard_tests.cpp
@@ -40,7 +40,7 @@
     void answer(bool is_clear)
     {
         for (auto const& done : std::exchange(pending, {})) {
-            done(is_clear);
+            done({is_clear, claimed_at});
         }
     }
 
@@ -57,10 +57,11 @@
 
     standin::virtual_clock clock{1};
     kernel core{make_kernel_hooks()};
-    std::vector<promotion_guard::result_callback> pending; ///< Lookups without an answer.
+    std::vector<promotion_guard::lookup_callback> pending; ///< Lookups without an answer.
+    std::optional<monotonic_time> claimed_at;              ///< Last claim that lookups find.
     std::size_t lookups = 0;
     std::shared_ptr<promotion_guard> guard =
-        std::make_shared<promotion_guard>(core, [this](promotion_guard::result_callback done) {
+        std::make_shared<promotion_guard>(core, [this](promotion_guard::lookup_callback done) {
             ++lookups;
             pending.push_back(std::move(done));
         });
@@ -201,3 +202,161 @@
     fixture.answer_for(1200ms, opened_at);
     cr_assert(fixture.check(opened_at, std::nullopt) == true);
 }
+
+namespace {
+
+/// Pattern: a commit is under way at a member that stands still, and another member is ordered to lead before
+/// the commit is answered.
+struct success_fixture : guard_fixture {
+    success_fixture()
+    {
+        cr_assert(check(opened_at, true) == true);
+        answer_for(100ms, opened_at);
+    }
+
+    /// Answers a commit on the fixture's connection.
+    void answer_commit(promotion_guard::sent_commit const& commit)
+    {
+        guard->record_answer(opened_at, commit.sent_at);
+        guard->check_success(commit, [this](bool is_passed) { results.push_back(is_passed); });
+    }
+
+    monotonic_time opened_at = clock.now();
+    std::vector<bool> results; ///< Whether successes were passed on, in the order of the decisions.
+};
+
+} // namespace
+
+/// Guards against a read of the store for each commit.
+Test(promotion_guard, success_of_a_prompt_commit_is_passed_on_at_once)
+{
+    success_fixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        auto const first = fixture.guard->record_sent_commit();
+        auto const second = fixture.guard->record_sent_commit();
+        fixture.clock.run_for(20ms);
+        fixture.answer_commit(first);
+        fixture.clock.run_for(20ms);
+        fixture.answer_commit(second);
+    }
+    cr_assert(fixture.results == std::vector<bool>(40, true));
+    cr_assert(fixture.lookups == 1);
+}
+
+/// Guards against lost acknowledged commits: an order was given while the member stood still.
+Test(promotion_guard, success_after_a_standstill_beside_an_order_is_withheld)
+{
+    success_fixture fixture;
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(1300ms);
+    fixture.answer_commit(commit);
+    cr_assert(fixture.results.empty());
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>{false});
+}
+
+/// Guards against answers that are left open without need: the member stood still, and nobody was ordered.
+Test(promotion_guard, success_after_a_standstill_without_an_order_is_passed_on)
+{
+    success_fixture fixture;
+    fixture.claimed_at = fixture.clock.now() - 1s;
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(1300ms);
+    fixture.answer_commit(commit);
+    fixture.answer(true);
+    cr_assert(fixture.results == std::vector<bool>{true});
+}
+
+/// Guards against lost acknowledged commits: the order was carried out and its claim settled before the
+/// answer of the former leader arrived.
+Test(promotion_guard, success_behind_a_claim_that_was_settled_meanwhile_is_withheld)
+{
+    success_fixture fixture;
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(1300ms);
+    fixture.claimed_at = fixture.clock.now() - 500ms;
+    fixture.answer_commit(commit);
+    fixture.answer(true);
+    cr_assert(fixture.results == std::vector<bool>{false});
+}
+
+/// Guards against lost acknowledged commits: a lookup that began before the answer does not know of an order
+/// that was given since.
+Test(promotion_guard, success_needs_a_lookup_that_begins_after_it)
+{
+    success_fixture fixture;
+    auto const first = fixture.guard->record_sent_commit();
+    auto const second = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(1300ms);
+    fixture.answer_commit(first);
+    fixture.clock.run_for(1ms);
+    fixture.answer_commit(second);
+    fixture.answer(true);
+    cr_assert(fixture.results == std::vector<bool>{true});
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>({true, false}));
+}
+
+/// Guards against lost acknowledged commits: the member answers reads all the while, but a takeover had
+/// stopped all its replicas, until one restarted. The commit that is answered first was sent last.
+Test(promotion_guard, commits_that_waited_for_replicas_need_a_lookup)
+{
+    success_fixture fixture;
+    auto const early = fixture.guard->record_sent_commit();
+    fixture.answer_for(400ms, fixture.opened_at);
+    auto const late = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(5ms);
+    fixture.answer_commit(late);
+    fixture.answer_commit(early);
+    cr_assert(fixture.results.empty());
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>({false, false}));
+}
+
+/// Guards against lost acknowledged commits: only other VMs lose the member, and one of them may order
+/// another member to lead.
+Test(promotion_guard, success_of_a_member_that_another_vm_suspects_needs_a_lookup)
+{
+    success_fixture fixture;
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(10ms);
+    fixture.guard->record_absence();
+    fixture.clock.run_for(10ms);
+    fixture.answer_commit(commit);
+    cr_assert(fixture.results.empty());
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>{false});
+}
+
+/// Guards against callers that wait for a store that does not answer.
+Test(promotion_guard, success_without_an_answer_of_a_lookup_is_withheld_in_time)
+{
+    success_fixture fixture;
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(1300ms);
+    fixture.answer_commit(commit);
+    fixture.clock.run_for(promotion_guard::max_success_wait + 1ms);
+    cr_assert(fixture.results == std::vector<bool>{false});
+    fixture.answer(true);
+    cr_assert(fixture.results.size() == 1);
+}
+
+/// Guards against a read of the store for each commit after one that was slow.
+Test(promotion_guard, one_slow_commit_causes_one_lookup)
+{
+    success_fixture fixture;
+    auto const slow = fixture.guard->record_sent_commit();
+    for (int i = 0; i < 40; ++i) {
+        auto const commit = fixture.guard->record_sent_commit();
+        fixture.clock.run_for(10ms);
+        fixture.answer_commit(commit);
+    }
+    fixture.answer_commit(slow);
+    cr_assert(fixture.lookups == 2);
+    auto const next = fixture.guard->record_sent_commit();
+    fixture.answer(true);
+    fixture.clock.run_for(10ms);
+    fixture.answer_commit(next);
+    cr_assert(fixture.lookups == 2);
+    cr_assert(fixture.results == std::vector<bool>(42, true));
+}
