members: Let the suspicion of stuck commits lapse

A VM whose last commit at a leader got no answer suspected the leader until one of its own commits succeeded, so for good if its callers sent none. The suspicion now ends 6 s after the last commit without an answer, longer than a commit may take.

--- a/libraries/members/database_group.cpp
+++ b/libraries/members/database_group.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t suspicion_failures = 2;
 /// Time for which commits at the leader may stay unanswered before it is suspected.
 constexpr duration stuck_commit_time = std::chrono::milliseconds(1'500);
+/// Time after the last commit without an answer for which this VM suspects the leader, so that a VM whose
+/// callers send no more commits does not suspect it for good.
+constexpr duration stuck_commit_lifetime = std::chrono::seconds(6);
 /// A latency measurement older than this is capped at `usual_latency`, so that a slow member is tried again.
 constexpr duration latency_lifetime = std::chrono::seconds(1);
 constexpr duration usual_latency = std::chrono::milliseconds(30);
@@ -680,7 +683,12 @@
 void database_group::record_stuck_commit(std::string const& id)
 {
     if (auto* const member = find_member(id)) {
-        member->commits_stuck_since = member->commits_stuck_since.value_or(m_kernel.now());
+        auto const now = m_kernel.now();
+        if (now - member->last_stuck_at > stuck_commit_lifetime) {
+            member->commits_stuck_since.reset();
+        }
+        member->commits_stuck_since = member->commits_stuck_since.value_or(now);
+        member->last_stuck_at = now;
     }
 }
 
@@ -714,7 +722,9 @@
     if (is_unreachable(*member) || fails_to_respond(*member)) {
         return true;
     }
-    return member->commits_stuck_since && m_kernel.now() - *member->commits_stuck_since > stuck_commit_time;
+    auto const now = m_kernel.now();
+    return member->commits_stuck_since && now - *member->commits_stuck_since > stuck_commit_time &&
+           now - member->last_stuck_at <= stuck_commit_lifetime;
 }
 
 void database_group::handle_reported_suspicion()
--- a/libraries/members/database_group.h
+++ b/libraries/members/database_group.h
@@ -37,7 +37,8 @@
     monotonic_time tried_at;  ///< Time at which the last statement was sent to the member.
     /// Time of the first unanswered commit since the last successful one.
     std::optional<monotonic_time> commits_stuck_since;
-    monotonic_time warm_at; ///< Time at which the member has certainly warmed up after its start.
+    monotonic_time last_stuck_at; ///< Time of the last commit without an answer.
+    monotonic_time warm_at;       ///< Time at which the member has certainly warmed up after its start.
     /// True if the member was not running when this VM last tried to reach it, so that it will have to warm
     /// up.
     bool is_absent = false;
