brokers: Look for orders while a takeover may be about to claim

Cause: a lookup that finds no claim was taken for good, though a takeover that had begun could still claim, and three signs of one were not seen: a report that comes before the claim, commits of which each ended before the next was sent, and VMs that know no leader any more.

For 2 s after each sign, every success needs a lookup that begins after it, and a commit whose success would be withheld is refused before it is sent. Only a success ends the wait of commits. Reports of VMs that know no leader are a sign, and so is the removal of the member from the directory. The claims of two lookups are told apart by fence and time of the store instead of by this VM's clock, since a claim becomes visible up to 1.4 s after its time.

An answer that is withheld says so to the VM of the caller, so that neither the member nor its commits are blamed for it.

--- a/libraries/brokers/member_dispatcher.cpp
+++ b/libraries/brokers/member_dispatcher.cpp
@@ -523,10 +523,10 @@
                  "success of a commit is withheld, since an order may replace the leader", std::move(fields));
 }
 
-void member_dispatcher::record_suspicion()
+void member_dispatcher::record_doubt()
 {
     if (m_options.guard) {
-        m_options.guard->record_absence();
+        m_options.guard->record_doubt();
     }
 }
 
@@ -575,6 +575,7 @@
             answer.error_text = reason;
             // The member is not to blame, and the outcome is unknown.
             answer.is_doubtful = true;
+            answer.is_withheld = true;
         }
     }
 }
@@ -723,6 +724,10 @@
 
 void member_dispatcher::shut_down()
 {
+    if (m_options.guard) {
+        // Transactions keep their connections, but reports about the member no longer arrive here.
+        m_options.guard->retire();
+    }
     m_pool->shut_down();
     for (auto const id : m_waiting.clear()) {
         refuse(m_queued.extract(id).mapped(), member_error::refused, "member was removed from the directory");
--- a/libraries/brokers/member_dispatcher.h
+++ b/libraries/brokers/member_dispatcher.h
@@ -61,8 +61,8 @@
     /// Closes connections that were idle for longer than `limit`, but keeps `kept` connections in total.
     void trim_surplus(std::size_t kept, duration limit) { m_pool->trim_surplus(kept, limit); }
 
-    /// Records that another VM suspects the member.
-    void record_suspicion();
+    /// Records that another VM may order another member to lead.
+    void record_doubt();
 
     std::size_t connections() const { return m_pool->connections(); }
     std::size_t connection_limit() const { return m_options.connection_limit(); }
--- a/libraries/brokers/promotion_guard.cpp
+++ b/libraries/brokers/promotion_guard.cpp
@@ -9,11 +9,17 @@
 
 namespace {
 
-/// Time without an answer, or without a commit that succeeds, after which another member may have been
-/// ordered to lead. VMs need longer to suspect a leader.
-constexpr duration max_silence = std::chrono::milliseconds(300);
+/// Time without an answer after which the member may have been away. VMs need longer to order another one.
+constexpr duration max_silence = std::chrono::milliseconds(800);
+/// Time without a success of a commit after which all replicas may have been stopped.
+constexpr duration max_commit_wait = std::chrono::milliseconds(300);
+/// Age that a claim may have when other VMs can read it first.
+constexpr duration max_claim_delay = std::chrono::milliseconds(1'400);
 /// Time after a lookup that found an order, or nothing, for which checks fail without another one.
 constexpr duration failed_lookup_pause = std::chrono::milliseconds(250);
+/// Time after a sign that the member may be replaced within which a takeover that began before may still
+/// claim the lock. Reports of a suspicion have expired by then.
+constexpr duration settling_time = std::chrono::seconds(2);
 /// Time between reports of other VMs from which on they are about another absence.
 constexpr duration report_gap = std::chrono::seconds(3);
 
@@ -26,7 +32,7 @@
         m_presence.reset();
     }
     if (!m_presence) {
-        m_presence = presence{m_next_presence++, sent_at, sent_at, now, false, {}};
+        m_presence = presence{m_next_presence++, sent_at, sent_at, now, false, {}, {}};
         return;
     }
     if (opened_at > m_presence->until) {
@@ -41,6 +47,21 @@
 {
     m_presence.reset();
     m_is_lookup_outdated = true;
+    record_doubt();
+}
+
+void promotion_guard::record_doubt()
+{
+    if (m_presence) {
+        // Commits that are under way need a lookup however late they are answered.
+        m_presence->number = m_next_presence++;
+    }
+    m_unsettled_until = std::max(m_unsettled_until, m_kernel.now() + settling_time);
+}
+
+void promotion_guard::retire()
+{
+    m_unsettled_until = monotonic_time::max();
 }
 
 void promotion_guard::record_reported_absence()
@@ -55,7 +76,10 @@
 bool promotion_guard::is_clear(monotonic_time opened_at) const
 {
     auto const now = m_kernel.now();
-    return m_presence && opened_at <= m_presence->until && now - m_presence->heard_at <= max_silence &&
+    // A success would be withheld, so its commit is not sent.
+    auto const is_doubtful = now < m_unsettled_until && m_failed_at;
+    return !is_doubtful && m_presence && opened_at <= m_presence->until &&
+           now - m_presence->heard_at <= max_silence &&
            (m_presence->is_clear || now - m_presence->since >= order_lapse_time);
 }
 
@@ -84,14 +108,16 @@
 promotion_guard::sent_commit promotion_guard::record_sent_commit()
 {
     auto const now = m_kernel.now();
-    if (m_unanswered_commits++ == 0) {
-        m_commits_wait_since = now;
-    }
+    ++m_unanswered_commits;
+    m_commits_wait_since = m_commits_wait_since.value_or(now);
     if (!m_presence) {
-        return {now, now, 0};
+        return {now, 0, std::nullopt, now};
+    }
+    if (m_presence->is_clear) {
+        return {now, m_presence->number, m_presence->claim, m_presence->cleared_at};
     }
     // A member that answers for long may have been claimed against meanwhile.
-    return {now, m_presence->is_clear ? m_presence->cleared_at : m_presence->since, m_presence->number};
+    return {now, m_presence->number, std::nullopt, m_presence->since};
 }
 
 void promotion_guard::record_failed_commit()
@@ -102,28 +128,30 @@
 
 bool promotion_guard::is_prompt(sent_commit const& commit, bool has_waited) const
 {
-    return !has_waited && m_presence && m_presence->number == commit.presence &&
-           m_kernel.now() - commit.sent_at <= max_silence;
+    auto const now = m_kernel.now();
+    return !has_waited && now >= m_unsettled_until && m_presence && m_presence->number == commit.presence &&
+           now - commit.sent_at <= max_commit_wait;
 }
 
 void promotion_guard::check_success(sent_commit const& commit, result_callback done)
 {
     VERIFY(m_unanswered_commits != 0);
     auto const now = m_kernel.now();
-    auto const has_waited = now - std::exchange(m_commits_wait_since, now) > max_silence;
+    auto const has_waited = m_commits_wait_since && now - *m_commits_wait_since > max_commit_wait;
     --m_unanswered_commits;
+    m_commits_wait_since = m_unanswered_commits == 0 ? std::nullopt : std::optional(now);
     if (is_prompt(commit, has_waited)) {
         ++m_successes.passed;
         done(true);
         return;
     }
     if (has_waited) {
-        // All replicas may have been stopped, so the other commits that waited need a lookup, too.
-        record_absence();
+        // The other commits that waited need a lookup, too.
+        record_doubt();
     }
     ++m_successes.looked_up;
     auto const number = m_next_check++;
-    m_waiting_successes.push_back({number, commit.cleared_at, now, std::move(done)});
+    m_waiting_successes.push_back({number, commit, now, std::move(done)});
     m_kernel.start_timer(max_success_wait, [weak = weak_from_this(), number] {
         if (auto const guard = weak.lock()) {
             guard->give_up_success(number);
@@ -185,7 +213,7 @@
     }
     else if (!m_is_lookup_outdated) {
         m_failed_at.reset();
-        clear_presence(asked_at);
+        clear_presence(result, asked_at);
     }
     std::vector<waiting_check> decided;
     std::erase_if(m_waiting, [&](waiting_check& each) {
@@ -205,29 +233,43 @@
     }
 }
 
-void promotion_guard::clear_presence(monotonic_time asked_at)
+void promotion_guard::clear_presence(lookup_result const& result, monotonic_time asked_at)
 {
     auto const now = m_kernel.now();
     if (!m_presence || now - m_presence->heard_at > max_silence) {
-        m_presence = presence{m_next_presence++, asked_at, asked_at, now, true, asked_at};
+        m_presence = presence{m_next_presence++, asked_at, asked_at, now, true, asked_at, result.claim};
         return;
     }
     // Commits that are under way stay commits of the same presence.
     m_presence->until = std::max(m_presence->until, asked_at);
     m_presence->is_clear = true;
     m_presence->cleared_at = asked_at;
+    m_presence->claim = result.claim;
+}
+
+bool promotion_guard::was_claimed_since(sent_commit const& commit, lookup_result const& result,
+                                        monotonic_time claimed_at)
+{
+    if (!result.claim) {
+        return false;
+    }
+    if (commit.claim) {
+        return *result.claim != *commit.claim;
+    }
+    return result.is_claimed_for_other && claimed_at + max_claim_delay > commit.cleared_at;
 }
 
 void promotion_guard::decide_successes(lookup_result const& result, monotonic_time asked_at)
 {
+    auto const claimed_at = m_kernel.now() - result.claim_age;
     std::vector<std::pair<waiting_success, bool>> decided;
     std::erase_if(m_waiting_successes, [&](waiting_success& each) {
         if (each.answered_at > asked_at) {
             return false;
         }
         // An order under a claim that was settled since the commit was sent may have been carried out.
-        auto const was_claimed = result.claimed_at && *result.claimed_at > each.cleared_at;
-        decided.emplace_back(std::move(each), result.is_clear && !was_claimed);
+        auto const is_passed = result.is_clear && !was_claimed_since(each.commit, result, claimed_at);
+        decided.emplace_back(std::move(each), is_passed);
         return true;
     });
     for (auto const& [success, is_passed] : decided) {
--- a/libraries/brokers/promotion_guard.h
+++ b/libraries/brokers/promotion_guard.h
@@ -24,17 +24,26 @@
 ///
 /// An order may also be given while a commit is under way, to a member that stands still and answers later. A
 /// success is passed on at once if the member has answered without a gap since the commit was sent, commits
-/// did not wait, and no VM suspected the member. Otherwise a lookup that begins after the success decides.
+/// did not wait, and no VM suspected the member for a while. Otherwise a lookup that begins after the success
+/// decides.
 /// Evidence on which a later order rests was given after the replica received the commit.
 class promotion_guard : public std::enable_shared_from_this<promotion_guard> {
 public:
     using result_callback = std::function<void(bool)>;
 
+    /// Claim of the failover lock, which precedes orders; the default value if there was none.
+    struct claim_id {
+        std::uint64_t fence = 0;
+        std::int64_t claimed_at_ms = 0; ///< By the store's clock.
+        bool operator==(claim_id const&) const = default;
+    };
+
     /// What a lookup has found.
     struct lookup_result {
-        bool is_clear = false; ///< Whether no order can replace the member.
-        /// Upper bound of the time of the last claim that precedes orders; std::nullopt if none is known.
-        std::optional<monotonic_time> claimed_at;
+        bool is_clear = false;             ///< Whether no order can replace the member.
+        std::optional<claim_id> claim;     ///< Last claim; std::nullopt unless the store has answered.
+        duration claim_age{};              ///< Time since that claim.
+        bool is_claimed_for_other = false; ///< Whether it names another member.
     };
     using lookup_callback = std::function<void(lookup_result const&)>;
     /// Finds out whether an order may still replace the member; calls back once, perhaps at once.
@@ -43,8 +52,10 @@
     /// State of the member when a commit was sent.
     struct sent_commit {
         monotonic_time sent_at;
-        monotonic_time cleared_at;  ///< Time at which no order was outstanding.
         std::uint64_t presence = 0; ///< Number of the presence; 0 if there was none.
+        /// Last claim when no order was outstanding; std::nullopt if it is not known.
+        std::optional<claim_id> claim;
+        monotonic_time cleared_at; ///< Time at which no order was outstanding.
     };
 
     promotion_guard(kernel& kernel, lookup_hook look_for_orders)
@@ -56,9 +67,15 @@
     /// opened at `opened_at`.
     void record_answer(monotonic_time opened_at, monotonic_time sent_at);
 
-    /// Records that this VM found the member out of reach, or that another VM suspects it.
+    /// Records that this VM found the member out of reach.
     void record_absence();
 
+    /// Records a sign that another member may be ordered to lead, though this one may not have been away.
+    void record_doubt();
+
+    /// Records that nothing more is learned of the member, so that each success needs a lookup.
+    void retire();
+
     /// Records that another VM, which sends a commit now, found the member out of reach a short time ago.
     void record_reported_absence();
 
@@ -78,8 +95,9 @@
 
     /// Longest time for which a check before a commit waits.
     static constexpr duration max_wait = std::chrono::milliseconds(50);
-    /// Longest time for which a success waits. A lookup asks the members if the store does not answer.
-    static constexpr duration max_success_wait = std::chrono::milliseconds(500);
+    /// Longest time for which a success waits, for the running lookup and another one. A lookup asks the
+    /// members if the store does not answer.
+    static constexpr duration max_success_wait = std::chrono::milliseconds(800);
 
     /// Counts since the start of the VM.
     struct success_counts {
@@ -96,15 +114,16 @@
     struct presence {
         std::uint64_t number = 0;
         monotonic_time since;
-        monotonic_time until;      ///< Latest send time of a request that was answered.
-        monotonic_time heard_at;   ///< Arrival of the last answer.
-        bool is_clear = false;     ///< Whether no order given before can replace the member any more.
-        monotonic_time cleared_at; ///< Begin of the lookup that showed this.
+        monotonic_time until;          ///< Latest send time of a request that was answered.
+        monotonic_time heard_at;       ///< Arrival of the last answer.
+        bool is_clear = false;         ///< Whether no order given before can replace the member any more.
+        monotonic_time cleared_at;     ///< Begin of the lookup that showed this.
+        std::optional<claim_id> claim; ///< Claim that it found.
     };
 
     struct waiting_success {
         std::uint64_t number = 0;
-        monotonic_time cleared_at;
+        sent_commit commit;
         monotonic_time answered_at;
         result_callback done;
     };
@@ -124,7 +143,9 @@
     void start_lookup();
     void handle_result(lookup_result const& result, monotonic_time asked_at);
     /// Records that no order was outstanding when a lookup began.
-    void clear_presence(monotonic_time asked_at);
+    void clear_presence(lookup_result const& result, monotonic_time asked_at);
+    static bool was_claimed_since(sent_commit const& commit, lookup_result const& result,
+                                  monotonic_time claimed_at);
     /// Decides the successes that had arrived when the lookup began.
     void decide_successes(lookup_result const& result, monotonic_time asked_at);
 
@@ -139,9 +160,11 @@
     std::vector<waiting_check> m_waiting; ///< Checks that wait for the running lookup.
     std::vector<waiting_success> m_waiting_successes;
     std::uint64_t m_next_presence = 1;
+    /// Time until which each success needs a lookup, since a takeover may be about to claim the lock.
+    monotonic_time m_unsettled_until;
     std::size_t m_unanswered_commits = 0;
-    /// Time since when no commit has succeeded although one is unanswered.
-    monotonic_time m_commits_wait_since;
+    /// Time since when no commit has succeeded although one was sent; std::nullopt if the last one succeeded.
+    std::optional<monotonic_time> m_commits_wait_since;
     success_counts m_successes;
     std::uint64_t m_lookups = 0;
 };
--- a/libraries/failover/failover_lock.cpp
+++ b/libraries/failover/failover_lock.cpp
@@ -189,11 +189,14 @@
             done(std::optional<lock_claim>());
             return;
         }
-        lock_claim const found{
-            claim->holder,       claim->member,
-            claim->fence,        std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
-            claim->is_settled,   claim->is_marked,
-            claim->replaces_open};
+        lock_claim const found{claim->holder,
+                               claim->member,
+                               claim->fence,
+                               claim->claimed_at_ms,
+                               std::chrono::milliseconds(row.read_at_ms - claim->claimed_at_ms),
+                               claim->is_settled,
+                               claim->is_marked,
+                               claim->replaces_open};
         Json::Value fields(Json::objectValue);
         fields["group"] = group;
         fields["holder"] = found.holder;
--- a/libraries/failover/failover_lock.h
+++ b/libraries/failover/failover_lock.h
@@ -28,7 +28,8 @@
     std::string holder;
     std::string member; ///< Member that the holder orders to lead.
     std::uint64_t fence = 0;
-    duration age{}; ///< Time since the claim, by the store's clock.
+    std::int64_t claimed_at_ms = 0; ///< Time of the claim, by the store's clock.
+    duration age{};                 ///< Time since the claim, by the store's clock.
     /// False while an order under this claim, or an earlier one, may have been sent and not been answered.
     bool is_settled = true;
     /// Whether the row says so. A claim of an earlier build says nothing of its orders.
--- a/libraries/failover/order_lookup.cpp
+++ b/libraries/failover/order_lookup.cpp
@@ -101,7 +101,7 @@
 void order_lookup::finish_with_claim(search& current, std::optional<lock_claim> const& claim)
 {
     if (!claim) {
-        finish(current, {true, std::nullopt}, "store");
+        finish(current, {true, promotion_guard::claim_id{}}, "store");
         return;
     }
     Json::Value fields(Json::objectValue);
@@ -110,8 +110,10 @@
     fields["fence"] = Json::UInt64(claim->fence);
     fields["age_ms"] = to_milliseconds(claim->age);
     fields["is_settled"] = claim->is_settled;
-    auto const claimed_at = m_dependencies.core.now() - claim->age;
-    finish(current, {is_clear_of(*claim, current.leader), claimed_at}, "store", std::move(fields));
+    promotion_guard::lookup_result const result{is_clear_of(*claim, current.leader),
+                                                promotion_guard::claim_id{claim->fence, claim->claimed_at_ms},
+                                                claim->age, claim->member != current.leader};
+    finish(current, result, "store", std::move(fields));
 }
 
 void order_lookup::finish(search& current, promotion_guard::lookup_result const& result,
--- a/libraries/fleet/report_service.cpp
+++ b/libraries/fleet/report_service.cpp
@@ -305,7 +305,11 @@
                                          bool is_suspected)
 {
     if (is_suspected) {
-        m_groups->record_reported_suspicion(group);
+        group.handle_reported_suspicion();
+    }
+    // A VM that suspects the leader, or knows none, may order another member to lead.
+    if (is_suspected || leader.member.empty()) {
+        m_groups->record_leader_doubt(group);
     }
     else if (leader.term != 0) {
         group.apply_reported_leader(leader.member, leader.term);
--- a/libraries/members/group_registry.cpp
+++ b/libraries/members/group_registry.cpp
@@ -236,13 +236,12 @@
         });
 }
 
-void group_registry::record_reported_suspicion(database_group& group)
+void group_registry::record_leader_doubt(database_group const& group)
 {
-    group.handle_reported_suspicion();
     auto const* const leader = group.leader();
     auto const found = leader == nullptr ? m_dispatchers.end() : m_dispatchers.find(leader->entry.id);
     if (found != m_dispatchers.end()) {
-        found->second->record_suspicion();
+        found->second->record_doubt();
     }
 }
 
--- a/libraries/members/group_registry.h
+++ b/libraries/members/group_registry.h
@@ -76,8 +76,9 @@
         m_look_for_orders = std::move(look_for_orders);
     }
 
-    /// Records that another VM suspects the leader of a group, and may order another member to lead.
-    void record_reported_suspicion(database_group& group);
+    /// Records that another VM suspects the leader of a group, or knows none, and may order another member to
+    /// lead.
+    void record_leader_doubt(database_group const& group);
 
     /// Reports the numbers of this VM's connections to the VMs that must know them. Reports all numbers if
     /// `is_complete` is set, and otherwise those that have changed.
--- a/libraries/members/member_command.h
+++ b/libraries/members/member_command.h
@@ -140,10 +140,12 @@
     bool is_handshake = false;
     /// Time before the command was sent at which the answer may have been true last, in milliseconds.
     std::uint32_t evidence_age_ms = 0;
+    /// Set with connection_lost if the member answered with success, which cannot be passed on.
+    bool is_withheld = false;
 
     bool is_ok() const { return !error.has_value(); }
     MSGPACK_DEFINE(error, error_text, rows, proof, state, position, replication, retry_after_ms,
-                   evidence_age_ms)
+                   evidence_age_ms, is_withheld)
 };
 
 /// Target of a connection, and the client account that uses it.
--- a/libraries/sessions/client_session.cpp
+++ b/libraries/sessions/client_session.cpp
@@ -527,7 +527,7 @@
         if (answer.is_ok()) {
             group.record_answer(member, self->m_kernel.now() - sent_at);
         }
-        else {
+        else if (!answer.is_withheld) {
             group.record_failure(member, *answer.error);
         }
         self->handle_transaction_answer(statement, retries, sent_at, std::move(answer));
@@ -555,6 +555,7 @@
         return;
     }
     auto const error = answer.error;
+    auto const is_withheld = answer.is_withheld;
     auto const state = answer.state;
     auto& group = m_engine.groups().group(m_transaction_class.group);
     auto result = to_session_answer(std::move(answer));
@@ -568,7 +569,7 @@
             if (result.error_text.empty()) {
                 result.error_text = "the commit was sent, but no answer was received";
             }
-            if (m_has_written) {
+            if (m_has_written && !is_withheld) {
                 group.record_stuck_commit(m_connection->member);
             }
         }
--- a/libraries/sessions/statement_execution.cpp
+++ b/libraries/sessions/statement_execution.cpp
@@ -424,11 +424,16 @@
     if (handle_retryable_error(sent.member, *answer.error)) {
         return;
     }
-    m_group.record_failure(sent.member, *answer.error);
+    auto const is_withheld = answer.is_withheld;
+    if (!is_withheld) {
+        m_group.record_failure(sent.member, *answer.error);
+    }
     if (sent.mode == execution_mode::write) {
         auto result = to_session_answer(std::move(answer));
         if (result.error == session_error::timed_out) {
-            m_group.record_stuck_commit(sent.member);
+            if (!is_withheld) {
+                m_group.record_stuck_commit(sent.member);
+            }
             result.error = session_error::in_doubt;
             if (result.error_text.empty()) {
                 result.error_text = "the write was sent, but no answer was received";
--- a/tests/brokers/promotion_guard_tests.cpp
+++ b/tests/brokers/promotion_guard_tests.cpp
@@ -40,7 +40,7 @@
     void answer(bool is_clear)
     {
         for (auto const& done : std::exchange(pending, {})) {
-            done({is_clear, claimed_at});
+            done({is_clear, claim, clock.now() - claimed_at, is_claimed_for_other});
         }
     }
 
@@ -58,7 +58,9 @@
     standin::virtual_clock clock{1};
     kernel core{make_kernel_hooks()};
     std::vector<promotion_guard::lookup_callback> pending; ///< Lookups without an answer.
-    std::optional<monotonic_time> claimed_at;              ///< Last claim that lookups find.
+    promotion_guard::claim_id claim{1, 1};                 ///< Last claim that lookups find.
+    monotonic_time claimed_at;
+    bool is_claimed_for_other = true;
     std::size_t lookups = 0;
     std::shared_ptr<promotion_guard> guard =
         std::make_shared<promotion_guard>(core, [this](promotion_guard::lookup_callback done) {
@@ -259,7 +261,6 @@
 Test(promotion_guard, success_after_a_standstill_without_an_order_is_passed_on)
 {
     success_fixture fixture;
-    fixture.claimed_at = fixture.clock.now() - 1s;
     auto const commit = fixture.guard->record_sent_commit();
     fixture.clock.run_for(1300ms);
     fixture.answer_commit(commit);
@@ -274,7 +275,7 @@
     success_fixture fixture;
     auto const commit = fixture.guard->record_sent_commit();
     fixture.clock.run_for(1300ms);
-    fixture.claimed_at = fixture.clock.now() - 500ms;
+    fixture.claim = {2, 2};
     fixture.answer_commit(commit);
     fixture.answer(true);
     cr_assert(fixture.results == std::vector<bool>{false});
@@ -320,7 +321,7 @@
     success_fixture fixture;
     auto const commit = fixture.guard->record_sent_commit();
     fixture.clock.run_for(10ms);
-    fixture.guard->record_absence();
+    fixture.guard->record_doubt();
     fixture.clock.run_for(10ms);
     fixture.answer_commit(commit);
     cr_assert(fixture.results.empty());
@@ -360,3 +361,69 @@
     cr_assert(fixture.lookups == 2);
     cr_assert(fixture.results == std::vector<bool>(42, true));
 }
+
+/// Guards against lost acknowledged commits: a lookup clears the member while another VM is about to claim
+/// the lock. The commit is answered soon after it was sent.
+Test(promotion_guard, prompt_success_soon_after_a_doubt_needs_a_lookup)
+{
+    success_fixture fixture;
+    fixture.guard->record_absence();
+    cr_assert(fixture.check(fixture.opened_at, true) == true);
+    fixture.clock.run_for(5ms);
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(60ms);
+    fixture.answer_commit(commit);
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>{false});
+    // The next commit would be withheld, too.
+    cr_assert(fixture.check(fixture.opened_at, std::nullopt) == false);
+}
+
+/// Guards against lost acknowledged commits: the leader is cut off from its replicas, commits time out one
+/// after the other, and one of them is under way when a replica that was stopped restarts.
+Test(promotion_guard, commit_after_one_that_timed_out_needs_a_lookup)
+{
+    success_fixture fixture;
+    fixture.guard->record_sent_commit();
+    fixture.answer_for(250ms, fixture.opened_at);
+    fixture.guard->record_failed_commit();
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.answer_for(100ms, fixture.opened_at);
+    fixture.answer_commit(commit);
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>{false});
+}
+
+/// Guards against lost acknowledged commits of transactions: the leader's entry has lapsed, so that this VM
+/// hears of no suspicion any more.
+Test(promotion_guard, success_of_a_member_that_left_the_directory_needs_a_lookup)
+{
+    success_fixture fixture;
+    fixture.guard->retire();
+    fixture.clock.run_for(10ms);
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.clock.run_for(10ms);
+    fixture.answer_commit(commit);
+    fixture.answer(false);
+    cr_assert(fixture.results == std::vector<bool>{false});
+}
+
+/// Guards against answers that are left open without need: the member was a replica whose process has
+/// answered for long, so that it is clear by time, and leads by the order of a claim for itself.
+Test(promotion_guard, slow_commit_of_a_new_leader_is_passed_on)
+{
+    guard_fixture fixture;
+    auto const opened_at = fixture.clock.now();
+    fixture.answer_for(20s, opened_at);
+    fixture.claimed_at = fixture.clock.now() - 1s;
+    fixture.is_claimed_for_other = false;
+    cr_assert(fixture.check(opened_at, std::nullopt) == true);
+    cr_assert(fixture.lookups == 0);
+    auto const commit = fixture.guard->record_sent_commit();
+    fixture.answer_for(400ms, opened_at);
+    std::optional<bool> result;
+    fixture.guard->record_answer(opened_at, commit.sent_at);
+    fixture.guard->check_success(commit, [&result](bool is_passed) { result = is_passed; });
+    fixture.answer(true);
+    cr_assert(result == true);
+}
