failover: Stop no replica in a takeover that does not reach the store

A leader that crashed and was back after 0.2 to 2.5 s, with the store silent and no order given, got no commits for 3.0 to 3.5 s after its return, or none before the callers' keys ended.

Lookups of orders find stopped replicas, so commits are withheld. Class: a measure is taken before it is known that the means to complete it and to undo it are in reach.

A takeover now orders replicas to stop only once it has read the row of the lock since its start, holds the lock, or knows of an order without an answer. Before, it asks for their status only; it promotes nobody in that time anyway. Having read the row, it may let all replicas receive when it ends, so overlapping takeovers leave no stop behind. One that has not read it lets none receive that it has not stopped itself; before, it resumed also a replica which another takeover had stopped since the last status. The read is repeated while the takeover runs, and its answer stops the replicas at once. The time after which reports of other VMs cover the commits before the stop counts from there.

Not played with real processes.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -120,6 +120,15 @@
     advance();
 }
 
+void group_takeover::handle_lock_read()
+{
+    if (m_has_ended) {
+        return;
+    }
+    send_commands();
+    advance();
+}
+
 void group_takeover::set_phase(phase next)
 {
     m_phase = next;
@@ -195,6 +204,9 @@
 void group_takeover::send_commands()
 {
     m_commands_sent_at = m_kernel.now();
+    if (!m_may_stop_since && may_stop_replicas()) {
+        m_may_stop_since = m_kernel.now();
+    }
     m_control.check_connections();
     update_targets();
     if (auto const* const leader = m_evidence.find_answer(m_evidence.old_leader(), m_kernel.now())) {
@@ -221,6 +233,27 @@
                                         : member_control::recipient::address);
 }
 
+bool group_takeover::may_stop_replicas() const
+{
+    return !m_dependencies.deposes_replaced_leaders || m_dependencies.has_read_lock_since(m_started_at) ||
+           m_fence != 0 || has_outstanding_order();
+}
+
+bool group_takeover::may_resume(std::string const& member) const
+{
+    if (member == m_evidence.old_leader()) {
+        return false;
+    }
+    // Another takeover that stopped the member may have sent an order that has no answer.
+    return !m_dependencies.deposes_replaced_leaders || m_dependencies.has_read_lock_since(m_started_at) ||
+           (m_stopped.contains(member) && !m_stopped_by_others.contains(member));
+}
+
+duration group_takeover::time_since_stop() const
+{
+    return m_may_stop_since ? m_kernel.now() - *m_may_stop_since : duration::zero();
+}
+
 void group_takeover::stop_if_receiving(std::string const& member, replication_status const& status)
 {
     if (status.stopped_at_term == 0) {
@@ -231,7 +264,7 @@
     }
     auto const target = m_targets.find(member);
     if (target != m_targets.end() && command_for(member) == command_kind::stop_receiving &&
-        status.stopped_at_term < m_term) {
+        status.stopped_at_term < m_term && may_stop_replicas()) {
         m_stopped.insert(member);
         send_command(target->second, command_kind::stop_receiving);
     }
@@ -487,7 +520,7 @@
 {
     auto const now = m_kernel.now();
     auto const unanswered = m_evidence.unanswered(now);
-    if (!m_evidence.have_answering_stopped(now) || (!unanswered.empty() && elapsed() < report_time)) {
+    if (!m_evidence.have_answering_stopped(now) || (!unanswered.empty() && time_since_stop() < report_time)) {
         return false;
     }
     // A commit that is known to be acknowledged and is in no answer is held by a member that is not known.
@@ -650,7 +683,7 @@
     auto const holder = find_holder(*bound);
     // The replicas of a leader that was given up have stopped receiving, but some may have to be left out.
     auto const may_become_complete = is_handover(m_cause) ? now - *m_fenced_since < max_catch_up_time
-                                                          : elapsed() < report_time + command_period;
+                                                          : time_since_stop() < report_time + command_period;
     if (holder ? now - *m_fenced_since < fenced_command_period : may_become_complete) {
         return;
     }
@@ -883,7 +916,7 @@
     log("takeover ended", std::move(fields));
     // A replica that receives lets the old leader acknowledge commits that the ordered member may lack.
     if (must_resume && m_has_interfered && !has_outstanding_order()) {
-        resume_replicas();
+        m_control.resume_receiving([this](std::string const& member) { return may_resume(member); });
     }
     if (m_fence != 0 && m_dependencies.deposes_replaced_leaders && !m_dependencies.last_order) {
         m_dependencies.lock.settle(m_name, m_was_order_answered);
@@ -891,16 +924,6 @@
     m_dependencies.ended();
 }
 
-void group_takeover::resume_replicas()
-{
-    std::set<std::string> excluded{m_evidence.old_leader()};
-    if (m_dependencies.deposes_replaced_leaders && !m_dependencies.has_read_lock_since(m_started_at)) {
-        // The takeover that stopped these may have sent an order that has no answer.
-        excluded.insert(m_stopped_by_others.begin(), m_stopped_by_others.end());
-    }
-    m_control.resume_receiving(excluded);
-}
-
 void group_takeover::start_timer(duration delay, std::function<void(group_takeover&)> callback)
 {
     m_kernel.start_timer(delay, [weak = weak_from_this(), callback = std::move(callback)] {
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -109,6 +109,8 @@
     void start();
     /// Repeats the commands and checks the time limits. To be called about ten times a second.
     void tick();
+    /// Goes on after the last claim of the failover lock was read.
+    void handle_lock_read();
 
     takeover_cause cause() const { return m_cause; }
     /// Returns whether members have been ordered anything that callers notice.
@@ -135,6 +137,13 @@
     void update_targets();
     void send_commands();
     void send_command(member_entry const& member, command_kind kind);
+    /// Returns whether replicas may be ordered to stop receiving. A takeover that does not reach the store
+    /// can neither promote a replica nor let those receive that another takeover has stopped.
+    bool may_stop_replicas() const;
+    /// Returns whether a takeover that ends without a successor may let the member receive.
+    bool may_resume(std::string const& member) const;
+    /// Returns the time since replicas may be stopped.
+    duration time_since_stop() const;
     /// Orders the member to stop receiving if it has to and its status shows that it does not know.
     void stop_if_receiving(std::string const& member, replication_status const& status);
     command_kind command_for(std::string const& member) const;
@@ -216,7 +225,6 @@
     /// Ends the takeover once the successor was seen leading.
     void finish();
     void end(std::string_view outcome, bool must_resume);
-    void resume_replicas();
 
     /// Starts a timer that is ignored once the takeover has ended.
     void start_timer(duration delay, std::function<void(group_takeover&)> callback);
@@ -239,6 +247,8 @@
     monotonic_time m_started_at;
     monotonic_time m_phase_since;
     monotonic_time m_commands_sent_at;
+    /// Time since when may_stop_replicas() was seen to be true.
+    std::optional<monotonic_time> m_may_stop_since;
     /// Time at which a member answered that had not answered before.
     std::optional<monotonic_time> m_newly_answered_at;
     /// Time since when the old leader's zone is in contact.
--- a/libraries/failover/member_control.cpp
+++ b/libraries/failover/member_control.cpp
@@ -102,10 +102,10 @@
     }
 }
 
-void member_control::resume_receiving(std::set<std::string> const& excluded)
+void member_control::resume_receiving(std::function<bool(std::string const&)> const& accepts)
 {
     for (auto const& [id, connection] : m_connections) {
-        if (!connection->is_open() || excluded.contains(id)) {
+        if (!connection->is_open() || !accepts(id)) {
             continue;
         }
         member_command resume;
--- a/libraries/failover/member_control.h
+++ b/libraries/failover/member_control.h
@@ -3,7 +3,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,8 +47,8 @@
     /// Reports the connections that were lost since the last call.
     void check_connections();
 
-    /// Lets the members receive again, except for those with an id in `excluded`.
-    void resume_receiving(std::set<std::string> const& excluded);
+    /// Lets the members receive again for whose id `accepts` returns true.
+    void resume_receiving(std::function<bool(std::string const&)> const& accepts);
 
 private:
     backend_connection_pointer make_connection(member_entry const& member, recipient to);
--- a/libraries/failover/takeover_service.cpp
+++ b/libraries/failover/takeover_service.cpp
@@ -233,10 +233,10 @@
     if (now >= watch.next_check_at) {
         watch.next_check_at = now + responsibility_period;
         auto const was_responsible = std::exchange(watch.is_responsible, should_start_takeover(group));
-        if (!watch.is_responsible) {
+        if (!watch.is_responsible && !m_takeovers.contains(group.name())) {
             watch.must_read = false;
         }
-        else if (!was_responsible) {
+        else if (watch.is_responsible && !was_responsible) {
             request_lock_read(watch);
         }
     }
@@ -270,6 +270,10 @@
         if (*claim) {
             handle_claim(group, **claim);
         }
+        if (auto const running = m_takeovers.find(group); running != m_takeovers.end()) {
+            auto const current = running->second;
+            current->handle_lock_read();
+        }
     });
 }
 
--- a/standins/session_fleet/session_fleet.cpp
+++ b/standins/session_fleet/session_fleet.cpp
@@ -371,7 +371,7 @@
     hooks.platform.read_row = [this, self](std::string const& key, auto done) {
         m_clock.start_timer(m_shape.latency, [this, self, key, done = repeated(std::move(done))] {
             if (!self->can_reach_store) {
-                done(absl::UnavailableError("cut"));
+                fail_call(done);
                 return;
             }
             auto const& entry = m_store[key];
@@ -401,6 +401,13 @@
     return hooks;
 }
 
+void session_fleet::fail_call(std::function<void(absl::Status const&)> done)
+{
+    auto const timeout = m_store_timeout.value_or(m_shape.latency);
+    m_clock.start_timer(timeout - m_shape.latency,
+                        [done = std::move(done)] { done(absl::UnavailableError("cut")); });
+}
+
 void session_fleet::put_row(virtual_vm const& vm, std::string const& key, std::uint64_t expected,
                             std::string const& value, put_callback const& done)
 {
@@ -408,7 +415,7 @@
     auto const carry_out = [this, &vm, key, expected, value](put_callback const& answer) {
         auto& entry = m_store[key];
         if (!vm.can_reach_store) {
-            answer(absl::UnavailableError("cut"));
+            fail_call(answer);
         }
         else if (entry.version != expected) {
             answer(absl::AbortedError("row has another version"));
--- a/standins/session_fleet/session_fleet.h
+++ b/standins/session_fleet/session_fleet.h
@@ -61,6 +61,9 @@
 
     /// Cuts a VM off from the store, or reconnects it.
     void set_store_cut(std::size_t index, bool is_cut) { m_vms[index]->can_reach_store = !is_cut; }
+    /// Sets the time after which a call to the store fails if its VM is cut off from it. The default is the
+    /// latency, as if the store refused the call.
+    void set_store_timeout(duration timeout) { m_store_timeout = timeout; }
     /// Sets whether later reads of the platform's VM list include a VM.
     void set_listed(std::size_t index, bool is_listed) { m_vms[index]->is_listed = is_listed; }
     /// Cuts a VM off from all database members, or reconnects it.
@@ -212,6 +215,8 @@
     }
     /// Runs a callback in a VM after the latency, or drops it if that incarnation of the VM has ended.
     void run_after_latency(std::size_t index, std::function<void(session_vm&)> callback);
+    /// Lets a call to the store that was not answered fail.
+    void fail_call(std::function<void(absl::Status const&)> done);
     virtual_vm* find_vm(std::string const& name);
     virtual_vm* find_vm(endpoint const& address);
     bool can_exchange_messages(virtual_vm const& from, virtual_vm const& to) const
@@ -284,6 +289,7 @@
     std::uint64_t m_store_version = 1;
     std::map<std::string, row_faults> m_row_faults; ///< Keyed by the key of the row.
     std::optional<duration> m_call_repetition_delay;
+    std::optional<duration> m_store_timeout;
     std::map<std::string, std::uint64_t> m_fences; ///< Highest fence seen, keyed by group.
     /// Indexes of the client VM and the server VM, keyed by channel number.
     std::map<std::uint64_t, std::pair<std::size_t, std::size_t>> m_channels;
--- a/tests/sessions/order_of_a_lost_vm_tests.cpp
+++ b/tests/sessions/order_of_a_lost_vm_tests.cpp
@@ -370,6 +370,46 @@
     }
 }
 
+/// Guards against callers that are refused for long: the store is silent, the leader crashes and is back, and
+/// no order was given. Several VMs run takeovers, since each had an answer of the store a short time ago.
+Test(order_of_a_lost_vm, leader_that_returns_while_the_store_is_silent_is_served_soon)
+{
+    constexpr duration max_wait = 2100ms;
+    auto const milliseconds = [](duration time) { return static_cast<long>(time / 1ms); };
+    for (duration const down : {duration(200ms), duration(600ms), duration(1200ms), duration(2500ms)}) {
+        for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+            auto shape = order_fixture::make_shape();
+            shape.zones = {"a", "b", "c"};
+            order_fixture fixture(seed, shape);
+            auto& fleet = fixture.fleet;
+            auto& group = fleet.group();
+            fleet.set_store_timeout(1s);
+            // VMs had the last answer of the store at different times, the last one 0.5 s before the crash.
+            auto const step = 40ms * static_cast<int>(seed);
+            for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+                fixture.write_for(step);
+                fleet.set_store_cut(vm, true);
+            }
+            fixture.write_for(500ms);
+            std::string const leader = group.leader();
+            auto const orders = fleet.sent_orders();
+            group.crash(leader);
+            fixture.write_for(down);
+            group.restart(leader);
+            auto const returned_at = fleet.clock().now();
+            auto const before = group.acknowledged();
+            while (group.acknowledged() < before + 4 && fleet.clock().now() < returned_at + 12s) {
+                fixture.write_for(10ms);
+            }
+            auto const waited = fleet.clock().now() - returned_at;
+            cr_assert(fleet.sent_orders() == orders, "a VM ordered a promotion");
+            cr_expect(waited <= max_wait, "callers waited %ld ms; seed %lu, leader down for %ld ms",
+                      milliseconds(waited), static_cast<unsigned long>(seed), milliseconds(down));
+            cr_expect(group.holds_all_acknowledged());
+        }
+    }
+}
+
 /// Guards against needless takeovers: each VM is restarted by plan, one after the other, after a handover
 /// that ended well.
 Test(order_of_a_lost_vm, planned_restarts_after_a_handover_cause_no_takeover)
