processes: Let members of process tests stand still with open connections

A member could crash or receive nothing, but not stand still: keep its connections, go on later with what it has read, and answer then.

All steps of a member's connections, also of new ones and of commits that wait for replicas, now wait while it stands still. A standing primary sends its replicas nothing, a standing replica receives nothing, and heartbeats stop.

--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -26,11 +26,12 @@
 
 import fleet as fleet_stand_in  # noqa: E402
 from odd_fields import ODD_NAMES, ODD_SHAPES, OddFields  # noqa: E402
-from repeated_answers import AnswerFaults, FaultyConnection, FaultyHttpServer  # noqa: E402
+from repeated_answers import AnswerFaults, FaultyHttpServer  # noqa: E402
 from second_tries import check_served  # noqa: E402
+from soak_member import SoakMember  # noqa: E402
 from statement_rules import PROMISES, CallerSession, StatementRules  # noqa: E402
-from strict_wire import READ_LIMIT, EscapingRecord, MessageStream, escape  # noqa: E402
-from wire_stand_ins import Group, Member, Store  # noqa: E402
+from strict_wire import EscapingRecord, MessageStream, escape  # noqa: E402
+from wire_stand_ins import Group, Store  # noqa: E402
 
 ZONES = ("north", "south", "east")
 DATABASES = {"stock": "bounded_staleness", "ponds": "read_your_writes", "ledger": "primary"}
@@ -47,71 +48,12 @@
 NO_ANSWER = ("CLOSED", "NONE")
 LONG_PAUSE = 1  # Seconds, above the shorter of the limits on idle transactions that the operator sets.
 MEMBER_WORK = 0.02  # Seconds that a statement takes at a member.
+STANDSTILL_PAUSE = 0.05  # Seconds between two looks at a member that stands still.
 SETTLE_TIME = fleet_stand_in.BOUNDS["recovery-s"]  # Seconds without faults at the end.
 ODD_SHARE = 0.4  # Share of fields that hold line ends and the like (see odd_fields.py).
 LAST_CHECK_TIME = 3  # Each VM has to serve a statement within this time after the end.
 
 
-class SoakMember(Member):
-    """Member that can crash, return with its log, and receive nothing for a while."""
-
-    is_deaf = False
-
-    async def start(self, host):
-        self.host, self.port = host, 0
-        await self.listen()
-        self.port = self.server.sockets[0].getsockname()[1]
-        self.rebuild()
-
-    async def listen(self):
-        self.server = await asyncio.start_server(self.serve, self.host, self.port, limit=READ_LIMIT)
-
-    def proof(self):
-        return self.group.fields.text(super().proof())
-
-    async def serve(self, reader, writer):
-        self.next_connection += 1
-        connection = FaultyConnection(self, reader, writer, "%s#%d" % (self.identity, self.next_connection))
-        self.writers.add(writer)
-        try:
-            await connection.run()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self.writers.discard(writer)
-            connection.roll_back("connection closed")
-            writer.close()
-
-    def receive(self, commit):
-        return not self.is_deaf and super().receive(commit)
-
-    def catch_up(self):
-        """Takes over the primary's log, as a replica that receives again does."""
-        primary = self.group.primary()
-        if self.is_running and not self.is_deaf and primary not in (None, self):
-            self.role, self.term = "replica", primary.term
-            self.log = list(primary.log)
-        self.rebuild()
-
-    def rebuild(self):
-        self.data = {item: item for item in self.group.preset_rows}
-        self.data.update((item, data) for commit in self.log for item, data in commit[2])
-        self.applied = len(self.log)
-
-    def crash(self):
-        self.is_running = False
-        self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-    async def restart(self):
-        await self.listen()
-        self.is_running = True
-        self.stopped_at = 0
-        self.born = int(time.time() * 1000)
-        self.catch_up()
-
-
 class SoakGroup(Group):
     def __init__(self, name, record, rules, faults, fields):
         super().__init__(name, record)
@@ -126,6 +68,7 @@
         self.check_promotion(chosen)
         super().finish_promotion(chosen, holder)
         for member in self.members:
+            member.stopped_at = 0  # A promotion ends a PAUSE.
             member.catch_up() if member is not chosen else member.rebuild()
 
     def check_promotion(self, chosen):
@@ -261,8 +204,8 @@
     async def beat(self, member):
         """Reports the member at its rate and at each change of its role, and lets its entry expire with it."""
         while True:
-            if not member.is_running:
-                await asyncio.sleep(0.1)
+            if not member.is_running or member.is_still:
+                await asyncio.sleep(STANDSTILL_PAUSE)
                 continue
             role, end = member.role, time.monotonic() + fleet_stand_in.HEARTBEAT
             self.store.put_json("servers", member.identity, member.entry())
