processes: Keep the logs of broken plays of a standing leader

A play broke RECOVER once and left no logs, and nothing told whether the machine had stopped the whole play for a while. The summary names the longest gap now.

--- a/tests/processes/standing_leader.py
+++ b/tests/processes/standing_leader.py
@@ -120,6 +120,7 @@
         self.served = {}  # Time at which a VM's last write that was acknowledged was sent, by name.
         self.in_flight = 0  # Writes that the leader has begun, and whose callers wait, as it goes on.
         self.recovery = None  # Seconds until all VMs serve again.
+        self.longest_gap = 0  # Seconds in which the machine did not let this process run.
 
     async def call(self, index):
         """Sends one write after the other, each in a session of its own, to the VMs in turn."""
@@ -158,6 +159,12 @@
             if stream:
                 stream.close()
 
+    async def watch_gaps(self):
+        while not self.is_over:
+            start = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.longest_gap = max(self.longest_gap, time.monotonic() - start - 0.02)
+
     async def disturb(self):
         """Returns whether an order was given."""
         leader = self.group.primary()
@@ -222,13 +229,13 @@
     try:
         await fleet.start(broken)
         run = Play(fleet, case)
-        callers = [asyncio.ensure_future(run.call(index)) for index in range(CALLERS)]
+        tasks = [asyncio.ensure_future(each) for each in [run.watch_gaps()] + [run.call(i) for i in range(CALLERS)]]
         await asyncio.sleep(QUIET_TIME)
         is_ordered = await run.disturb()
         if is_ordered:
             await run.wait_served()
         run.is_over = True
-        await asyncio.gather(*callers)
+        await asyncio.gather(*tasks)
     finally:
         fleet.end()
     group, leader = run.group, run.group.primary()
@@ -242,8 +249,8 @@
     if is_ordered and run.recovery is None:
         broken.append("RECOVER: writes are not served again at all VMs within %d s" % RECOVERY_TIME)
     broken += fleet.rules.broken
-    summary = "%d writes in flight, %d promotions, %d acknowledged writes lost, served again after %s s; %s" % (
-        run.in_flight, group.promotions, len(group.lost), run.recovery and round(run.recovery, 2),
+    summary = "%d writes in flight, %d promotions, %d acknowledged writes lost, served after %s s, gaps %.2f s; %s" % (
+        run.in_flight, group.promotions, len(group.lost), run.recovery and round(run.recovery, 2), run.longest_gap,
         ", ".join("%d %s" % (count, result) for result, count in sorted(run.counts.items())))
     fleet.record.add(summary)
     return is_ordered and run.in_flight > 0, broken, summary
@@ -261,7 +268,7 @@
     print("seed %d: %s%s" % (seed, summary, "" if could_run else "; could not run"))
     for each in broken:
         print("  " + each)
-    if os.environ.get("KEEP"):
+    if broken or os.environ.get("KEEP"):
         print("  logs are in " + folder)
     else:
         shutil.rmtree(folder)
