failover: Bound the logs of members that left as planned and are silent

The roster bounded the log of an unlisted member by refused connections only. Where the machine is gone as well, nothing answers at its address, which removed the bound; VMs that had started since waited for the member in each takeover.

A member that drains has announced its end, which a crash does not. The roster's row now says since when a listed member drains, by the store's clock and with the start of its process, so that VMs which restart go on counting. Once the member is unlisted, 22 s have passed and its address has not answered for 3 s with its zone in contact, the keeper bounds its log by a position that the leader reports afterwards and marks it as left; the bound then holds while the address is silent. The report is renewed after 15 s, so a member that drains for longer gets its time from its last entries on. An answer after the 22 s is another process's and withdraws bound and mark. A silent member that did not drain gets no bound, as before.

Three more tests guard the bound against members that may receive; they were not run on the code before.

--- a/libraries/failover/group_takeover.cpp
+++ b/libraries/failover/group_takeover.cpp
@@ -511,7 +511,7 @@
 
 bool group_takeover::is_covered(std::string const& replica) const
 {
-    if (is_replaced_at_address(replica)) {
+    if (is_replaced_at_address(replica) || is_covered_after_planned_leave(replica)) {
         return true;
     }
     auto const now = m_kernel.now();
@@ -526,9 +526,23 @@
     }
     // An entry may also lapse because its member is cut off from the store. While the leader may run as well,
     // both may be serving callers on the other side of a partition.
-    auto const is_leader_down =
-        is_known_not_to_run(m_evidence.old_leader()) || m_evidence.final_position(now);
-    return elapsed() >= silent_replica_timeout && (has_contact(replica) || is_leader_down);
+    return elapsed() >= silent_replica_timeout && (has_contact(replica) || is_leader_down());
+}
+
+bool group_takeover::is_leader_down() const
+{
+    return is_known_not_to_run(m_evidence.old_leader()) ||
+           m_evidence.final_position(m_kernel.now()).has_value();
+}
+
+bool group_takeover::is_covered_after_planned_leave(std::string const& replica) const
+{
+    if (!m_roster || !m_roster->has_left(replica) || is_listed(replica)) {
+        return false;
+    }
+    auto const bound = m_roster->log_bound(replica);
+    return bound && m_evidence.furthest_position(m_kernel.now()) >= *bound &&
+           (has_contact(replica) || is_leader_down());
 }
 
 bool group_takeover::is_replaced_at_address(std::string const& replica) const
--- a/libraries/failover/group_takeover.h
+++ b/libraries/failover/group_takeover.h
@@ -175,6 +175,8 @@
     bool are_replicas_covered() const;
     /// Returns whether the log of a replica without an answer holds no commit that the answers lack.
     bool is_covered(std::string const& replica) const;
+    /// Returns whether the roster says that a replica has ended as planned, and the answers reach its bound.
+    bool is_covered_after_planned_leave(std::string const& replica) const;
     /// Returns whether a member that answers runs at the address of a replica that has ended. It took over
     /// the replica's log.
     bool is_replaced_at_address(std::string const& replica) const;
@@ -190,6 +192,8 @@
     /// refused connection is the member's own.
     bool has_contact(std::string const& member) const;
     bool is_known_not_to_run(std::string const& member) const;
+    /// Returns whether the old leader has ended or has stepped down.
+    bool is_leader_down() const;
     /// Returns whether callers behind a cut may still learn of commits of a leader that cannot be reached.
     bool awaits_end_of_successes();
     /// Returns false while the old leader may still be used by VMs that have not learned of the takeover.
--- a/libraries/failover/roster_service.cpp
+++ b/libraries/failover/roster_service.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "failover/watcher_choice.h"
+#include "members/member_drain.h"
 
 namespace greengagehitch {
 
@@ -26,6 +27,11 @@
 constexpr duration probe_timeout = std::chrono::milliseconds(400);
 /// Time after which a member whose address refuses connections is taken for ended for good.
 constexpr duration ended_member_memory = std::chrono::minutes(10);
+/// Time that a member may take beyond its drain time until it ends.
+constexpr duration max_drain_overtime = std::chrono::seconds(15);
+/// Time for which no attempt to connect to a member may have been answered that is taken for ended as
+/// planned.
+constexpr duration min_silence = std::chrono::seconds(3);
 /// Placeholder account for connections that belong to no client account.
 constexpr auto control_account = "-";
 
@@ -176,14 +182,18 @@
 {
     m_states[group].is_calling = true;
     m_platform.read_row(row_key(group), m_kernel.guard<absl::StatusOr<std::optional<table_row>>>(
-                                            [this, group](auto const& row) {
+                                            [this, group, asked_at = m_kernel.now()](auto const& row) {
                                                 auto& state = m_states[group];
                                                 state.is_calling = false;
                                                 if (!row.ok()) {
                                                     state.next_call_at = m_kernel.now() + retry_delay;
                                                     return;
                                                 }
-                                                handle_row(group, row->value_or(table_row{}));
+                                                auto const read = row->value_or(table_row{});
+                                                if (read.read_at_ms != 0) {
+                                                    state.clock = {read.read_at_ms, asked_at, m_kernel.now()};
+                                                }
+                                                handle_row(group, read);
                                             }));
 }
 
@@ -250,9 +260,11 @@
 member_roster roster_service::updated_roster(database_group& group, group_state& state)
 {
     auto roster = state.stored->roster;
+    auto const store_time_ms =
+        state.clock ? std::optional(state.clock->latest_ms(m_kernel.now())) : std::nullopt;
     for (auto const& [id, member] : group.members()) {
         if (!member.entry.absent_since) {
-            roster.add_listed(member.entry);
+            roster.add_listed(member.entry, store_time_ms);
         }
     }
     add_former_members(group, roster);
@@ -262,33 +274,97 @@
             roster.remove(id);
         }
     }
+    for (auto const& [id, probed] : state.probes) {
+        update_unlisted(group, state, id, probed, roster);
+    }
+    return roster;
+}
+
+void roster_service::update_unlisted(database_group& group, group_state const& state, std::string const& id,
+                                     probe const& probed, member_roster& roster) const
+{
+    auto const found = state.stored->roster.entries().find(id);
+    if (found == state.stored->roster.entries().end()) {
+        return;
+    }
+    auto const& entry = found->second;
+    if (update_planned_leave(group, id, entry, probed, planned_end(state, entry), roster)) {
+        return;
+    }
+    auto const& evidence = probed.evidence;
+    if (evidence.is_contradicted()) {
+        roster.set_log_bound(id, std::nullopt);
+        return;
+    }
+    auto const since = evidence.refused_since();
+    if (!since || !evidence.is_absent(m_reports->heard_zone_since(entry.availability_zone, *since))) {
+        return;
+    }
+    auto const newest = group.leader_positions().newest();
+    auto const& bound = entry.log_bound;
+    if (bound && m_kernel.now() - *since >= ended_member_memory && is_held_by_replica(group, *bound)) {
+        roster.remove(id);
+    }
+    else if (!bound && newest && newest->sent_at >= *since) {
+        // What the member received before it ended is in the leader's log.
+        roster.set_log_bound(id, newest->position);
+    }
+    else if (!bound) {
+        group.refresh_leader_position(control_account);
+    }
+}
+
+bool roster_service::update_planned_leave(database_group& group, std::string const& id,
+                                          roster_entry const& entry, probe const& probed,
+                                          std::optional<monotonic_time> ended_at, member_roster& roster) const
+{
+    // A process that answers later than the one that drained has ended is another one, which may receive.
+    if (probed.answered_at && (ended_at ? *probed.answered_at >= *ended_at : entry.has_left)) {
+        roster.withdraw_leave(id);
+        return true;
+    }
     auto const now = m_kernel.now();
+    auto const& since = probed.unanswered_since;
+    auto const is_silent =
+        since && now - *since >= min_silence && m_reports->heard_zone_since(entry.availability_zone, *since);
+    if (!ended_at || now < *ended_at || !is_silent) {
+        return entry.has_left;
+    }
     auto const newest = group.leader_positions().newest();
-    for (auto const& [id, probed] : state.probes) {
-        auto const& evidence = probed.evidence;
-        if (evidence.is_contradicted()) {
-            roster.set_log_bound(id, std::nullopt);
-            continue;
-        }
-        auto const since = evidence.refused_since();
-        auto const entry = state.stored->roster.entries().find(id);
-        if (!since || entry == state.stored->roster.entries().end() ||
-            !evidence.is_absent(m_reports->heard_zone_since(entry->second.availability_zone, *since))) {
-            continue;
-        }
-        auto const& bound = entry->second.log_bound;
-        if (bound && now - *since >= ended_member_memory && is_held_by_replica(group, *bound)) {
+    if (entry.has_left) {
+        if (now - *since >= ended_member_memory && is_held_by_replica(group, *entry.log_bound)) {
             roster.remove(id);
         }
-        else if (!bound && newest && newest->sent_at >= *since) {
-            // What the member received before it ended is in the leader's log.
-            roster.set_log_bound(id, newest->position);
-        }
-        else if (!bound) {
-            group.refresh_leader_position(control_account);
-        }
     }
-    return roster;
+    else if (newest && newest->sent_at >= std::max(*ended_at, *since)) {
+        // What the member received before it ended is in the leader's log.
+        roster.set_left(id, newest->position);
+    }
+    else {
+        group.refresh_leader_position(control_account);
+        return false;
+    }
+    return true;
+}
+
+std::optional<monotonic_time> roster_service::planned_end(group_state const& state, roster_entry const& entry)
+{
+    if (!entry.leave || !state.clock) {
+        return std::nullopt;
+    }
+    auto const longest =
+        std::chrono::ceil<std::chrono::milliseconds>(member_drain_limit + max_drain_overtime);
+    return state.clock->surely_reached_at(entry.leave->reported_at_ms + longest.count());
+}
+
+std::int64_t roster_service::store_clock::latest_ms(monotonic_time now) const
+{
+    return time_ms + std::chrono::ceil<std::chrono::milliseconds>(now - asked_at).count();
+}
+
+monotonic_time roster_service::store_clock::surely_reached_at(std::int64_t time) const
+{
+    return answered_at + std::chrono::milliseconds(time - time_ms);
 }
 
 void roster_service::add_former_members(database_group const& group, member_roster& roster) const
@@ -365,6 +441,18 @@
     else {
         probed.evidence.record_other_result();
     }
+    // An attempt that fails at once in another way says nothing, for example while this VM lacks descriptors.
+    auto const had_no_result =
+        answer.error == member_error::refused && m_kernel.now() - started_at >= probe_timeout;
+    if (is_refused || had_no_result) {
+        probed.unanswered_since = probed.unanswered_since.value_or(started_at);
+    }
+    else {
+        probed.unanswered_since.reset();
+    }
+    if (answer.error != member_error::refused && !is_refused) {
+        probed.answered_at = m_kernel.now();
+    }
     if (answer.is_ok()) {
         probed.next_at = m_kernel.now() + running_probe_period;
     }
--- a/libraries/failover/roster_service.h
+++ b/libraries/failover/roster_service.h
@@ -58,10 +58,26 @@
     /// Attempts to connect to the address of a member that the directory does not list.
     struct probe {
         absence_evidence evidence;
+        /// Start of the first of the attempts since which none was answered by a process of the group: each
+        /// was refused or had no result in time.
+        std::optional<monotonic_time> unanswered_since;
+        std::optional<monotonic_time> answered_at; ///< Time of the last answer of such a process.
         backend_connection_pointer connection;
         monotonic_time next_at;
     };
 
+    /// Time of the store's steady clock that a read reported.
+    struct store_clock {
+        std::int64_t time_ms = 0;
+        monotonic_time asked_at;
+        monotonic_time answered_at;
+
+        /// Latest time that the clock may show at `now`, in milliseconds.
+        std::int64_t latest_ms(monotonic_time now) const;
+        /// Time from which on the clock certainly shows `time` or later, by this VM's clock.
+        monotonic_time surely_reached_at(std::int64_t time) const;
+    };
+
     struct group_state {
         std::set<std::string> listed; ///< Ids of the members that were listed when the keeper was chosen.
         monotonic_time next_choice_at;
@@ -70,6 +86,7 @@
         monotonic_time next_call_at;
         monotonic_time next_read_at;
         std::optional<stored_roster> stored;
+        std::optional<store_clock> clock; ///< No value if the store reported no time.
         /// Roster that this VM has tried to write last, also if the store did not answer. No value unless it
         /// is the keeper.
         std::optional<member_roster> wanted;
@@ -86,6 +103,17 @@
     void write_row(std::string const& group, member_roster const& roster);
     /// Returns the roster that the store should hold.
     member_roster updated_roster(database_group& group, group_state& state);
+    /// Updates what the roster says of a member that the directory does not list, after its address was
+    /// probed.
+    void update_unlisted(database_group& group, group_state const& state, std::string const& id,
+                         probe const& probed, member_roster& roster) const;
+    /// Updates the entry of a member that drained, and returns false if it may still run. `ended_at` is the
+    /// time at which it has ended as planned.
+    bool update_planned_leave(database_group& group, std::string const& id, roster_entry const& entry,
+                              probe const& probed, std::optional<monotonic_time> ended_at,
+                              member_roster& roster) const;
+    /// Returns when the process that drained has certainly ended, by this VM's clock, if that is known.
+    static std::optional<monotonic_time> planned_end(group_state const& state, roster_entry const& entry);
     /// Adds the members that the directory listed while the row was not written.
     void add_former_members(database_group const& group, member_roster& roster) const;
     void probe_unlisted_members(database_group const& group, group_state& state);
--- a/tests/sessions/roster_tests.cpp
+++ b/tests/sessions/roster_tests.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+/// Interval of the writes of each VM while nothing happens.
+constexpr duration calm_period = 200ms;
+/// Time for which a member serves after it has reported that it drains.
+constexpr duration drain_time = 7s;
+
 session_fleet_shape make_shape()
 {
     session_fleet_shape shape;
@@ -26,15 +31,15 @@
 
     std::string row_key() { return std::string(roster_key_prefix) + fleet.group().name(); }
 
-    /// Sends one write through each VM every 20 ms.
-    void load_for(duration length)
+    /// Sends one write through each VM in each period.
+    void load_for(duration length, duration period = 20ms)
     {
         auto const end = fleet.clock().now() + length;
         while (fleet.clock().now() < end) {
             for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
                 send_write(vm);
             }
-            fleet.clock().run_for(std::min<duration>(20ms, end - fleet.clock().now()));
+            fleet.clock().run_for(std::min<duration>(period, end - fleet.clock().now()));
         }
     }
 
@@ -97,6 +102,51 @@
         }
     }
 
+    /// Lets a member's machine answer no VM, or all of them again. The member goes on replicating.
+    void set_silent(std::string const& member, bool is_silent)
+    {
+        for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+            fleet.set_member_silent(vm, member, is_silent);
+        }
+    }
+
+    /// Replaces a replica as planned. Its machine is gone as well, so nothing at its address answers.
+    void release(std::string const& member, std::string const& replacement)
+    {
+        fleet.add_unlisted_replica(replacement);
+        fleet.list_member(replacement);
+        load_for(3s, calm_period);
+        fleet.drain_member(member);
+        load_for(drain_time, calm_period);
+        fleet.group().crash(member);
+        set_silent(member, true);
+        fleet.unlist_member(member);
+    }
+
+    /// Kills the VMs one after the other, each 5 s after the one before, and starts each again at once.
+    void restart_vms_in_turn()
+    {
+        for (std::size_t vm = 0; vm < fleet.vms(); ++vm) {
+            fleet.kill_vm(vm);
+            load_for(500ms, calm_period);
+            fleet.start_vm(vm);
+            load_for(4500ms, calm_period);
+        }
+    }
+
+    /// Returns the share of the writes from `first_write` on that callers know to be committed.
+    double served_share_since(std::size_t first_write) const
+    {
+        std::size_t served = 0;
+        for (auto i = first_write; i < callers.size(); ++i) {
+            auto const& answers = callers[i].answers();
+            served += !answers.empty() && answers.front().is_ok() ? 1 : 0;
+        }
+        return callers.size() == first_write
+                   ? 0
+                   : static_cast<double>(served) / static_cast<double>(callers.size() - first_write);
+    }
+
     session_fleet fleet;
     std::deque<session_caller> callers;
     std::vector<std::string> writes;
@@ -104,6 +154,9 @@
 
 /// Time for which VMs are down, so that the entries of members that ended with them have lapsed.
 constexpr duration long_outage = 4s;
+/// Time after the machines are back from which on at least min_served_share of the writes is to be served.
+constexpr duration recovery_time = 12s;
+constexpr double min_served_share = 0.25;
 
 } // namespace
 
@@ -313,3 +366,112 @@
                   fixture.lost_writes(), vm);
     }
 }
+
+/// Guards against a group that nobody leads any more: a member was replaced as planned, and nothing answers
+/// at its address, so each takeover by VMs that have started since waits for it.
+Test(roster, member_that_was_replaced_as_planned_and_is_silent_holds_up_no_later_takeover)
+{
+    for (bool const do_vms_restart : {false, true}) {
+        roster_fixture fixture;
+        fixture.load_for(500ms);
+        fixture.release("m-0-c", "m-0-cc");
+        fixture.load_for(do_vms_restart ? 10s : 35s, calm_period);
+        if (do_vms_restart) {
+            fixture.restart_vms_in_turn();
+            fixture.fleet.group().crash("m-0-a");
+        }
+        else {
+            fixture.lose({"m-0-a"}, 1s);
+        }
+        fixture.load_for(recovery_time, calm_period);
+        auto const first_write = fixture.writes.size();
+        fixture.load_for(8s, calm_period);
+        cr_expect(fixture.served_share_since(first_write) >= min_served_share,
+                  "%.3f of the writes served, %s", fixture.served_share_since(first_write),
+                  do_vms_restart ? "VMs restarted in turn" : "all VMs lost");
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost", fixture.lost_writes());
+    }
+}
+
+/// Guards against lost acknowledged commits: a member that drains is cut off from the store and from all VMs.
+/// It receives and confirms until its end, and is lost with the leader and all VMs before.
+Test(roster, draining_member_that_is_silent_has_no_bound_before_its_planned_end)
+{
+    for (auto const silent_for : {4s, 8s, 12s}) {
+        roster_fixture fixture;
+        fixture.load_for(500ms);
+        fixture.fleet.drain_member("m-0-c");
+        fixture.load_for(2s);
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.set_silent("m-0-c", true);
+        fixture.load_for(silent_for, calm_period);
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        fixture.set_silent("m-0-c", false);
+        fixture.fleet.group().restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, member silent for %lld s",
+                  fixture.lost_writes(), static_cast<long long>(silent_for.count()));
+    }
+}
+
+/// Guards against lost acknowledged commits: a member that did not report that it drains is cut off from the
+/// store and from all VMs, and goes on confirming commits for as long as it runs.
+Test(roster, silent_member_that_did_not_drain_has_no_bound)
+{
+    for (auto const silent_for : {10s, 40s}) {
+        roster_fixture fixture;
+        fixture.load_for(500ms);
+        fixture.fleet.unlist_member("m-0-c");
+        fixture.set_silent("m-0-c", true);
+        fixture.load_for(silent_for, calm_period);
+        fixture.set_replication_cut({"m-0-b"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b"}, false);
+        fixture.load_for(5s);
+        fixture.set_silent("m-0-c", false);
+        fixture.fleet.group().restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, member silent for %lld s",
+                  fixture.lost_writes(), static_cast<long long>(silent_for.count()));
+    }
+}
+
+/// Guards against lost acknowledged commits: a member that drained has ended, and one that does not drain
+/// runs at its address without an entry. It answers VMs for a while, then goes on confirming commits in
+/// silence.
+Test(roster, member_that_runs_at_the_address_after_a_planned_end_is_awaited)
+{
+    for (auto const returns_after : {2s, 30s}) {
+        roster_fixture fixture;
+        auto& group = fixture.fleet.group();
+        fixture.load_for(500ms);
+        fixture.release("m-0-c", "m-0-cc");
+        fixture.load_for(returns_after, calm_period);
+        fixture.set_silent("m-0-c", false);
+        group.restart("m-0-c");
+        fixture.load_for(30s, calm_period);
+        fixture.set_silent("m-0-c", true);
+        fixture.load_for(30s, calm_period);
+        fixture.set_replication_cut({"m-0-b", "m-0-cc"}, true);
+        fixture.load_for(1s);
+        fixture.lose({"m-0-a", "m-0-c"}, 500ms);
+        fixture.set_replication_cut({"m-0-b", "m-0-cc"}, false);
+        fixture.load_for(5s);
+        fixture.set_silent("m-0-c", false);
+        group.restart("m-0-c");
+        fixture.fleet.list_member("m-0-c");
+        fixture.load_for(5s);
+        cr_expect(fixture.delivered_writes() != 0);
+        cr_expect(fixture.lost_writes() == 0, "%zu commits are lost, address in use after %lld s",
+                  fixture.lost_writes(), static_cast<long long>(returns_after.count()));
+    }
+}
