--- a/tests/processes/fault_soak.py
+++ b/tests/processes/fault_soak.py
@@ -4,8 +4,9 @@
 broken. KEEP=1 keeps the logs. The shares, 0 if absent, are those of the answers of members, store and failover call that
 arrive twice or end in the middle (see repeated_answers.py); 0.02 is 2 %.
 
-Planned work (SIGTERM, SIGHUP, changes of the configuration) and faults (SIGKILL, SIGSTOP, crashes of members, replicas
-that receive nothing) come in series and overlap. Callers use their sessions until the process is gone.
+Planned work (SIGTERM, SIGHUP, changes of the configuration) and faults (SIGKILL, SIGSTOP, crashes of members, members
+that stand still with their connections open, replicas that receive nothing) come in series and overlap. Callers use
+their sessions until the process is gone.
 """
 
 import asyncio
@@ -453,7 +454,7 @@
     async def run(self, end):
         actions = (self.stop_by_plan,) * 6 + (self.reload,) * 3 + (self.change_configuration,) * 4 + (
             self.kill, self.kill_last_writer, self.freeze, self.freeze, self.crash_member, self.crash_member,
-            self.deafen_member, self.slow_members)
+            self.deafen_member, self.hold_member, self.hold_member, self.slow_members)
         while time.monotonic() < end:
             for _ in range(self.rng.choice((1, 1, 2, 4))):  # Some come in series.
                 self.tasks.append(asyncio.ensure_future(self.rng.choice(actions)(self.rng.choice(self.fleet.vms))))
@@ -524,6 +525,16 @@
         if member.role == "replica":
             member.catch_up()
 
+    async def hold_member(self, _):
+        member = self.rng.choice(self.group.members)
+        if not member.is_running or member.is_still:
+            return
+        self.fleet.record.add("%s, the %s, stands still" % (member.identity, member.role))
+        member.stand_still()
+        await asyncio.sleep(self.rng.uniform(0.1, 3))
+        self.fleet.record.add("%s goes on" % member.identity)
+        member.go_on()
+
     async def slow_members(self, _):
         for member in self.group.members:
             member.work = self.rng.choice((0.02, 0.1, 0.5))
