brokers: Look for orders until reports of a suspicion have expired

A takeover may rest on a report of a suspicion for 2.7 s, so the time after a sign within which each success needs a lookup of its own rises from 2 to 3 s. Before, a claim could follow a lookup that the guard still relied on. The limit on the age of a claim is the one of the lock.

--- a/libraries/brokers/promotion_guard.cpp
+++ b/libraries/brokers/promotion_guard.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/verify.h"
+#include "failover/failover_lock.h"
 
 namespace greengagehitch {
 
@@ -13,13 +14,11 @@
 constexpr duration max_silence = std::chrono::milliseconds(800);
 /// Time without a success of a commit after which all replicas may have been stopped.
 constexpr duration max_commit_wait = std::chrono::milliseconds(300);
-/// Age that a claim may have when other VMs can read it first.
-constexpr duration max_claim_delay = std::chrono::milliseconds(1'400);
 /// Time after a lookup that found an order, or nothing, for which checks fail without another one.
 constexpr duration failed_lookup_pause = std::chrono::milliseconds(250);
 /// Time after a sign that the member may be replaced within which a takeover that began before may still
 /// claim the lock. Reports of a suspicion have expired by then.
-constexpr duration settling_time = std::chrono::seconds(2);
+constexpr duration settling_time = std::chrono::seconds(3);
 /// Time between reports of other VMs from which on they are about another absence.
 constexpr duration report_gap = std::chrono::seconds(3);
 
@@ -256,7 +255,8 @@
     if (commit.claim) {
         return *result.claim != *commit.claim;
     }
-    return result.is_claimed_for_other && claimed_at + max_claim_delay > commit.cleared_at;
+    // A claim may be as old as the lock when others can read it first.
+    return result.is_claimed_for_other && claimed_at + max_lock_age > commit.cleared_at;
 }
 
 void promotion_guard::decide_successes(lookup_result const& result, monotonic_time asked_at)
--- a/libraries/brokers/promotion_guard.h
+++ b/libraries/brokers/promotion_guard.h
@@ -25,8 +25,7 @@
 /// An order may also be given while a commit is under way, to a member that stands still and answers later. A
 /// success is passed on at once if the member has answered without a gap since the commit was sent, commits
 /// did not wait, and no VM suspected the member for a while. Otherwise a lookup that begins after the success
-/// decides.
-/// Evidence on which a later order rests was given after the replica received the commit.
+/// decides: a later order rests on evidence that is newer than the commit.
 class promotion_guard : public std::enable_shared_from_this<promotion_guard> {
 public:
     using result_callback = std::function<void(bool)>;
